--- /dev/null
+++ b/src/cmake/targets.cmake
@@ -0,0 +1,19 @@
+include(GoogleTest)
+
+# hyssopspar_program(NAME SOURCES...): one shipped program, linked to the library.
+function(hyssopspar_program name)
+  add_executable(${name} ${ARGN})
+  target_link_libraries(${name} PRIVATE hyssopspar)
+  target_include_directories(${name} PRIVATE "${PROJECT_SOURCE_DIR}/src")
+  set_target_properties(${name} PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY "${PROJECT_BINARY_DIR}/bin")
+endfunction()
+
+# hyssopspar_test(NAME SOURCES...): one GoogleTest program, with RapidCheck.
+function(hyssopspar_test name)
+  add_executable(${name} ${ARGN})
+  target_link_libraries(${name} PRIVATE hyssopspar GTest::gmock GTest::gtest_main rapidcheck)
+  target_include_directories(${name} PRIVATE "${PROJECT_SOURCE_DIR}/src")
+  gtest_discover_tests(${name} DISCOVERY_TIMEOUT 60
+    PROPERTIES TIMEOUT 600 ENVIRONMENT "RC_PARAMS=seed=20261204")
+endfunction()
--- /dev/null
+++ b/src/include/hyssopspar/job_spec.h
@@ -0,0 +1,33 @@
+/// \file
+/// What a batch job asks for.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "hyssopspar/ids.h"
+#include "hyssopspar/resources.h"
+#include "hyssopspar/time.h"
+
+namespace hyssopspar {
+
+struct JobSpec {
+  JobId m_id = 0;
+  std::string m_tenant;
+  std::string m_name;
+  std::string m_class;
+  std::uint32_t m_tasks = 1;
+  Resources m_size;        ///< Declared, for each task.
+  milliseconds m_work{0};  ///< Declared run time of each task.
+  std::int64_t m_priority = 0;  ///< Higher goes first.
+};
+
+/// Lists the fields once, for encoding and decoding alike.
+template <class Archive, class Spec>
+void VisitFields(Archive& archive, Spec& spec, const JobSpec* /*tag*/) {
+  archive(spec.m_id, spec.m_tenant, spec.m_name, spec.m_class, spec.m_tasks,
+          spec.m_size, spec.m_work, spec.m_priority);
+}
+
+}  // namespace hyssopspar
--- /dev/null
+++ b/src/include/hyssopspar/time.h
@@ -0,0 +1,43 @@
+/// \file
+/// Time types. Every signature that holds a time uses one of these.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace hyssopspar {
+
+/// Monotonic clock of one process. Decisions take a TimePoint parameter; only
+/// `main` and the transports read the clock.
+using Clock = std::chrono::steady_clock;
+using TimePoint = Clock::time_point;
+using Duration = Clock::duration;
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+/// Clock of one worker. Readings of different workers, or of one worker before
+/// and after a restart, are not comparable.
+struct WorkerClock {
+  using rep = std::int64_t;
+  using period = std::milli;
+  using duration = milliseconds;
+  using time_point = std::chrono::time_point<WorkerClock, milliseconds>;
+  static constexpr bool is_steady = true;
+};
+using WorkerTime = WorkerClock::time_point;
+
+/// Whole milliseconds of any duration, rounded towards zero.
+template <class Rep, class Period>
+constexpr std::int64_t ToMillis(std::chrono::duration<Rep, Period> d) {
+  return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
+/// Whole microseconds of any duration, rounded towards zero.
+template <class Rep, class Period>
+constexpr std::int64_t ToMicros(std::chrono::duration<Rep, Period> d) {
+  return std::chrono::duration_cast<microseconds>(d).count();
+}
+
+}  // namespace hyssopspar
--- /dev/null
+++ b/src/libhyssopspar/cell_sync.cpp
@@ -0,0 +1,206 @@
+// Messages to workers, derived from the state and the last reports.
+
+#include <algorithm>
+#include <utility>
+
+#include "pvt/cell_plan.h"
+
+namespace hyssopspar {
+
+namespace pvt {
+
+namespace {
+
+/// Attempts that the state holds live on the worker.
+std::map<AttemptId, const Task*> LiveOn(const CellState& state,
+                                        const WorkerSlot& slot) {
+  std::map<AttemptId, const Task*> live;
+  for (const TaskId& id : slot.m_live) {
+    const Task* task = FindTask(state, id);
+    live[AttemptId{id, task->m_attempt}] = task;
+  }
+  return live;
+}
+
+StartCommand MakeStart(const CellState& state,
+                       const AttemptId& id,
+                       const Task& task) {
+  const JobSpec& spec = state.m_jobs.at(id.m_task.m_job).m_spec;
+  StartCommand start;
+  start.m_id = id;
+  start.m_size = task.m_size;
+  start.m_class = spec.m_class;
+  start.m_work = spec.m_work;
+  start.m_progress = task.m_progress;
+  return start;
+}
+
+/// Starts and stops for attempts the state holds live.
+void AddWanted(const PlanContext& plan,
+               const WorkerSlot& slot,
+               const WorkerView& view,
+               bool may_start,
+               WorkerSync* sync) {
+  const CellState& state = plan.m_owner->m_replay.State();
+  const std::map<AttemptId, const Task*> live = LiveOn(state, slot);
+  for (const std::pair<const AttemptId, const Task*>& entry : live) {
+    const std::map<AttemptId, TaskReport>::const_iterator listed =
+        view.m_tasks.find(entry.first);
+    const bool is_listed = listed != view.m_tasks.end();
+    const bool running =
+        is_listed && listed->second.m_phase == TaskPhase::kRunning;
+    if (running && entry.second->m_state == TaskState::kEvicting) {
+      sync->m_stop.push_back(entry.first);
+    }
+    const std::map<AttemptId, StartTrack>::const_iterator start =
+        view.m_starts.find(entry.first);
+    const bool started_before =
+        start != view.m_starts.end() &&
+        (start->second.m_seen || start->second.m_boot != view.m_boot);
+    const bool wanted = !is_listed && !started_before && may_start &&
+                        entry.second->m_state == TaskState::kLive &&
+                        plan.m_owner->m_own_commits.count(entry.first) > 0;
+    if (wanted) {
+      sync->m_start.push_back(MakeStart(state, entry.first, *entry.second));
+    }
+  }
+}
+
+/// Stops and forgets for attempts that the worker lists and the state does not.
+void AddUnwanted(const PlanContext& plan,
+                 const WorkerSlot& slot,
+                 const WorkerView& view,
+                 WorkerSync* sync) {
+  const CellState& state = plan.m_owner->m_replay.State();
+  for (const std::pair<const AttemptId, TaskReport>& entry : view.m_tasks) {
+    const Task* task = FindTask(state, entry.first.m_task);
+    const bool live = slot.m_live.count(entry.first.m_task) > 0 &&
+                      task != nullptr &&
+                      task->m_attempt == entry.first.m_attempt;
+    if (live) {
+      continue;
+    }
+    if (entry.second.m_phase == TaskPhase::kRunning) {
+      sync->m_stop.push_back(entry.first);
+    } else {
+      sync->m_forget.push_back(entry.first);
+    }
+  }
+}
+
+/// Notes in \p view what \p sync may do on the worker.
+void TrackSync(const PlanContext& plan,
+               const WorkerSync& sync,
+               TimePoint not_after,
+               TimePoint lease_until,
+               WorkerView* view) {
+  view->m_lease_deadline = std::max(view->m_lease_deadline, lease_until);
+  view->m_sent_not_after = not_after;
+  for (const StartCommand& start : sync.m_start) {
+    StartTrack& track = view->m_starts[start.m_id];
+    track.m_boot = view->m_boot;
+    track.m_not_after = std::max(track.m_not_after, sync.m_not_after);
+  }
+  std::map<AttemptId, StartTrack>::iterator it = view->m_starts.begin();
+  while (it != view->m_starts.end()) {
+    const bool over =
+        plan.m_owner->m_replay.State().m_live.count(it->first.m_task) == 0;
+    it = over ? view->m_starts.erase(it) : std::next(it);
+  }
+}
+
+bool IsUrgent(const WorkerSync& sync) {
+  return !sync.m_start.empty() || !sync.m_stop.empty() ||
+         !sync.m_forget.empty();
+}
+
+/// The message to one worker, if one is due.
+std::optional<WorkerSync> PlanSync(const PlanContext& plan,
+                                   const WorkerSlot& slot,
+                                   WorkerView* view) {
+  const SchedSettings& settings = *plan.m_context->m_settings;
+  if (view->m_in_flight || plan.m_now >= plan.m_owner->m_outage_deadline) {
+    return std::nullopt;
+  }
+  const bool due = plan.m_now >= view->m_next_sync;
+  WorkerSync sync;
+  if (!view->m_contacted) {
+    return due ? std::optional<WorkerSync>(sync) : std::nullopt;
+  }
+  if (view->m_errors > 0 && !due) {
+    return std::nullopt;
+  }
+  const bool owner = HoldsLease(*plan.m_owner, plan.m_now);
+  // Starts must not outlive what permits them; renewals alone may go on through
+  // an outage of the log.
+  TimePoint not_after =
+      owner ? plan.m_owner->m_lease_deadline : plan.m_owner->m_outage_deadline;
+  AddWanted(plan, slot, *view,
+            StartsAllowed(plan) && AcceptsStarts(plan, slot), &sync);
+  if (owner) {
+    AddUnwanted(plan, slot, *view, &sync);
+  }
+  if (!sync.m_start.empty()) {
+    not_after = std::min(
+        not_after, plan.m_context->m_config_verified + settings.m_freshness);
+  }
+  if (!due && !IsUrgent(sync)) {
+    return std::nullopt;
+  }
+  const TimePoint lease_until = plan.m_now + settings.m_worker_lease;
+  sync.m_boot = view->m_boot;
+  sync.m_not_after = ToWorkerTime(*view, not_after);
+  sync.m_lease_until = ToWorkerTime(*view, lease_until);
+  TrackSync(plan, sync, not_after, lease_until, view);
+  return sync;
+}
+
+}  // namespace
+
+std::vector<SyncOrder> PlanSyncs(const PlanContext& plan) {
+  std::vector<SyncOrder> orders;
+  if (plan.m_context->m_vms == nullptr || plan.m_owner->m_releasing) {
+    return orders;
+  }
+  for (const WorkerSlot& slot : plan.m_owner->m_replay.State().m_workers) {
+    const Vm* vm = slot.m_name.empty() ? nullptr : FindVm(plan, slot.m_name);
+    if (vm == nullptr || vm->m_state == VmState::kDead) {
+      continue;
+    }
+    WorkerView& view = plan.m_owner->m_workers[slot.m_name];
+    std::optional<WorkerSync> sync = PlanSync(plan, slot, &view);
+    if (sync) {
+      view.m_in_flight = true;
+      view.m_next_sync =
+          plan.m_now + plan.m_context->m_settings->m_worker_renew;
+      orders.push_back(
+          SyncOrder{slot.m_name, vm->m_address, std::move(*sync)});
+    }
+  }
+  return orders;
+}
+
+}  // namespace pvt
+
+void NoteWorkerReport(CellOwner* owner,
+                      const std::string& worker,
+                      const Result<WorkerReport>& report,
+                      TimePoint now) {
+  const std::map<std::string, WorkerView>::iterator it =
+      owner->m_workers.find(worker);
+  if (it == owner->m_workers.end()) {
+    return;
+  }
+  it->second.m_in_flight = false;
+  if (!report) {
+    ++it->second.m_errors;
+    if (report.error().m_code != ErrorCode::kNotSent) {
+      it->second.m_unsettled_until = std::max(it->second.m_unsettled_until,
+                                              it->second.m_sent_not_after);
+    }
+    return;
+  }
+  NoteReport(&it->second, report.value(), now);
+}
+
+}  // namespace hyssopspar
--- /dev/null
+++ b/src/libhyssopspar/health.cpp
@@ -0,0 +1,34 @@
+#include "hyssopspar/health.h"
+
+namespace hyssopspar {
+
+namespace {
+
+HttpResponse TextResponse(int status, std::string body) {
+  HttpResponse response;
+  response.m_status = status;
+  response.m_headers["content-type"] = "text/plain; version=0.0.4";
+  response.m_body = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+std::optional<HttpResponse> AnswerHealth(const HttpRequest& request,
+                                         const Metrics& metrics,
+                                         bool ready) {
+  const std::string path = PathOf(request.m_target);
+  if (path == "/healthz") {
+    return TextResponse(200, "ok\n");
+  }
+  if (path == "/readyz") {
+    return ready ? TextResponse(200, "ready\n")
+                 : TextResponse(503, "not ready\n");
+  }
+  if (path == "/metrics") {
+    return TextResponse(200, metrics.Render());
+  }
+  return std::nullopt;
+}
+
+}  // namespace hyssopspar
--- /dev/null
+++ b/src/libhyssopspar/http_client.cpp
@@ -0,0 +1,46 @@
+#include "hyssopspar/http_client.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include "pvt/exchange.h"
+
+namespace hyssopspar {
+
+struct HttpClient::Impl {
+  std::string m_address;
+  boost::asio::io_context m_io;
+  std::shared_ptr<pvt::Exchange> m_exchange;
+};
+
+HttpClient::HttpClient(std::string address) : m_impl(std::make_unique<Impl>()) {
+  m_impl->m_address = std::move(address);
+}
+
+HttpClient::~HttpClient() = default;
+
+const std::string& HttpClient::Address() const {
+  return m_impl->m_address;
+}
+
+Result<HttpResponse> HttpClient::Send(const HttpRequest& request,
+                                      TimePoint deadline) {
+  if (m_impl->m_exchange == nullptr || !m_impl->m_exchange->IsReusable()) {
+    m_impl->m_exchange = std::make_shared<pvt::Exchange>(
+        boost::asio::any_io_executor(m_impl->m_io.get_executor()),
+        m_impl->m_address);
+  }
+  Result<HttpResponse> answer =
+      Fail(ErrorCode::kTimeout, "no answer from " + m_impl->m_address);
+  m_impl->m_exchange->Send(request, deadline,
+                           [&answer](Result<HttpResponse> got) {
+                             answer = std::move(got);
+                           });
+  m_impl->m_io.restart();
+  m_impl->m_io.run();
+  if (!m_impl->m_exchange->IsReusable()) {
+    m_impl->m_exchange.reset();
+  }
+  return answer;
+}
+
+}  // namespace hyssopspar
--- /dev/null
+++ b/src/libhyssopspar/logging.cpp
@@ -0,0 +1,40 @@
+#include "hyssopspar/logging.h"
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <cstdlib>
+#include <mutex>
+
+#include "hyssopspar/invariant.h"
+
+namespace hyssopspar {
+
+std::shared_ptr<spdlog::logger> Log(const std::string& part) {
+  static std::mutex mutex;
+  std::lock_guard<std::mutex> lock(mutex);
+  std::shared_ptr<spdlog::logger> logger = spdlog::get(part);
+  if (logger == nullptr) {
+    logger = spdlog::stderr_logger_mt(part);
+    logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e%z %l [%n] %v");
+    logger->set_level(spdlog::get_level());
+    logger->flush_on(spdlog::level::info);
+  }
+  return logger;
+}
+
+void SetLogLevel(const std::string& level) {
+  spdlog::set_level(spdlog::level::from_str(level));
+}
+
+namespace pvt {
+
+void InvariantFailed(const char* condition, const char* file, int line) {
+  Log("invariant")->critical("invariant broken condition=\"{}\" at={}:{}",
+                             condition, file, line);
+  spdlog::shutdown();
+  std::abort();
+}
+
+}  // namespace pvt
+}  // namespace hyssopspar
--- /dev/null
+++ b/src/libhyssopspar/metrics.cpp
@@ -0,0 +1,147 @@
+#include "hyssopspar/metrics.h"
+
+#include <boost/histogram.hpp>
+#include <cstdio>
+#include <tuple>
+
+namespace hyssopspar {
+
+namespace {
+
+namespace bh = boost::histogram;
+
+using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
+using Cells = bh::histogram<std::tuple<LogAxis>, bh::default_storage>;
+
+constexpr unsigned kBins = 290;
+constexpr double kLowestSeconds = 50e-6;
+constexpr double kHighestSeconds = 100.0;
+/// Every how many bins the exposition prints a bucket.
+constexpr int kRenderStep = 10;
+
+std::string Number(double value) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.9g", value);
+  return text;
+}
+
+}  // namespace
+
+namespace pvt {
+
+struct HistogramCells {
+  Cells m_cells{std::make_tuple(LogAxis(kBins, kLowestSeconds, kHighestSeconds))};
+};
+
+}  // namespace pvt
+
+LatencyHistogram::LatencyHistogram()
+    : m_cells(std::make_unique<pvt::HistogramCells>()) {}
+
+LatencyHistogram::~LatencyHistogram() = default;
+
+void LatencyHistogram::Add(Duration latency) {
+  const double seconds = std::chrono::duration<double>(latency).count();
+  std::lock_guard<std::mutex> lock(m_mutex);
+  m_cells->m_cells(seconds);
+  m_sum_seconds += seconds;
+}
+
+std::uint64_t LatencyHistogram::Count() const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  return static_cast<std::uint64_t>(
+      bh::algorithm::sum(m_cells->m_cells, bh::coverage::all));
+}
+
+Duration LatencyHistogram::Quantile(double q) const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  const Cells& cells = m_cells->m_cells;
+  const double total = bh::algorithm::sum(cells, bh::coverage::all);
+  if (total <= 0) {
+    return Duration::zero();
+  }
+  const LogAxis& axis = cells.axis();
+  const double target = q * total;
+  double below = 0;
+  double seconds = kHighestSeconds;
+  for (int bin = -1; bin <= axis.size(); ++bin) {
+    const double count = cells.at(bin);
+    if (count > 0 && below + count >= target) {
+      const double share = (target - below) / count;
+      const double low = bin < 0 ? 0 : axis.value(bin);
+      const double high = bin < 0 ? kLowestSeconds : axis.value(bin + 1);
+      seconds = bin >= axis.size() ? kHighestSeconds
+                                   : low + share * (high - low);
+      break;
+    }
+    below += count;
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+std::string LatencyHistogram::Render(const std::string& name,
+                                     const std::string& labels) const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  const Cells& cells = m_cells->m_cells;
+  const LogAxis& axis = cells.axis();
+  const std::string comma = labels.empty() ? "" : ",";
+  std::string text;
+  double below = 0;
+  for (int bin = -1; bin < axis.size(); ++bin) {
+    below += cells.at(bin);
+    if ((bin + 1) % kRenderStep == 0) {
+      text += name + "_bucket{" + labels + comma + "le=\"" +
+              Number(axis.value(bin + 1)) + "\"} " + Number(below) + "\n";
+    }
+  }
+  below += cells.at(axis.size());
+  text += name + "_bucket{" + labels + comma + "le=\"+Inf\"} " +
+          Number(below) + "\n";
+  text += name + "_sum{" + labels + "} " + Number(m_sum_seconds) + "\n";
+  text += name + "_count{" + labels + "} " + Number(below) + "\n";
+  return text;
+}
+
+std::atomic<std::int64_t>& Metrics::Value(const std::string& name,
+                                          const std::string& labels) {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  return m_values[labels.empty() ? name : name + "{" + labels + "}"];
+}
+
+LatencyHistogram& Metrics::Histogram(const std::string& name,
+                                     const std::string& labels) {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  return m_histograms[std::make_pair(name, labels)];
+}
+
+std::string Metrics::Render() const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  std::string text;
+  for (const std::pair<const std::string, std::atomic<std::int64_t>>& entry :
+       m_values) {
+    text += entry.first + " " + std::to_string(entry.second.load()) + "\n";
+  }
+  std::string typed;
+  for (auto it = m_histograms.begin(); it != m_histograms.end(); ++it) {
+    if (it->first.first != typed) {
+      typed = it->first.first;
+      text += "# TYPE " + typed + " histogram\n";
+    }
+    text += it->second.Render(it->first.first, it->first.second);
+  }
+  return text;
+}
+
+std::string Label(const std::string& key, const std::string& value) {
+  std::string text = key + "=\"";
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      text += '\\';
+    }
+    text += c == '\n' ? ' ' : c;
+  }
+  return text + "\"";
+}
+
+}  // namespace hyssopspar
--- /dev/null
+++ b/src/libhyssopspar/pvt/exchange.h
@@ -0,0 +1,49 @@
+/// \file
+/// One client connection that carries one HTTP exchange at a time.
+
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "hyssopspar/error.h"
+#include "hyssopspar/http_message.h"
+#include "hyssopspar/time.h"
+
+namespace hyssopspar::pvt {
+
+/// Connects on first use. After any error it is not reusable. All calls must
+/// come from the executor, or before it runs.
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  using Callback = std::function<void(Result<HttpResponse>)>;
+
+  Exchange(boost::asio::any_io_executor executor, std::string address);
+  ~Exchange();
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  /// Sends \p request and calls \p done once, by \p deadline at the latest.
+  /// A kept connection that turns out closed before any byte of the answer is
+  /// reported as kConnectionLost, never silently tried again.
+  void Send(const HttpRequest& request, TimePoint deadline, Callback done);
+
+  /// True between exchanges while the connection is open.
+  bool IsReusable() const;
+
+  void Close();
+
+ private:
+  struct Impl;
+  void Connect();
+  void Write();
+  void Read();
+  void Finish(Result<HttpResponse> result);
+
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace hyssopspar::pvt
--- /dev/null
+++ b/src/libhyssopspar/scheduler.cpp
@@ -0,0 +1,247 @@
+#include "hyssopspar/scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "hyssopspar/logging.h"
+
+namespace hyssopspar {
+
+namespace {
+
+constexpr const char* kLogPart = "sched";
+constexpr const char* kCellStreamPrefix = "cell-";
+/// Configuration records after which the state is written out whole again.
+constexpr Offset kConfigSnapshotRecords = 64;
+/// Spread of repeated configuration snapshots by several schedulers.
+constexpr milliseconds kConfigSnapshotPause{10000};
+
+}  // namespace
+
+std::string CellStream(const std::string& cell) {
+  return kCellStreamPrefix + cell;
+}
+
+Scheduler::Scheduler(const SchedSettings& settings,
+                     WriterId writer,
+                     std::uint64_t incarnation)
+    : m_settings(settings), m_writer(writer), m_incarnation(incarnation) {}
+
+CellContext Scheduler::Context() const {
+  CellContext context;
+  context.m_settings = &m_settings;
+  context.m_config = &m_config.State();
+  context.m_config_verified = m_config.Verified();
+  context.m_config_ready =
+      m_config.IsReady() && m_config.State().m_revision > 0;
+  context.m_vms = m_vms_ready ? &m_vms : nullptr;
+  context.m_membership = &m_membership;
+  context.m_leaving = m_leaving;
+  return context;
+}
+
+bool Scheduler::IsReady() const {
+  return m_config.IsReady() && m_vms_ready && m_members_ready;
+}
+
+bool Scheduler::IsConfigFresh(TimePoint now) const {
+  return m_config.IsReady() &&
+         now < m_config.Verified() + m_settings.m_freshness;
+}
+
+void Scheduler::OnRead(const std::string& stream,
+                       const Result<LogSlice>& slice,
+                       TimePoint sent,
+                       TimePoint now) {
+  if (stream == kConfigStream) {
+    if (slice) {
+      m_config.Feed(slice.value(), sent);
+    }
+  } else if (stream == kMemberStream) {
+    ReadMembers(slice, now);
+  } else {
+    ReadCell(stream.substr(std::string(kCellStreamPrefix).size()), slice, sent,
+             now);
+  }
+}
+
+void Scheduler::ReadMembers(const Result<LogSlice>& slice, TimePoint now) {
+  if (!slice) {
+    m_members_reading = false;
+    return;
+  }
+  if (!m_members_reading) {
+    // Nobody could be heard while the log was out of reach.
+    for (std::pair<const std::string, Member>& entry :
+         m_membership.m_members) {
+      entry.second.m_last_seen = now;
+    }
+  }
+  m_members_reading = true;
+  for (const LogRecord& record : slice.value().m_records) {
+    m_membership.m_next = record.m_offset + 1;
+    const Result<MemberBeat> beat = DecodeBeat(record.m_payload);
+    if (beat) {
+      NoteBeat(&m_membership, beat.value(), now);
+    }
+  }
+  m_members_ready = m_membership.m_next >= slice.value().m_end;
+  ExpireMembers(&m_membership, now - m_settings.m_member_timeout);
+}
+
+void Scheduler::ReadCell(const std::string& cell,
+                         const Result<LogSlice>& slice,
+                         TimePoint sent,
+                         TimePoint now) {
+  const std::map<std::string, CellOwner>::iterator it = m_cells.find(cell);
+  if (it == m_cells.end()) {
+    return;
+  }
+  if (!slice) {
+    NoteCellReadFailed(&it->second, now);
+    return;
+  }
+  NoteCellRead(&it->second, Context(), slice.value(), sent, now);
+}
+
+void Scheduler::OnAppend(const std::string& stream,
+                         bool succeeded,
+                         TimePoint now) {
+  const std::map<std::string, CellOwner>::iterator it =
+      m_cells.find(stream.substr(std::string(kCellStreamPrefix).size()));
+  if (it != m_cells.end()) {
+    NoteCellAppend(&it->second, m_settings, succeeded, now);
+  }
+}
+
+void Scheduler::OnReport(const std::string& cell,
+                         const std::string& worker,
+                         const Result<WorkerReport>& report,
+                         TimePoint now) {
+  const std::map<std::string, CellOwner>::iterator it = m_cells.find(cell);
+  if (it != m_cells.end()) {
+    NoteWorkerReport(&it->second, worker, report, now);
+  }
+}
+
+void Scheduler::OnTransfer(const std::string& cell,
+                           const TransferOrder& order,
+                           bool succeeded,
+                           TimePoint now) {
+  const std::map<std::string, CellOwner>::iterator it = m_cells.find(cell);
+  if (it != m_cells.end()) {
+    NoteTransfer(&it->second, order, m_settings, succeeded, now);
+  }
+}
+
+void Scheduler::OnVms(const std::vector<Vm>& vms) {
+  m_vms.clear();
+  for (const Vm& vm : vms) {
+    m_vms[vm.m_name] = vm;
+  }
+  m_vms_ready = true;
+}
+
+bool Scheduler::HasLeft() const {
+  return std::none_of(m_cells.begin(), m_cells.end(),
+                      [](const std::pair<const std::string, CellOwner>& cell) {
+                        return cell.second.m_owned ||
+                               cell.second.m_outstanding.has_value();
+                      });
+}
+
+std::map<std::string, Offset> Scheduler::Streams() const {
+  std::map<std::string, Offset> streams;
+  streams[kConfigStream] = m_config.Next();
+  streams[kMemberStream] = m_membership.m_next;
+  for (const std::pair<const std::string, CellOwner>& entry : m_cells) {
+    streams[CellStream(entry.first)] = entry.second.m_replay.Next();
+  }
+  return streams;
+}
+
+void Scheduler::FollowCells(TimePoint /*now*/) {
+  if (!m_config.IsReady() || !m_members_ready) {
+    return;
+  }
+  for (const std::string& cell : CellNames(m_config.State().m_doc)) {
+    const std::vector<std::string> ranked = RankOwners(m_membership, cell);
+    const std::size_t watched =
+        std::min<std::size_t>(ranked.size(), m_settings.m_watch_ranks);
+    const bool watch =
+        std::find(ranked.begin(), ranked.begin() + watched,
+                  m_settings.m_name) != ranked.begin() + watched;
+    const std::map<std::string, CellOwner>::iterator it = m_cells.find(cell);
+    if (watch && it == m_cells.end()) {
+      CellOwner owner;
+      owner.m_cell = cell;
+      owner.m_failure_domain = CellFailureDomain(cell);
+      owner.m_writer = m_writer;
+      m_cells.emplace(cell, std::move(owner));
+    } else if (!watch && it != m_cells.end() && !it->second.m_owned &&
+               !it->second.m_outstanding) {
+      m_cells.erase(it);
+    }
+  }
+}
+
+void Scheduler::Beat(TimePoint now, SchedulerOutput* output) {
+  if (now < m_next_beat) {
+    return;
+  }
+  m_next_beat = now + m_settings.m_beat_period;
+  MemberBeat beat;
+  beat.m_name = m_settings.m_name;
+  beat.m_incarnation = m_incarnation;
+  beat.m_failure_domain = m_settings.m_failure_domain;
+  beat.m_address = m_settings.m_address;
+  beat.m_leaving = m_leaving;
+  for (const std::pair<const std::string, CellOwner>& entry : m_cells) {
+    if (entry.second.m_owned) {
+      beat.m_cells.push_back(SummarizeCell(entry.second, Context()));
+    }
+  }
+  output->m_beats.push_back(
+      SchedulerOutput::Append{kMemberStream, EncodeBeat(beat)});
+}
+
+void Scheduler::SnapshotConfig(TimePoint now, SchedulerOutput* output) {
+  const ConfigState& config = m_config.State();
+  const bool due = m_config.IsReady() && config.m_revision > 0 &&
+                   now >= m_next_config_snapshot &&
+                   config.m_next - config.m_snapshot > kConfigSnapshotRecords;
+  if (!due) {
+    return;
+  }
+  m_next_config_snapshot = now + kConfigSnapshotPause;
+  const ConfigSnapshot snapshot{config.m_next, config.m_revision, config.m_doc,
+                                config.m_out};
+  output->m_beats.push_back(
+      SchedulerOutput::Append{kConfigStream, EncodeConfig(snapshot)});
+}
+
+SchedulerOutput Scheduler::Tick(TimePoint now) {
+  SchedulerOutput output;
+  Beat(now, &output);
+  SnapshotConfig(now, &output);
+  FollowCells(now);
+  const CellContext context = Context();
+  for (std::pair<const std::string, CellOwner>& entry : m_cells) {
+    CellOutput cell = TickCell(&entry.second, context, now);
+    if (cell.m_append) {
+      output.m_appends.push_back(SchedulerOutput::Append{
+          CellStream(entry.first), std::move(*cell.m_append)});
+    }
+    for (SyncOrder& order : cell.m_syncs) {
+      output.m_syncs.push_back(
+          SchedulerOutput::Sync{entry.first, std::move(order)});
+    }
+    for (TransferOrder& order : cell.m_transfers) {
+      output.m_transfers.push_back(
+          SchedulerOutput::Transfer{entry.first, std::move(order)});
+    }
+  }
+  return output;
+}
+
+}  // namespace hyssopspar
--- /dev/null
+++ b/src/sched/sched_api.cpp
@@ -0,0 +1,295 @@
+#include "sched/sched_api.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "hyssopspar/config_doc.h"
+#include "hyssopspar/decision.h"
+
+namespace hyssopspar::sched {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* kJobsPath = "/v1/jobs";
+constexpr std::size_t kMaxKeyBytes = 256;
+
+ApiResult Answer(HttpResponse response) {
+  ApiResult result;
+  result.m_answer = std::move(response);
+  return result;
+}
+
+const char* StateName(TaskState state) {
+  switch (state) {
+    case TaskState::kPending:
+      return "pending";
+    case TaskState::kLive:
+      return "running";
+    case TaskState::kEvicting:
+      return "evicting";
+    case TaskState::kParked:
+      return "parked";
+    case TaskState::kHandedOff:
+      return "handed-off";
+    case TaskState::kFinished:
+      return "finished";
+    case TaskState::kCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+std::optional<JobId> ParseJob(const std::string& path,
+                              const std::string& prefix) {
+  JobId job = 0;
+  const char* const begin = path.data() + prefix.size();
+  const char* const end = path.data() + path.size();
+  const std::from_chars_result parsed = std::from_chars(begin, end, job, 16);
+  const bool whole = parsed.ec == std::errc() && parsed.ptr == end;
+  return whole ? std::optional<JobId>(job) : std::nullopt;
+}
+
+JobSpec MakeSpec(const JobConfig& job, JobId id) {
+  JobSpec spec;
+  spec.m_id = id;
+  spec.m_tenant = job.m_tenant;
+  spec.m_name = job.m_name;
+  spec.m_class = job.m_class;
+  spec.m_tasks = job.m_tasks;
+  spec.m_size = job.m_size;
+  spec.m_work = job.m_work;
+  spec.m_priority = job.m_priority;
+  return spec;
+}
+
+ApiResult Submit(const Scheduler& scheduler, const HttpRequest& request) {
+  const Json json = Json::parse(request.m_body, nullptr, false);
+  const bool shaped = json.is_object() && json.contains("job") &&
+                      json["job"].is_string() && json.contains("key") &&
+                      json["key"].is_string();
+  if (!shaped) {
+    return Answer(ErrorResponse(400, "malformed",
+                                "expected {\"job\": NAME, \"key\": KEY}"));
+  }
+  const std::string key = json["key"].get<std::string>();
+  if (key.empty() || key.size() > kMaxKeyBytes) {
+    return Answer(ErrorResponse(400, "invalid-argument",
+                                "key must have 1 to 256 bytes"));
+  }
+  const std::string name = json["job"].get<std::string>();
+  const ConfigDoc& doc = scheduler.Config().m_doc;
+  const JobConfig* job = FindJob(doc, name);
+  if (job == nullptr) {
+    return Answer(ErrorResponse(404, "not-found",
+                                "no job " + name + " in the configuration"));
+  }
+  const JobId id = MakeJobId(job->m_tenant, key);
+  ApiAppend append;
+  append.m_stream = CellStream(HomeCell(doc, id));
+  append.m_payload =
+      EncodeBatch(Batch{0, 0, 0, {Decision(JobAdmit{MakeSpec(*job, id)})}});
+  append.m_done = JsonResponse(202, Json{{"id", JobName(id)}}.dump());
+  ApiResult result;
+  result.m_append = std::move(append);
+  return result;
+}
+
+ApiResult Cancel(const Scheduler& scheduler, JobId id) {
+  ApiAppend append;
+  append.m_stream = CellStream(HomeCell(scheduler.Config().m_doc, id));
+  append.m_payload = EncodeBatch(Batch{0, 0, 0, {Decision(JobCancel{id})}});
+  append.m_done = JsonResponse(202, Json{{"id", JobName(id)}}.dump());
+  ApiResult result;
+  result.m_append = std::move(append);
+  return result;
+}
+
+/// Adds the tasks of \p job as \p owner knows them; the task with the highest
+/// hop over all schedulers is the one that counts.
+void AddTasks(const CellOwner& owner, JobId id, Json* tasks) {
+  const CellState& state = owner.m_replay.State();
+  const std::map<JobId, Job>::const_iterator job = state.m_jobs.find(id);
+  if (job == state.m_jobs.end()) {
+    return;
+  }
+  for (const std::pair<const std::uint32_t, Task>& entry :
+       job->second.m_tasks) {
+    const Task& task = entry.second;
+    Json item{{"index", entry.first},
+              {"state", StateName(task.m_state)},
+              {"cell", owner.m_cell},
+              {"attempt", task.m_attempt},
+              {"hop", task.m_hop},
+              {"failures", task.m_failures},
+              {"progress", task.m_progress}};
+    const bool live = task.m_state == TaskState::kLive ||
+                      task.m_state == TaskState::kEvicting;
+    if (live) {
+      item["worker"] = state.m_workers[task.m_worker].m_name;
+    }
+    tasks->push_back(std::move(item));
+  }
+}
+
+ApiResult Describe(const Scheduler& scheduler, JobId id) {
+  Json tasks = Json::array();
+  for (const std::pair<const std::string, CellOwner>& cell :
+       scheduler.Cells()) {
+    AddTasks(cell.second, id, &tasks);
+  }
+  if (tasks.empty()) {
+    return Answer(
+        ErrorResponse(404, "not-found", "job " + JobName(id) + " not known"));
+  }
+  return Answer(JsonResponse(
+      200, Json{{"id", JobName(id)}, {"tasks", std::move(tasks)}}.dump()));
+}
+
+const char* WhyWaiting(const Scheduler& scheduler,
+                       const CellOwner& owner,
+                       const TaskId& id,
+                       const Task& task,
+                       TimePoint now) {
+  if (task.m_park == ParkReason::kNoWorkerLargeEnough) {
+    return "no worker is large enough";
+  }
+  if (task.m_park == ParkReason::kFailsEverywhere) {
+    return "it failed too often";
+  }
+  if (!owner.m_owned) {
+    return "another scheduler owns the cell";
+  }
+  if (scheduler.Config().m_out.count(owner.m_failure_domain) > 0) {
+    return "the failure domain is out of service";
+  }
+  if (!scheduler.IsConfigFresh(now)) {
+    return "the configuration can't be verified now";
+  }
+  const std::map<TaskId, TimePoint>::const_iterator delay =
+      owner.m_not_before.find(id);
+  if (delay != owner.m_not_before.end() && now < delay->second) {
+    return "it waits before the next try";
+  }
+  return "no worker has room now";
+}
+
+ApiResult Explain(const Scheduler& scheduler, JobId id, TimePoint now) {
+  Json lines = Json::array();
+  for (const std::pair<const std::string, CellOwner>& cell :
+       scheduler.Cells()) {
+    const CellState& state = cell.second.m_replay.State();
+    const std::map<JobId, Job>::const_iterator job = state.m_jobs.find(id);
+    if (job == state.m_jobs.end()) {
+      continue;
+    }
+    for (const std::pair<const std::uint32_t, Task>& entry :
+         job->second.m_tasks) {
+      const bool waits = entry.second.m_state == TaskState::kPending ||
+                         entry.second.m_state == TaskState::kParked;
+      if (waits) {
+        lines.push_back(
+            Json{{"index", entry.first},
+                 {"cell", cell.first},
+                 {"why", WhyWaiting(scheduler, cell.second,
+                                    TaskId{id, entry.first}, entry.second,
+                                    now)}});
+      }
+    }
+  }
+  return Answer(JsonResponse(
+      200, Json{{"id", JobName(id)}, {"waiting", std::move(lines)}}.dump()));
+}
+
+Json DescribeCell(const CellOwner& owner) {
+  const CellState& state = owner.m_replay.State();
+  std::size_t workers = 0;
+  Resources capacity;
+  Resources committed;
+  for (const WorkerSlot& slot : state.m_workers) {
+    workers += slot.m_name.empty() ? 0 : 1;
+    capacity += slot.m_capacity;
+    committed += slot.m_committed;
+  }
+  return Json{{"cell", owner.m_cell},
+              {"owner", state.m_owner},
+              {"owned", owner.m_owned},
+              {"epoch", state.m_epoch},
+              {"offset", state.m_next},
+              {"workers", workers},
+              {"cpu_milli", capacity.m_cpu_milli},
+              {"committed_cpu_milli", committed.m_cpu_milli},
+              {"pending", state.m_pending.size()},
+              {"live", state.m_live.size()},
+              {"jobs", state.m_jobs.size()},
+              {"starts", owner.m_counters.m_starts},
+              {"finishes", owner.m_counters.m_finishes},
+              {"evictions", owner.m_counters.m_evictions}};
+}
+
+ApiResult Status(const Scheduler& scheduler, TimePoint now) {
+  Json cells = Json::array();
+  for (const std::pair<const std::string, CellOwner>& cell :
+       scheduler.Cells()) {
+    cells.push_back(DescribeCell(cell.second));
+  }
+  Json members = Json::array();
+  for (const std::pair<const std::string, Member>& member :
+       scheduler.Members().m_members) {
+    members.push_back(member.first);
+  }
+  return Answer(JsonResponse(
+      200, Json{{"name", scheduler.Settings().m_name},
+                {"revision", scheduler.Config().m_revision},
+                {"out", scheduler.Config().m_out},
+                {"config_fresh", scheduler.IsConfigFresh(now)},
+                {"members", std::move(members)},
+                {"cells", std::move(cells)}}
+               .dump()));
+}
+
+bool StartsWith(const std::string& text, const std::string& start) {
+  return text.compare(0, start.size(), start) == 0;
+}
+
+}  // namespace
+
+ApiResult AnswerApi(const Scheduler& scheduler,
+                    const HttpRequest& request,
+                    TimePoint now) {
+  const std::string path = PathOf(request.m_target);
+  if (!scheduler.IsReady()) {
+    return Answer(ErrorResponse(503, "unavailable", "not ready yet"));
+  }
+  if (path == kJobsPath) {
+    return request.m_method == "POST"
+               ? Submit(scheduler, request)
+               : Answer(ErrorResponse(405, "invalid-argument",
+                                      "only POST is served here"));
+  }
+  if (path == "/v1/status") {
+    return Status(scheduler, now);
+  }
+  const std::string job_prefix = std::string(kJobsPath) + "/";
+  const std::string explain_prefix = "/v1/explain/";
+  const bool is_job = StartsWith(path, job_prefix);
+  const bool is_explain = StartsWith(path, explain_prefix);
+  if (!is_job && !is_explain) {
+    return Answer(ErrorResponse(404, "not-found", path));
+  }
+  const std::optional<JobId> id =
+      ParseJob(path, is_job ? job_prefix : explain_prefix);
+  if (!id) {
+    return Answer(ErrorResponse(400, "invalid-argument",
+                                "a job is named by hexadecimal digits"));
+  }
+  if (is_explain) {
+    return Explain(scheduler, *id, now);
+  }
+  return request.m_method == "DELETE" ? Cancel(scheduler, *id)
+                                      : Describe(scheduler, *id);
+}
+
+}  // namespace hyssopspar::sched
--- /dev/null
+++ b/src/sched/sched_process.cpp
@@ -0,0 +1,317 @@
+#include "sched/sched_process.h"
+
+#include <utility>
+
+#include "hyssopspar/health.h"
+#include "hyssopspar/logging.h"
+
+namespace hyssopspar::sched {
+
+namespace {
+
+constexpr std::size_t kEventCapacity = 16384;
+constexpr std::size_t kPoolCapacity = 4096;
+constexpr std::size_t kAppendThreads = 8;
+constexpr std::size_t kWorkerThreads = 8;
+constexpr int kServerThreads = 2;
+constexpr milliseconds kTickPeriod{5};
+constexpr milliseconds kVmTimeout{2000};
+/// How long a submitter's record is tried before it is told "unknown".
+constexpr milliseconds kApiAppendLimit{5000};
+constexpr milliseconds kApiRetryPause{100};
+/// How long a graceful stop may take.
+constexpr milliseconds kLeaveLimit{20000};
+constexpr const char* kLogPart = "sched";
+
+}  // namespace
+
+SchedProcess::SchedProcess(const SchedConfig& config)
+    : m_config(config),
+      m_scheduler(config.m_sched, RandomId(), RandomId()),
+      m_events(kEventCapacity),
+      m_append_pool(kAppendThreads, kPoolCapacity),
+      m_worker_pool(kWorkerThreads, kPoolCapacity),
+      m_server(
+          [this](HttpRequest request, HttpReply reply) {
+            OnHttp(std::move(request), std::move(reply));
+          },
+          HttpServerLimits(),
+          kServerThreads) {
+  for (std::size_t i = 0; i < kAppendThreads; ++i) {
+    m_logs.push_back(std::make_unique<HttpLogStore>(config.m_log_address));
+  }
+  for (std::size_t i = 0; i < kWorkerThreads; ++i) {
+    m_controls.push_back(std::make_unique<HttpWorkerControl>());
+  }
+}
+
+SchedProcess::~SchedProcess() = default;
+
+Result<void> SchedProcess::Start() {
+  const Result<void> started = m_server.Start(m_config.m_listen);
+  if (!started) {
+    return started;
+  }
+  m_decision_thread = std::thread([this] { DecisionLoop(); });
+  m_tick_thread = std::thread([this] { TickLoop(); });
+  m_vm_thread = std::thread([this] { VmLoop(); });
+  return Ok();
+}
+
+void SchedProcess::LeaveAndStop() {
+  Log(kLogPart)->info("leaving");
+  m_leaving.store(true);
+  m_events.Push(LeaveEvent{});
+  const TimePoint deadline = Clock::now() + kLeaveLimit;
+  while (!m_left.load() && Clock::now() < deadline) {
+    std::this_thread::sleep_for(kTickPeriod);
+  }
+  m_server.StopAccepting();
+  m_stopping.store(true);
+  m_events.Push(TickEvent{});
+  m_tick_thread.join();
+  m_vm_thread.join();
+  m_decision_thread.join();
+  m_append_pool.Stop();
+  m_worker_pool.Stop();
+  m_server.Stop();
+  Log(kLogPart)->info("stopped handed_over={}", m_left.load());
+}
+
+void SchedProcess::OnHttp(HttpRequest request, HttpReply reply) {
+  const std::optional<HttpResponse> health = AnswerHealth(
+      request, m_metrics, m_ready.load() && !m_leaving.load());
+  if (health) {
+    reply(*health);
+    return;
+  }
+  const HttpReply answer = reply;
+  if (!m_events.TryPush(ApiEvent{std::move(request), std::move(reply)})) {
+    answer(ErrorResponse(503, "queue-full", "too many requests waiting"));
+  }
+}
+
+void SchedProcess::TickLoop() {
+  while (!m_stopping.load()) {
+    m_events.TryPush(TickEvent{});
+    std::this_thread::sleep_for(kTickPeriod);
+  }
+}
+
+void SchedProcess::VmLoop() {
+  HttpVmDirectory directory(m_config.m_vm_list_address);
+  while (!m_stopping.load()) {
+    const Result<std::vector<Vm>> vms =
+        directory.Fetch(Clock::now() + kVmTimeout);
+    if (vms) {
+      m_events.Push(VmsEvent{vms.value()});
+    } else {
+      Log(kLogPart)->warn("vm list not read error=\"{}\"",
+                          ToString(vms.error()));
+    }
+    const TimePoint next = Clock::now() + m_config.m_vm_list_period;
+    while (!m_stopping.load() && Clock::now() < next) {
+      std::this_thread::sleep_for(kTickPeriod);
+    }
+  }
+}
+
+void SchedProcess::DecisionLoop() {
+  while (!m_stopping.load()) {
+    SchedEvent event = m_events.Pop();
+    std::visit([this](auto& e) { Handle(std::move(e)); }, event);
+  }
+  m_readers.clear();
+}
+
+void SchedProcess::Handle(StreamRead event) {
+  m_scheduler.OnRead(event.m_stream, event.m_slice, event.m_sent,
+                     Clock::now());
+}
+
+void SchedProcess::Handle(const AppendEvent& event) {
+  m_scheduler.OnAppend(event.m_stream, event.m_succeeded, Clock::now());
+}
+
+void SchedProcess::Handle(const ReportEvent& event) {
+  m_scheduler.OnReport(event.m_cell, event.m_worker, event.m_report,
+                       Clock::now());
+}
+
+void SchedProcess::Handle(const TransferEvent& event) {
+  m_scheduler.OnTransfer(event.m_cell, event.m_order, event.m_succeeded,
+                         Clock::now());
+}
+
+void SchedProcess::Handle(const VmsEvent& event) {
+  m_scheduler.OnVms(event.m_vms);
+}
+
+void SchedProcess::Handle(ApiEvent event) {
+  ApiResult result = AnswerApi(m_scheduler, event.m_request, Clock::now());
+  if (result.m_answer) {
+    event.m_reply(std::move(*result.m_answer));
+  } else {
+    SubmitApiAppend(std::move(*result.m_append), std::move(event.m_reply));
+  }
+}
+
+void SchedProcess::Handle(const TickEvent& /*event*/) {
+  CarryOut(m_scheduler.Tick(Clock::now()));
+  FollowStreams();
+  UpdateMetrics();
+  m_ready.store(m_scheduler.IsReady());
+  if (m_leaving.load() && m_scheduler.HasLeft()) {
+    m_left.store(true);
+  }
+}
+
+void SchedProcess::Handle(const LeaveEvent& /*event*/) {
+  m_scheduler.Leave();
+}
+
+void SchedProcess::CarryOut(SchedulerOutput output) {
+  for (const SchedulerOutput::Append& append : output.m_appends) {
+    SubmitAppend(append.m_stream, append.m_payload);
+  }
+  for (const SchedulerOutput::Append& beat : output.m_beats) {
+    m_append_pool.TrySubmit(0, [this, beat](std::size_t thread) {
+      const TimePoint deadline = Clock::now() + m_config.m_append_timeout;
+      const Result<Offset> sent =
+          m_logs[thread]->Append(beat.m_stream, beat.m_payload, deadline);
+      if (!sent) {
+        Log(kLogPart)->debug("beat not appended error=\"{}\"",
+                             ToString(sent.error()));
+      }
+    });
+  }
+  for (SchedulerOutput::Sync& sync : output.m_syncs) {
+    SubmitSync(std::move(sync));
+  }
+  for (SchedulerOutput::Transfer& transfer : output.m_transfers) {
+    SubmitTransfer(std::move(transfer));
+  }
+}
+
+void SchedProcess::SubmitAppend(const std::string& stream,
+                                const std::string& payload) {
+  const bool queued = m_append_pool.TrySubmit(
+      Hash(stream), [this, stream, payload](std::size_t thread) {
+        const TimePoint deadline = Clock::now() + m_config.m_append_timeout;
+        const Result<Offset> sent =
+            m_logs[thread]->Append(stream, payload, deadline);
+        m_events.Push(AppendEvent{stream, sent.has_value()});
+      });
+  if (!queued) {
+    m_scheduler.OnAppend(stream, false, Clock::now());
+  }
+}
+
+void SchedProcess::SubmitSync(SchedulerOutput::Sync sync) {
+  const std::string cell = sync.m_cell;
+  const std::string worker = sync.m_order.m_worker;
+  const bool queued = m_worker_pool.TrySubmit(
+      Hash(worker), [this, sync = std::move(sync)](std::size_t thread) {
+        const SyncOrder& order = sync.m_order;
+        Result<WorkerReport> report = m_controls[thread]->Sync(
+            order.m_address, order.m_worker, order.m_sync,
+            Clock::now() + m_config.m_sched.m_worker_timeout);
+        m_events.Push(
+            ReportEvent{sync.m_cell, order.m_worker, std::move(report)});
+      });
+  if (!queued) {
+    m_scheduler.OnReport(
+        cell, worker, Fail(ErrorCode::kNotSent, "worker ring full"),
+        Clock::now());
+  }
+}
+
+void SchedProcess::SubmitTransfer(SchedulerOutput::Transfer transfer) {
+  m_append_pool.TrySubmit(
+      Hash(transfer.m_order.m_target),
+      [this, transfer = std::move(transfer)](std::size_t thread) {
+        const TransferOrder& order = transfer.m_order;
+        const Result<Offset> sent = m_logs[thread]->Append(
+            CellStream(order.m_target), order.m_payload,
+            Clock::now() + m_config.m_append_timeout);
+        m_events.Push(
+            TransferEvent{transfer.m_cell, order, sent.has_value()});
+      });
+}
+
+void SchedProcess::SubmitApiAppend(ApiAppend append, HttpReply reply) {
+  const HttpReply answer = reply;
+  const TimePoint limit = Clock::now() + kApiAppendLimit;
+  const bool queued = m_append_pool.TrySubmit(
+      Hash(append.m_payload), [this, append = std::move(append), limit,
+                               reply](std::size_t thread) {
+        // The record is idempotent, so a lost answer is met by a repeat.
+        bool maybe = false;
+        while (Clock::now() < limit) {
+          const Result<Offset> sent = m_logs[thread]->Append(
+              append.m_stream, append.m_payload,
+              std::min(limit, Clock::now() + m_config.m_append_timeout));
+          if (sent) {
+            reply(append.m_done);
+            return;
+          }
+          const ErrorCode code = sent.error().m_code;
+          maybe = maybe || (code != ErrorCode::kNotSent &&
+                            code != ErrorCode::kUnavailable);
+          std::this_thread::sleep_for(kApiRetryPause);
+        }
+        reply(maybe ? ErrorResponse(504, "unknown",
+                                    "repeat with the same key to find out")
+                    : ErrorResponse(503, "not-run", "log not available"));
+      });
+  if (!queued) {
+    answer(ErrorResponse(503, "queue-full", "too many submits waiting"));
+  }
+}
+
+void SchedProcess::FollowStreams() {
+  const std::map<std::string, Offset> streams = m_scheduler.Streams();
+  std::map<std::string, std::unique_ptr<StreamReader>>::iterator it =
+      m_readers.begin();
+  while (it != m_readers.end()) {
+    it = streams.count(it->first) == 0 ? m_readers.erase(it) : std::next(it);
+  }
+  for (const std::pair<const std::string, Offset>& stream : streams) {
+    if (m_readers.count(stream.first) > 0) {
+      continue;
+    }
+    m_readers[stream.first] = std::make_unique<StreamReader>(
+        stream.first, stream.second,
+        std::make_unique<HttpLogStore>(m_config.m_log_address),
+        [this](StreamRead read) { m_events.Push(std::move(read)); });
+  }
+}
+
+void SchedProcess::UpdateMetrics() {
+  m_metrics.Value("hyssopspar_sched_revision") =
+      static_cast<std::int64_t>(m_scheduler.Config().m_revision);
+  m_metrics.Value("hyssopspar_sched_members") =
+      static_cast<std::int64_t>(m_scheduler.Members().m_members.size());
+  for (const std::pair<const std::string, CellOwner>& entry :
+       m_scheduler.Cells()) {
+    const CellOwner& owner = entry.second;
+    const std::string labels = Label("cell", entry.first);
+    m_metrics.Value("hyssopspar_cell_owned", labels) = owner.m_owned ? 1 : 0;
+    m_metrics.Value("hyssopspar_cell_pending", labels) =
+        static_cast<std::int64_t>(owner.m_replay.State().m_pending.size());
+    m_metrics.Value("hyssopspar_cell_live", labels) =
+        static_cast<std::int64_t>(owner.m_replay.State().m_live.size());
+    m_metrics.Value("hyssopspar_cell_starts", labels) =
+        static_cast<std::int64_t>(owner.m_counters.m_starts);
+    m_metrics.Value("hyssopspar_cell_finishes", labels) =
+        static_cast<std::int64_t>(owner.m_counters.m_finishes);
+    m_metrics.Value("hyssopspar_cell_evictions", labels) =
+        static_cast<std::int64_t>(owner.m_counters.m_evictions);
+    m_metrics.Value("hyssopspar_cell_refused", labels) =
+        static_cast<std::int64_t>(owner.m_counters.m_refused);
+    m_metrics.Value("hyssopspar_cell_batches", labels) =
+        static_cast<std::int64_t>(owner.m_counters.m_batches);
+  }
+}
+
+}  // namespace hyssopspar::sched
--- /dev/null
+++ b/src/standin/log_model.cpp
@@ -0,0 +1,43 @@
+#include "standin/log_model.h"
+
+#include <algorithm>
+
+namespace hyssopspar::standin {
+
+Offset AppendTo(LogModel* log,
+                const std::string& stream,
+                const std::string& payload) {
+  StreamModel& model = log->m_streams[stream];
+  model.m_records.push_back(payload);
+  if (model.m_records.size() > log->m_retention) {
+    model.m_records.pop_front();
+    ++model.m_start;
+  }
+  ++log->m_appends;
+  log->m_bytes += payload.size();
+  return model.m_start + model.m_records.size() - 1;
+}
+
+LogSlice ReadFrom(const LogModel& log,
+                  const std::string& stream,
+                  Offset from,
+                  std::size_t max) {
+  LogSlice slice;
+  const std::map<std::string, StreamModel>::const_iterator it =
+      log.m_streams.find(stream);
+  if (it == log.m_streams.end()) {
+    return slice;
+  }
+  const StreamModel& model = it->second;
+  slice.m_start = model.m_start;
+  slice.m_end = model.m_start + model.m_records.size();
+  Offset at = std::max(from, model.m_start);
+  while (at < slice.m_end && slice.m_records.size() < max) {
+    slice.m_records.push_back(
+        LogRecord{at, model.m_records[at - model.m_start]});
+    ++at;
+  }
+  return slice;
+}
+
+}  // namespace hyssopspar::standin
--- /dev/null
+++ b/src/standin/log_service.cpp
@@ -0,0 +1,178 @@
+#include "standin/log_service.h"
+
+#include <charconv>
+#include <utility>
+#include <vector>
+
+#include "hyssopspar/platform_codec.h"
+
+namespace hyssopspar::standin {
+
+namespace {
+
+constexpr milliseconds kMaxWait{10000};
+constexpr std::uint64_t kMaxRecords = 10000;
+
+/// The number in the query of \p target, or \p fallback; nothing when malformed.
+std::optional<std::uint64_t> QueryNumber(const std::string& target,
+                                         const std::string& key,
+                                         std::uint64_t fallback) {
+  const std::string text = QueryOr(target, key);
+  if (text.empty()) {
+    return fallback;
+  }
+  std::uint64_t value = 0;
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  const bool whole =
+      parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+  return whole ? std::optional<std::uint64_t>(value) : std::nullopt;
+}
+
+}  // namespace
+
+LogService::LogService(std::size_t retention,
+                       milliseconds append_delay,
+                       std::uint64_t seed,
+                       DelayQueue* delays)
+    : m_append_delay(append_delay), m_random(seed), m_delays(delays) {
+  m_log.m_retention = retention;
+}
+
+void LogService::SetFaults(const LogFaults& faults) {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  m_faults = faults;
+}
+
+LogFaults LogService::Faults() const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  return m_faults;
+}
+
+std::uint64_t LogService::Appends() const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  return m_log.m_appends;
+}
+
+std::uint64_t LogService::Bytes() const {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  return m_log.m_bytes;
+}
+
+void LogService::Append(const std::string& stream,
+                        HttpRequest request,
+                        HttpReply reply) {
+  const LogFaults faults = Faults();
+  if (faults.m_down) {
+    reply(ErrorResponse(503, "unavailable", "log down"));
+    return;
+  }
+  const TimePoint when =
+      Clock::now() + m_append_delay + faults.m_extra_delay;
+  m_delays->At(when, [this, stream, request = std::move(request),
+                      reply = std::move(reply)] {
+    Offset offset = 0;
+    bool lost = false;
+    {
+      std::lock_guard<std::mutex> lock(m_mutex);
+      offset = AppendTo(&m_log, stream, request.m_body);
+      std::bernoulli_distribution lose(m_faults.m_lose_answers);
+      lost = lose(m_random);
+    }
+    Wake(stream);
+    reply(lost ? ErrorResponse(504, "timeout", "answer lost")
+               : JsonResponse(200, "{\"offset\":" + std::to_string(offset) +
+                                       "}"));
+  });
+}
+
+void LogService::Read(const std::string& stream,
+                      const HttpRequest& request,
+                      HttpReply reply) {
+  const std::optional<std::uint64_t> from =
+      QueryNumber(request.m_target, "from", 0);
+  const std::optional<std::uint64_t> max =
+      QueryNumber(request.m_target, "max", kMaxRecords);
+  const std::optional<std::uint64_t> wait =
+      QueryNumber(request.m_target, "wait_ms", 0);
+  if (!from || !max || !wait) {
+    reply(ErrorResponse(400, "invalid-argument",
+                        "from, max and wait_ms are whole numbers"));
+    return;
+  }
+  std::unique_lock<std::mutex> lock(m_mutex);
+  if (m_faults.m_down) {
+    lock.unlock();
+    reply(ErrorResponse(503, "unavailable", "log down"));
+    return;
+  }
+  const std::size_t count = std::min(*max, kMaxRecords);
+  const LogSlice slice = ReadFrom(m_log, stream, *from, 1);
+  if (!slice.m_records.empty() || *wait == 0) {
+    lock.unlock();
+    Answer(stream, *from, count, reply);
+    return;
+  }
+  const milliseconds bounded = std::min(milliseconds(*wait), kMaxWait);
+  const TimePoint deadline = Clock::now() + bounded;
+  m_waiters.push_back(Waiter{stream, *from, count, deadline, std::move(reply)});
+  lock.unlock();
+  m_delays->At(deadline, [this] { Expire(); });
+}
+
+void LogService::Answer(const std::string& stream,
+                        Offset from,
+                        std::size_t max,
+                        const HttpReply& reply) {
+  LogSlice slice;
+  {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    slice = ReadFrom(m_log, stream, from, max);
+  }
+  reply(JsonResponse(200, EncodeSlice(slice)));
+}
+
+void LogService::Wake(const std::string& stream) {
+  std::list<Waiter> ready;
+  {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    std::list<Waiter>::iterator it = m_waiters.begin();
+    while (it != m_waiters.end()) {
+      const std::list<Waiter>::iterator next = std::next(it);
+      if (it->m_stream == stream) {
+        ready.splice(ready.end(), m_waiters, it);
+      }
+      it = next;
+    }
+  }
+  for (const Waiter& waiter : ready) {
+    Answer(waiter.m_stream, waiter.m_from, waiter.m_max, waiter.m_reply);
+  }
+}
+
+void LogService::Expire() {
+  const TimePoint now = Clock::now();
+  std::list<Waiter> ready;
+  bool down = false;
+  {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    down = m_faults.m_down;
+    std::list<Waiter>::iterator it = m_waiters.begin();
+    while (it != m_waiters.end()) {
+      const std::list<Waiter>::iterator next = std::next(it);
+      if (it->m_deadline <= now) {
+        ready.splice(ready.end(), m_waiters, it);
+      }
+      it = next;
+    }
+  }
+  for (const Waiter& waiter : ready) {
+    if (down) {
+      waiter.m_reply(ErrorResponse(503, "unavailable", "log down"));
+    } else {
+      Answer(waiter.m_stream, waiter.m_from, waiter.m_max, waiter.m_reply);
+    }
+  }
+}
+
+}  // namespace hyssopspar::standin
--- /dev/null
+++ b/src/standin/main.cpp
@@ -0,0 +1,45 @@
+// hyssopspar-standin: plays the platform in tests. Never part of a deployment.
+
+#include <iostream>
+
+#include "hyssopspar/logging.h"
+#include "hyssopspar/program.h"
+#include "standin/platform_service.h"
+
+int main(int argc, char** argv) {
+  using namespace hyssopspar;
+  BlockSignals();
+  ProgramOptions options;
+  std::optional<int> done = ParseProgramOptions(
+      argc, argv, "hyssopspar-standin", "plays the platform in tests",
+      &options);
+  if (done) {
+    return *done;
+  }
+  standin::StandinSettings settings;
+  done = LoadSettings(options, [&settings](SettingsReader* reader) {
+    settings = standin::ReadStandinSettings(reader);
+  });
+  if (done) {
+    return *done;
+  }
+  SetLogLevel(settings.m_log_level);
+  standin::PlatformService service(settings);
+  const Result<void> started = service.Start();
+  if (!started) {
+    Log("standin")->error("start failed {}", ToString(started.error()));
+    return kExitFailure;
+  }
+  Log("standin")->info("serving port={}", service.Port());
+  if (!options.m_port_file.empty()) {
+    const Result<void> written =
+        WriteFileWhole(options.m_port_file, std::to_string(service.Port()));
+    if (!written) {
+      Log("standin")->error("{}", ToString(written.error()));
+      return kExitFailure;
+    }
+  }
+  WaitForStop();
+  service.Stop();
+  return kExitOk;
+}
--- /dev/null
+++ b/src/standin/platform_service.cpp
@@ -0,0 +1,301 @@
+#include "standin/platform_service.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "hyssopspar/logging.h"
+#include "hyssopspar/platform_codec.h"
+
+namespace hyssopspar::standin {
+
+namespace {
+
+constexpr int kServerThreads = 4;
+constexpr const char* kLogPart = "standin";
+
+bool StartsWith(const std::string& text, const std::string& start) {
+  return text.compare(0, start.size(), start) == 0;
+}
+
+/// The path segment after \p prefix.
+std::string Segment(const std::string& path, const std::string& prefix) {
+  const std::size_t end = path.find('/', prefix.size());
+  return path.substr(prefix.size(), end == std::string::npos
+                                        ? std::string::npos
+                                        : end - prefix.size());
+}
+
+HttpResponse NotFound(const std::string& what) {
+  return ErrorResponse(404, "not-found", what);
+}
+
+}  // namespace
+
+PlatformService::PlatformService(const StandinSettings& settings)
+    : m_settings(settings),
+      m_log(static_cast<std::size_t>(settings.m_retention),
+            settings.m_append_delay,
+            static_cast<std::uint64_t>(settings.m_seed),
+            &m_delays),
+      m_server(
+          [this](HttpRequest request, HttpReply reply) {
+            Handle(std::move(request), std::move(reply));
+          },
+          HttpServerLimits(),
+          kServerThreads) {}
+
+PlatformService::~PlatformService() {
+  Stop();
+}
+
+Result<void> PlatformService::Start() {
+  const Result<void> started = m_server.Start(m_settings.m_listen);
+  if (!started) {
+    return started;
+  }
+  MakeVms();
+  for (const std::unique_ptr<EndpointServer>& endpoint : m_endpoints) {
+    const Result<void> up = endpoint->Start();
+    if (!up) {
+      return up;
+    }
+  }
+  std::lock_guard<std::mutex> lock(m_mutex);
+  std::size_t next = 0;
+  for (Vm& vm : m_lists.back().m_vms) {
+    const std::uint16_t port = vm.m_kind == VmKind::kWorker
+                                   ? m_server.Port()
+                                   : m_endpoints[next++]->Port();
+    vm.m_address = "127.0.0.1:" + std::to_string(port);
+  }
+  return Ok();
+}
+
+void PlatformService::Stop() {
+  m_server.Stop();
+  for (const std::unique_ptr<EndpointServer>& endpoint : m_endpoints) {
+    endpoint->Stop();
+  }
+}
+
+void PlatformService::MakeVms() {
+  const TimePoint now = Clock::now();
+  ListVersion list;
+  list.m_since = now;
+  std::uint64_t seed = static_cast<std::uint64_t>(m_settings.m_seed);
+  for (const DomainSettings& domain : m_settings.m_domains) {
+    std::vector<std::string> hosts;
+    for (std::int64_t i = 0; i < domain.m_workers; ++i) {
+      Vm vm;
+      vm.m_name = "w-" + domain.m_name + "-" + std::to_string(i);
+      vm.m_kind = VmKind::kWorker;
+      vm.m_failure_domain = domain.m_name;
+      vm.m_rack =
+          domain.m_name + "-r" + std::to_string(i / m_settings.m_rack_size);
+      vm.m_capacity = m_settings.m_worker;
+      WorkerModel& model = m_workers[vm.m_name];
+      model.m_name = vm.m_name;
+      model.m_failure_domain = domain.m_name;
+      model.m_capacity = vm.m_capacity;
+      model.m_boot = ++seed;
+      model.m_boot_time = now;
+      hosts.push_back(vm.m_name);
+      list.m_vms.push_back(std::move(vm));
+    }
+    for (std::int64_t i = 0; i < domain.m_endpoints; ++i) {
+      Vm vm;
+      vm.m_name = "e-" + domain.m_name + "-" + std::to_string(i);
+      vm.m_kind = VmKind::kEndpoint;
+      vm.m_failure_domain = domain.m_name;
+      vm.m_service = m_settings.m_service;
+      vm.m_slots = m_settings.m_slots;
+      vm.m_connections = m_settings.m_connections;
+      vm.m_host = hosts.empty() ? "" : hosts[i % hosts.size()];
+      m_endpoints.push_back(std::make_unique<EndpointServer>(
+          m_settings, vm.m_name, domain.m_name, ++seed, &m_delays));
+      list.m_vms.push_back(std::move(vm));
+    }
+  }
+  m_lists.push_back(std::move(list));
+}
+
+void PlatformService::Handle(HttpRequest request, HttpReply reply) {
+  const std::string path = PathOf(request.m_target);
+  if (StartsWith(path, "/v1/streams/")) {
+    HandleStream(path, std::move(request), std::move(reply));
+  } else if (StartsWith(path, "/v1/workers/")) {
+    reply(HandleWorker(path, request));
+  } else if (path == "/v1/vms") {
+    reply(ListVms());
+  } else if (path == "/v1/faults" && request.m_method == "POST") {
+    reply(HandleFaults(request));
+  } else if (path == "/v1/check") {
+    reply(Check());
+  } else if (path == "/v1/stats") {
+    reply(Stats());
+  } else {
+    reply(NotFound(path));
+  }
+}
+
+void PlatformService::HandleStream(const std::string& path,
+                                   HttpRequest request,
+                                   HttpReply reply) {
+  const std::string stream = Segment(path, "/v1/streams/");
+  if (stream.empty() || path != "/v1/streams/" + stream + "/records") {
+    reply(NotFound(path));
+  } else if (request.m_method == "POST") {
+    m_log.Append(stream, std::move(request), std::move(reply));
+  } else {
+    m_log.Read(stream, request, std::move(reply));
+  }
+}
+
+HttpResponse PlatformService::HandleWorker(const std::string& path,
+                                           const HttpRequest& request) {
+  const std::string name = Segment(path, "/v1/workers/");
+  const Result<WorkerSync> sync = DecodeSync(request.m_body);
+  if (!sync) {
+    return ErrorResponse(400, "malformed", sync.error().m_detail);
+  }
+  std::lock_guard<std::mutex> lock(m_mutex);
+  const std::map<std::string, WorkerModel>::iterator it = m_workers.find(name);
+  if (it == m_workers.end()) {
+    return NotFound("worker " + name);
+  }
+  if (m_silent[name]) {
+    return ErrorResponse(504, "timeout", "worker silent");
+  }
+  const TrueWork true_work =
+      m_settings.m_spread_work ? SpreadWork : DeclaredWork;
+  const WorkerReport report =
+      SyncWorker(&it->second, sync.value(), true_work, Clock::now());
+  return JsonResponse(200, EncodeReport(report));
+}
+
+HttpResponse PlatformService::ListVms() {
+  const TimePoint shown = Clock::now() - m_settings.m_vm_list_lag;
+  std::lock_guard<std::mutex> lock(m_mutex);
+  while (m_lists.size() > 1 && m_lists[1].m_since <= shown) {
+    m_lists.pop_front();
+  }
+  return JsonResponse(200, EncodeVms(m_lists.front().m_vms));
+}
+
+void PlatformService::SetVmState(const std::string& name, VmState state) {
+  std::lock_guard<std::mutex> lock(m_mutex);
+  ListVersion next = m_lists.back();
+  next.m_since = Clock::now();
+  for (Vm& vm : next.m_vms) {
+    if (vm.m_name == name) {
+      vm.m_state = state;
+    }
+  }
+  m_lists.push_back(std::move(next));
+}
+
+HttpResponse PlatformService::HandleFaults(const HttpRequest& request) {
+  const nlohmann::json json =
+      nlohmann::json::parse(request.m_body, nullptr, false);
+  if (!json.is_object()) {
+    return ErrorResponse(400, "malformed", "expected a JSON object");
+  }
+  try {
+    LogFaults log = m_log.Faults();
+    log.m_down = json.value("log_down", log.m_down);
+    log.m_lose_answers = json.value("log_lose_answers", log.m_lose_answers);
+    log.m_extra_delay = milliseconds(
+        json.value("log_extra_delay_ms", log.m_extra_delay.count()));
+    m_log.SetFaults(log);
+    const std::string vm = json.value("vm", std::string());
+    for (const std::unique_ptr<EndpointServer>& endpoint : m_endpoints) {
+      if (endpoint->Name() != vm) {
+        continue;
+      }
+      if (json.contains("slowdown")) {
+        endpoint->SetSlowdown(json["slowdown"].get<double>());
+      }
+      if (json.contains("leaving")) {
+        endpoint->SetLeaving(json["leaving"].get<bool>());
+      }
+      if (json.contains("frozen")) {
+        endpoint->SetFrozen(json["frozen"].get<bool>());
+      }
+    }
+    if (json.contains("leaving")) {
+      SetVmState(vm, json["leaving"].get<bool>() ? VmState::kLeaving
+                                                 : VmState::kLive);
+    }
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const std::map<std::string, WorkerModel>::iterator worker =
+        m_workers.find(vm);
+    if (worker != m_workers.end()) {
+      if (json.value("reboot", false)) {
+        RebootWorker(&worker->second, Clock::now());
+      }
+      worker->second.m_fails_all =
+          json.value("fails_all", worker->second.m_fails_all);
+      m_silent[vm] = json.value("silent", m_silent[vm]);
+    }
+  } catch (const nlohmann::json::exception& e) {
+    return ErrorResponse(400, "invalid-argument", e.what());
+  }
+  Log(kLogPart)->info("fault set {}", json.dump());
+  return JsonResponse(200, "{}");
+}
+
+std::vector<AttemptRun> PlatformService::AllRuns() {
+  std::vector<AttemptRun> runs;
+  const TimePoint now = Clock::now();
+  std::lock_guard<std::mutex> lock(m_mutex);
+  for (std::pair<const std::string, WorkerModel>& entry : m_workers) {
+    AdvanceWorker(&entry.second, now);
+    runs.insert(runs.end(), entry.second.m_runs.begin(),
+                entry.second.m_runs.end());
+  }
+  return runs;
+}
+
+HttpResponse PlatformService::Check() {
+  const std::vector<AttemptRun> runs = AllRuns();
+  std::vector<std::string> violations = CheckRuns(runs);
+  std::vector<EndpointModel> models;
+  models.reserve(m_endpoints.size());
+  for (const std::unique_ptr<EndpointServer>& endpoint : m_endpoints) {
+    models.push_back(endpoint->Model());
+  }
+  std::vector<const EndpointModel*> pointers;
+  pointers.reserve(models.size());
+  std::size_t services = 0;
+  for (const EndpointModel& model : models) {
+    pointers.push_back(&model);
+    services += model.m_services.size();
+  }
+  const std::vector<std::string> request_violations = CheckServices(pointers);
+  violations.insert(violations.end(), request_violations.begin(),
+                    request_violations.end());
+  std::size_t finished = 0;
+  {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    for (const std::pair<const std::string, WorkerModel>& entry : m_workers) {
+      violations.insert(violations.end(), entry.second.m_violations.begin(),
+                        entry.second.m_violations.end());
+    }
+  }
+  for (const AttemptRun& run : runs) {
+    finished += run.m_finished ? 1 : 0;
+  }
+  return JsonResponse(200, nlohmann::json{{"violations", violations},
+                                          {"runs", runs.size()},
+                                          {"finished", finished},
+                                          {"services", services}}
+                               .dump());
+}
+
+HttpResponse PlatformService::Stats() {
+  return JsonResponse(200, nlohmann::json{{"log_appends", m_log.Appends()},
+                                          {"log_bytes", m_log.Bytes()}}
+                               .dump());
+}
+
+}  // namespace hyssopspar::standin
--- /dev/null
+++ b/src/standin/run_history.cpp
@@ -0,0 +1,52 @@
+#include "standin/run_history.h"
+
+#include <algorithm>
+#include <map>
+
+namespace hyssopspar::standin {
+
+namespace {
+
+std::string Describe(const AttemptRun& run) {
+  return TaskName(run.m_id.m_task) + " attempt " +
+         std::to_string(run.m_id.m_attempt) + " on " + run.m_worker;
+}
+
+void CheckTask(std::vector<AttemptRun> runs, std::vector<std::string>* violations) {
+  std::sort(runs.begin(), runs.end(),
+            [](const AttemptRun& a, const AttemptRun& b) { return a.m_start < b.m_start; });
+  int finishes = 0;
+  TimePoint busy_until = TimePoint::min();
+  const AttemptRun* last = nullptr;
+  for (const AttemptRun& run : runs) {
+    if (last != nullptr && run.m_start < busy_until) {
+      violations->push_back("two places at once: " + Describe(*last) +
+                            " and " + Describe(run));
+    }
+    if (last == nullptr || run.m_end >= busy_until) {
+      busy_until = run.m_end;
+      last = &run;
+    }
+    finishes += run.m_finished ? 1 : 0;
+  }
+  if (finishes > 1) {
+    violations->push_back("finished " + std::to_string(finishes) +
+                          " times: " + TaskName(runs.front().m_id.m_task));
+  }
+}
+
+}  // namespace
+
+std::vector<std::string> CheckRuns(const std::vector<AttemptRun>& runs) {
+  std::map<TaskId, std::vector<AttemptRun>> by_task;
+  for (const AttemptRun& run : runs) {
+    by_task[run.m_id.m_task].push_back(run);
+  }
+  std::vector<std::string> violations;
+  for (const std::pair<const TaskId, std::vector<AttemptRun>>& entry : by_task) {
+    CheckTask(entry.second, &violations);
+  }
+  return violations;
+}
+
+}  // namespace hyssopspar::standin
