Serve the thin whole path as separate processes

Ruled out: one claim identity per gate process: a repeated release could then free a later claim of the same gate, so each claim carries a token of its own.

--- /dev/null
+++ b/src/ctl/job_commands.cpp
@@ -0,0 +1,173 @@
+#include "ctl/job_commands.h"
+
+#include <cstdint>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "hyssopspar/http_client.h"
+#include "hyssopspar/program.h"
+
+namespace hyssopspar::ctl {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr milliseconds kCallTimeout{7000};
+
+int Complain(const std::string& text) {
+  std::cerr << "hyssopsparctl: " << text << "\n";
+  return kExitFailure;
+}
+
+Result<HttpResponse> Call(const std::string& address,
+                          const std::string& method,
+                          const std::string& target,
+                          const std::string& body) {
+  HttpClient client(address);
+  HttpRequest request;
+  request.m_method = method;
+  request.m_target = target;
+  request.m_body = body;
+  return client.Send(request, Clock::now() + kCallTimeout);
+}
+
+/// Calls the schedulers in turn until one answers. Repeating is safe: what the
+/// commands append is idempotent.
+int CallFirst(const std::vector<std::string>& scheds,
+              const std::string& method,
+              const std::string& target,
+              const std::string& body) {
+  std::string last = "no scheduler given";
+  for (const std::string& address : scheds) {
+    const Result<HttpResponse> answer = Call(address, method, target, body);
+    if (!answer) {
+      last = address + ": " + ToString(answer.error());
+      continue;
+    }
+    if (answer.value().m_status >= 500) {
+      last = address + ": " + answer.value().m_body;
+      continue;
+    }
+    if (answer.value().m_status >= 300) {
+      return Complain(answer.value().m_body);
+    }
+    std::cout << answer.value().m_body << "\n";
+    return kExitOk;
+  }
+  return Complain(last);
+}
+
+/// The JSON answers of all schedulers that have one.
+std::vector<Json> CallAll(const std::vector<std::string>& scheds,
+                          const std::string& target) {
+  std::vector<Json> answers;
+  for (const std::string& address : scheds) {
+    const Result<HttpResponse> answer = Call(address, "GET", target, "");
+    if (!answer || answer.value().m_status != 200) {
+      continue;
+    }
+    Json json = Json::parse(answer.value().m_body, nullptr, false);
+    if (json.is_object()) {
+      answers.push_back(std::move(json));
+    }
+  }
+  return answers;
+}
+
+}  // namespace
+
+int SubmitJob(const std::vector<std::string>& scheds,
+              const std::string& job,
+              const std::string& key) {
+  return CallFirst(scheds, "POST", "/v1/jobs",
+                   Json{{"job", job}, {"key", key}}.dump());
+}
+
+int CancelJob(const std::vector<std::string>& scheds, const std::string& id) {
+  return CallFirst(scheds, "DELETE", "/v1/jobs/" + id, "");
+}
+
+int ShowJob(const std::vector<std::string>& scheds, const std::string& id) {
+  // A task that moved is known to several cells; the highest hop counts.
+  std::map<std::uint64_t, Json> tasks;
+  for (const Json& answer : CallAll(scheds, "/v1/jobs/" + id)) {
+    for (const Json& task : answer.at("tasks")) {
+      Json& known = tasks[task.at("index").get<std::uint64_t>()];
+      const bool newer = known.is_null() ||
+                         task.at("hop") > known.at("hop") ||
+                         (task.at("hop") == known.at("hop") &&
+                          task.at("attempt") >= known.at("attempt"));
+      if (newer) {
+        known = task;
+      }
+    }
+  }
+  if (tasks.empty()) {
+    return Complain("not-found: no scheduler knows job " + id);
+  }
+  for (const std::pair<const std::uint64_t, Json>& entry : tasks) {
+    const Json& task = entry.second;
+    std::cout << id << "/" << entry.first << " "
+              << task.at("state").get<std::string>()
+              << " cell=" << task.at("cell").get<std::string>()
+              << " attempt=" << task.at("attempt")
+              << " progress=" << task.at("progress");
+    if (task.contains("worker")) {
+      std::cout << " worker=" << task["worker"].get<std::string>();
+    }
+    std::cout << "\n";
+  }
+  return kExitOk;
+}
+
+int ExplainJob(const std::vector<std::string>& scheds, const std::string& id) {
+  std::map<std::uint64_t, std::string> lines;
+  for (const Json& answer : CallAll(scheds, "/v1/explain/" + id)) {
+    for (const Json& task : answer.at("waiting")) {
+      const std::uint64_t index = task.at("index").get<std::uint64_t>();
+      const std::string why = task.at("why").get<std::string>();
+      // The owner knows best.
+      if (lines.count(index) == 0 ||
+          why != "another scheduler owns the cell") {
+        lines[index] = task.at("cell").get<std::string>() + ": " + why;
+      }
+    }
+  }
+  for (const std::pair<const std::uint64_t, std::string>& line : lines) {
+    std::cout << id << "/" << line.first << " waits in " << line.second
+              << "\n";
+  }
+  if (lines.empty()) {
+    std::cout << "no task of " << id << " waits\n";
+  }
+  return kExitOk;
+}
+
+int ShowStatus(const std::vector<std::string>& scheds) {
+  const std::vector<Json> answers = CallAll(scheds, "/v1/status");
+  if (answers.empty()) {
+    return Complain("no scheduler answers");
+  }
+  for (const Json& answer : answers) {
+    std::cout << answer.at("name").get<std::string>() << " revision "
+              << answer.at("revision")
+              << " out=" << answer.at("out").dump() << "\n";
+    for (const Json& cell : answer.at("cells")) {
+      if (!cell.at("owned").get<bool>()) {
+        continue;
+      }
+      std::cout << "  cell " << cell.at("cell").get<std::string>()
+                << " workers=" << cell.at("workers")
+                << " live=" << cell.at("live")
+                << " pending=" << cell.at("pending")
+                << " committed_cpu_milli=" << cell.at("committed_cpu_milli")
+                << "/" << cell.at("cpu_milli")
+                << " finishes=" << cell.at("finishes") << "\n";
+    }
+  }
+  return kExitOk;
+}
+
+}  // namespace hyssopspar::ctl
--- /dev/null
+++ b/src/gate/gate_request.cpp
@@ -0,0 +1,170 @@
+#include "gate/gate_request.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace hyssopspar::gate {
+
+namespace {
+
+constexpr const char* kPrefix = "/v1/services/";
+constexpr const char* kOutcomeHeader = "hyssopspar-outcome";
+constexpr milliseconds kMaxTimeout = std::chrono::minutes(10);
+constexpr std::size_t kMaxKeyBytes = 256;
+
+std::optional<milliseconds> ParseTimeout(const std::string& text) {
+  std::int64_t millis = 0;
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), text.data() + text.size(), millis);
+  const bool good = parsed.ec == std::errc() &&
+                    parsed.ptr == text.data() + text.size() && millis > 0 &&
+                    millis <= kMaxTimeout.count();
+  return good ? std::optional<milliseconds>(millis) : std::nullopt;
+}
+
+/// Headers that concern one connection only.
+bool IsHopByHop(const std::string& name) {
+  static const std::set<std::string> names = {
+      "connection",          "keep-alive", "proxy-authenticate",
+      "proxy-authorization", "te",         "trailer",
+      "transfer-encoding",   "upgrade",    "content-length",
+      "host"};
+  return names.count(name) > 0;
+}
+
+HttpHeaders EndToEnd(const HttpHeaders& headers) {
+  HttpHeaders kept;
+  for (const HttpHeaders::value_type& header : headers) {
+    if (!IsHopByHop(header.first)) {
+      kept.insert(header);
+    }
+  }
+  return kept;
+}
+
+}  // namespace
+
+Result<GateRequest> ParseRequest(const ConfigDoc& doc,
+                                 const HttpRequest& http,
+                                 RequestId id,
+                                 TimePoint now) {
+  const std::string path = PathOf(http.m_target);
+  const std::string prefix = kPrefix;
+  const std::size_t slash = path.find('/', prefix.size());
+  const bool shaped = path.compare(0, prefix.size(), prefix) == 0 &&
+                      slash != std::string::npos;
+  if (!shaped) {
+    return Fail(ErrorCode::kNotFound, path);
+  }
+  GateRequest request;
+  request.m_id = id;
+  request.m_service = path.substr(prefix.size(), slash - prefix.size());
+  request.m_class = path.substr(slash + 1);
+  request.m_tenant = HeaderOr(http.m_headers, "hyssopspar-tenant");
+  request.m_key = HeaderOr(http.m_headers, "idempotency-key");
+  const ServiceConfig* service = FindService(doc, request.m_service);
+  const RequestClass* request_class =
+      service == nullptr ? nullptr : FindClass(*service, request.m_class);
+  if (request_class == nullptr) {
+    return Fail(ErrorCode::kNotFound, "no class " + request.m_class +
+                                          " of service " + request.m_service);
+  }
+  if (FindTenant(doc, request.m_tenant) == nullptr) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "header hyssopspar-tenant must name a tenant");
+  }
+  if (request.m_key.size() > kMaxKeyBytes) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "header idempotency-key has at most 256 bytes");
+  }
+  if (!request_class->m_idempotent && request.m_key.empty()) {
+    return Fail(ErrorCode::kInvalidArgument,
+                "header idempotency-key is needed for class " +
+                    request.m_class);
+  }
+  if (request_class->m_idempotent) {
+    request.m_key.clear();
+  } else {
+    // Tenants choose keys on their own.
+    request.m_key = request.m_tenant + "/" + request.m_key;
+  }
+  milliseconds timeout = request_class->m_timeout;
+  const std::string asked = HeaderOr(http.m_headers, "hyssopspar-timeout-ms");
+  if (!asked.empty()) {
+    const std::optional<milliseconds> parsed = ParseTimeout(asked);
+    if (!parsed) {
+      return Fail(ErrorCode::kInvalidArgument,
+                  "header hyssopspar-timeout-ms must be 1 to 600000");
+    }
+    timeout = *parsed;
+  }
+  request.m_deadline = now + timeout;
+  return request;
+}
+
+HttpResponse RefusalOf(const Error& error) {
+  const int status = error.m_code == ErrorCode::kNotFound ? 404 : 400;
+  HttpResponse response = ErrorResponse(
+      status, std::string(ToString(error.m_code)), error.m_detail);
+  response.m_headers[kOutcomeHeader] = ToString(Outcome::kNotRun);
+  return response;
+}
+
+HttpRequest MakeUpstream(const GateRequest& request, HttpRequest http) {
+  HttpRequest upstream;
+  upstream.m_method = http.m_method;
+  upstream.m_target = "/" + request.m_service + "/" + request.m_class;
+  upstream.m_headers = EndToEnd(http.m_headers);
+  upstream.m_headers["hyssopspar-request-id"] = JobName(request.m_id);
+  if (!request.m_key.empty()) {
+    upstream.m_headers["idempotency-key"] = request.m_key;
+  }
+  upstream.m_body = std::move(http.m_body);
+  return upstream;
+}
+
+HttpResponse MakeReply(const ReplyAction& action) {
+  HttpResponse response;
+  const std::string outcome(ToString(action.m_outcome));
+  switch (action.m_outcome) {
+    case Outcome::kAnswered:
+      response.m_status = static_cast<int>(action.m_recorded.m_status);
+      response.m_body = action.m_recorded.m_body;
+      if (!action.m_recorded.m_content_type.empty()) {
+        response.m_headers["content-type"] = action.m_recorded.m_content_type;
+      }
+      if (!action.m_recorded.m_has_body) {
+        response.m_headers["hyssopspar-body"] = "not-kept";
+      }
+      response.m_headers["hyssopspar-replayed"] = "true";
+      break;
+    case Outcome::kNotRun:
+      response = ErrorResponse(503, outcome,
+                               std::string(ToString(action.m_reason)));
+      response.m_headers["retry-after"] = "1";
+      break;
+    case Outcome::kUnknown:
+      response = ErrorResponse(504, outcome, "the request may have run");
+      break;
+    case Outcome::kInProgress:
+      response =
+          ErrorResponse(409, outcome, "a request with this key is under way");
+      response.m_headers["retry-after"] = "1";
+      break;
+  }
+  response.m_headers[kOutcomeHeader] = outcome;
+  return response;
+}
+
+HttpResponse MakeAnswer(HttpResponse upstream) {
+  HttpResponse response;
+  response.m_status = upstream.m_status;
+  response.m_headers = EndToEnd(upstream.m_headers);
+  response.m_headers[kOutcomeHeader] = ToString(Outcome::kAnswered);
+  response.m_body = std::move(upstream.m_body);
+  return response;
+}
+
+}  // namespace hyssopspar::gate
--- /dev/null
+++ b/src/gate/main.cpp
@@ -0,0 +1,45 @@
+// hyssopspar-gate: takes callers' requests and routes them to endpoints.
+
+#include "gate/gate_config.h"
+#include "gate/gate_process.h"
+#include "hyssopspar/logging.h"
+#include "hyssopspar/program.h"
+
+int main(int argc, char** argv) {
+  using namespace hyssopspar;
+  BlockSignals();
+  ProgramOptions options;
+  std::optional<int> done =
+      ParseProgramOptions(argc, argv, "hyssopspar-gate",
+                          "routes urgent requests to endpoints", &options);
+  if (done) {
+    return *done;
+  }
+  gate::GateConfig config;
+  done = LoadSettings(options, [&config](SettingsReader* reader) {
+    config = gate::ReadGateConfig(reader);
+  });
+  if (done) {
+    return *done;
+  }
+  SetLogLevel(config.m_log_level);
+  gate::GateProcess process(config);
+  const Result<void> started = process.Start();
+  if (!started) {
+    Log("gate")->error("start failed {}", ToString(started.error()));
+    return kExitFailure;
+  }
+  if (!options.m_port_file.empty()) {
+    const Result<void> written =
+        WriteFileWhole(options.m_port_file, std::to_string(process.Port()));
+    if (!written) {
+      Log("gate")->error("{}", ToString(written.error()));
+      return kExitFailure;
+    }
+  }
+  Log("gate")->info("serving name={} port={}", config.m_gate.m_name,
+                    process.Port());
+  WaitForStop();
+  process.DrainAndStop();
+  return kExitOk;
+}
--- a/src/include/hyssopspar/claim_state.h
+++ b/src/include/hyssopspar/claim_state.h
@@ -16,22 +16,22 @@
 
 namespace hyssopspar {
 
-/// Claims a key for one gate process. The first in the stream wins.
+/// Claims a key. The first in the stream wins.
 struct ClaimTake {
   std::string m_key;
-  std::uint64_t m_gate = 0;  ///< Random per process start.
+  std::uint64_t m_token = 0;  ///< Unlike that of any other claim.
 };
 
 /// Gives a key back: the claimant never forwarded, and never will.
 struct ClaimRelease {
   std::string m_key;
-  std::uint64_t m_gate = 0;
+  std::uint64_t m_token = 0;
 };
 
 /// How the claimed request ended.
 struct ClaimOutcome {
   std::string m_key;
-  std::uint64_t m_gate = 0;
+  std::uint64_t m_token = 0;
   bool m_known = false;  ///< False when the endpoint's answer was lost.
   std::int64_t m_status = 0;
   bool m_has_body = false;  ///< False when the body was too large to keep.
@@ -42,7 +42,7 @@
 using ClaimRecord = std::variant<ClaimTake, ClaimRelease, ClaimOutcome>;
 
 struct Claim {
-  std::uint64_t m_gate = 0;
+  std::uint64_t m_token = 0;
   bool m_done = false;
   ClaimOutcome m_outcome;  ///< Valid when done.
 };
--- a/src/include/hyssopspar/gate_core.h
+++ b/src/include/hyssopspar/gate_core.h
@@ -127,7 +127,7 @@
   /// When Pump has to run again though nothing arrived.
   TimePoint NextWake(TimePoint now) const;
 
-  PeerReport MakeReport(bool leaving, TimePoint now);
+  PeerReport MakeReport(bool leaving);
   std::set<std::string> PeerAddresses(TimePoint now) const;
 
   bool IsReady() const;
@@ -147,7 +147,7 @@
     RouteClass m_class;
     std::int64_t m_weight = 1;
     Phase m_phase = Phase::kQueued;
-    bool m_claim_maybe = false;  ///< The claim may be in the log.
+    std::uint64_t m_token = 0;  ///< Of the claim last tried for.
     bool m_claimed = false;
     std::uint32_t m_tries = 0;
     std::string m_endpoint;
@@ -163,6 +163,9 @@
 
   void Admit(Entry entry, TimePoint now);
   void BeginClaim(Entry* entry);
+  void ReleaseClaim(const std::string& key, std::uint64_t token);
+  void OnClaimHeld(const std::string& key, const Claim& claim, TimePoint now);
+  void OnClaimFree(const std::string& key);
   void OnClaimState(const std::string& key, TimePoint now);
   void EnterQueue(Entry* entry, TimePoint now);
   void Reply(RequestId id, Outcome outcome, NotRunReason reason);
@@ -197,6 +200,9 @@
   std::map<std::string, RequestQueue> m_queues;
   std::map<std::string, ClaimState> m_claims;
   std::map<std::string, std::set<RequestId>> m_by_key;
+  /// Claims of ours that are not over; true once forwarded.
+  std::map<std::uint64_t, bool> m_tokens;
+  std::uint64_t m_claim_counter = 0;
   double m_retry_budget = 1.0;
   GateOutput m_output;
   GateCounters m_counters;
--- a/src/sched/task_pool.h
+++ b/src/include/hyssopspar/task_pool.h
@@ -11,7 +11,7 @@
 
 #include "hyssopspar/bounded_ring.h"
 
-namespace hyssopspar::sched {
+namespace hyssopspar {
 
 /// Jobs with the same key run in order, on the same thread. The argument tells
 /// a job which thread it is on, so that it can use that thread's connections.
@@ -37,4 +37,4 @@
   std::vector<std::thread> m_threads;
 };
 
-}  // namespace hyssopspar::sched
+}  // namespace hyssopspar
--- /dev/null
+++ b/src/libhyssopspar/claim_state.cpp
@@ -0,0 +1,102 @@
+#include "hyssopspar/claim_state.h"
+
+#include <utility>
+
+#include "pvt/archive.h"
+
+namespace hyssopspar {
+
+template <class A, class T>
+void VisitFields(A& a, T& r, const ClaimTake* /*tag*/) {
+  a(r.m_key, r.m_token);
+}
+template <class A, class T>
+void VisitFields(A& a, T& r, const ClaimRelease* /*tag*/) {
+  a(r.m_key, r.m_token);
+}
+template <class A, class T>
+void VisitFields(A& a, T& r, const ClaimOutcome* /*tag*/) {
+  a(r.m_key, r.m_token, r.m_known, r.m_status, r.m_has_body, r.m_content_type,
+    r.m_body);
+}
+
+namespace {
+
+/// The open claim with \p token on \p key, or null.
+Claim* FindOpen(ClaimState* state, const std::string& key, std::uint64_t token) {
+  const std::map<std::string, Claim>::iterator it = state->m_claims.find(key);
+  const bool open = it != state->m_claims.end() && !it->second.m_done &&
+                    it->second.m_token == token;
+  return open ? &it->second : nullptr;
+}
+
+void Do(ClaimState* state, Offset at, const ClaimTake& record) {
+  const bool won =
+      state->m_claims.emplace(record.m_key, Claim{record.m_token, false, {}})
+          .second;
+  if (won) {
+    state->m_order.emplace_back(at, record.m_key);
+  }
+}
+
+void Do(ClaimState* state, Offset /*at*/, const ClaimRelease& record) {
+  if (FindOpen(state, record.m_key, record.m_token) != nullptr) {
+    state->m_claims.erase(record.m_key);
+  }
+}
+
+void Do(ClaimState* state, Offset /*at*/, const ClaimOutcome& record) {
+  Claim* claim = FindOpen(state, record.m_key, record.m_token);
+  if (claim != nullptr) {
+    claim->m_done = true;
+    claim->m_outcome = record;
+  }
+}
+
+}  // namespace
+
+std::string ClaimStream(const std::string& key) {
+  return "claims-" + std::to_string(Hash(key) % kClaimStreams);
+}
+
+void ApplyClaim(ClaimState* state, Offset offset, const ClaimRecord& record) {
+  state->m_next = offset + 1;
+  while (!state->m_order.empty() &&
+         state->m_order.front().first + kClaimMemory < offset) {
+    state->m_claims.erase(state->m_order.front().second);
+    state->m_order.pop_front();
+  }
+  std::visit([state, offset](const auto& r) { Do(state, offset, r); }, record);
+}
+
+std::string EncodeClaim(const ClaimRecord& record) {
+  pvt::Json fields = std::visit(
+      [](const auto& r) { return pvt::Writer::ToJson(r); }, record);
+  return pvt::ToCbor(pvt::Json::array({record.index(), std::move(fields)}));
+}
+
+Result<ClaimRecord> DecodeClaim(const std::string& bytes) {
+  const Result<pvt::Json> parsed = pvt::FromCbor(bytes);
+  if (!parsed) {
+    return parsed.error();
+  }
+  const pvt::Json& json = parsed.value();
+  const bool shaped =
+      json.is_array() && json.size() == 2 && json[0].is_number_unsigned();
+  const std::uint64_t type = shaped ? json[0].get<std::uint64_t>() : 99;
+  ClaimRecord record;
+  bool good = false;
+  if (type == 0) {
+    good = pvt::Reader::FromJson(json[1], record.emplace<ClaimTake>());
+  } else if (type == 1) {
+    good = pvt::Reader::FromJson(json[1], record.emplace<ClaimRelease>());
+  } else if (type == 2) {
+    good = pvt::Reader::FromJson(json[1], record.emplace<ClaimOutcome>());
+  }
+  if (!good) {
+    return Fail(ErrorCode::kMalformed, "not a claim record");
+  }
+  return record;
+}
+
+}  // namespace hyssopspar
--- /dev/null
+++ b/src/libhyssopspar/gate_members.cpp
@@ -0,0 +1,143 @@
+// What a gate learns from configuration, VM list and peers.
+
+#include <algorithm>
+#include <utility>
+
+#include "hyssopspar/gate_core.h"
+
+namespace hyssopspar {
+
+namespace {
+
+/// Most addresses of peers that are kept in touch with.
+constexpr std::size_t kMaxPeers = 16;
+/// Time after which an address nobody mentions any more is dropped.
+constexpr milliseconds kAddressMemory{30000};
+
+}  // namespace
+
+void GateCore::OnConfig(const ConfigState& config, TimePoint now) {
+  m_config = config;
+  m_config_known = config.m_revision > 0;
+  RefreshEndpoints(now);
+}
+
+void GateCore::OnVms(const std::vector<Vm>& vms, TimePoint now) {
+  m_vms.clear();
+  for (const Vm& vm : vms) {
+    if (vm.m_kind == VmKind::kEndpoint) {
+      m_vms[vm.m_name] = vm;
+    }
+  }
+  m_vms_known = true;
+  RefreshEndpoints(now);
+}
+
+void GateCore::RefreshEndpoints(TimePoint /*now*/) {
+  for (std::pair<const std::string, EndpointView>& entry : m_endpoints) {
+    entry.second.m_usable = false;
+  }
+  for (const std::pair<const std::string, Vm>& entry : m_vms) {
+    const Vm& vm = entry.second;
+    EndpointView& endpoint = m_endpoints[vm.m_name];
+    endpoint.m_name = vm.m_name;
+    endpoint.m_address = vm.m_address;
+    endpoint.m_service = vm.m_service;
+    endpoint.m_failure_domain = vm.m_failure_domain;
+    endpoint.m_slots = std::max<std::int64_t>(vm.m_slots, 1);
+    endpoint.m_trip =
+        2 * LinkDelay(m_config.m_doc, m_settings.m_failure_domain,
+                      vm.m_failure_domain);
+    endpoint.m_usable = vm.m_state == VmState::kLive &&
+                        !IsOut(m_config, vm.m_failure_domain, vm.m_name);
+  }
+  m_by_service.clear();
+  m_by_hash.clear();
+  std::map<std::string, EndpointView>::iterator it = m_endpoints.begin();
+  while (it != m_endpoints.end()) {
+    const bool gone =
+        m_vms.count(it->first) == 0 && it->second.m_own == 0;
+    if (gone) {
+      it = m_endpoints.erase(it);
+      continue;
+    }
+    m_by_service[it->second.m_service].push_back(it->first);
+    m_by_hash[Hash(it->first)] = it->first;
+    ++it;
+  }
+}
+
+void GateCore::OnPeer(const PeerReport& report, TimePoint now) {
+  for (const std::string& address : report.m_known) {
+    m_peer_addresses.emplace(address, now);
+  }
+  if (report.m_incarnation == m_incarnation) {
+    return;
+  }
+  m_peer_addresses[report.m_peer_address] = now;
+  Peer& peer = m_peers[report.m_name];
+  const bool older =
+      peer.m_report.m_incarnation == report.m_incarnation &&
+      peer.m_report.m_sequence >= report.m_sequence;
+  if (!older) {
+    peer.m_report = report;
+    peer.m_seen = now;
+  }
+}
+
+void GateCore::SumPeers(TimePoint now) {
+  for (std::pair<const std::string, EndpointView>& entry : m_endpoints) {
+    entry.second.m_peers = 0;
+  }
+  std::map<std::string, Peer>::iterator it = m_peers.begin();
+  while (it != m_peers.end()) {
+    if (now - it->second.m_seen > m_settings.m_peer_timeout) {
+      it = m_peers.erase(it);
+      continue;
+    }
+    for (const EndpointCount& count : it->second.m_report.m_counts) {
+      const std::map<std::uint64_t, std::string>::const_iterator name =
+          m_by_hash.find(count.m_endpoint);
+      if (name != m_by_hash.end()) {
+        m_endpoints.at(name->second).m_peers += count.m_in_flight;
+      }
+    }
+    ++it;
+  }
+}
+
+PeerReport GateCore::MakeReport(bool leaving) {
+  PeerReport report;
+  report.m_name = m_settings.m_name;
+  report.m_incarnation = m_incarnation;
+  report.m_sequence = ++m_report_sequence;
+  report.m_failure_domain = m_settings.m_failure_domain;
+  report.m_peer_address = m_settings.m_peer_address;
+  report.m_leaving = leaving;
+  for (const std::pair<const std::string, EndpointView>& entry : m_endpoints) {
+    if (entry.second.m_own > 0) {
+      report.m_counts.push_back(
+          EndpointCount{Hash(entry.first), entry.second.m_own});
+    }
+  }
+  // Only those heard from: an address that is merely told on would never die.
+  for (const std::pair<const std::string, Peer>& entry : m_peers) {
+    report.m_known.push_back(entry.second.m_report.m_peer_address);
+  }
+  return report;
+}
+
+std::set<std::string> GateCore::PeerAddresses(TimePoint now) const {
+  std::set<std::string> addresses;
+  for (const std::pair<const std::string, TimePoint>& entry :
+       m_peer_addresses) {
+    const bool recent = now - entry.second < kAddressMemory;
+    if (recent && entry.first != m_settings.m_peer_address &&
+        addresses.size() < kMaxPeers) {
+      addresses.insert(entry.first);
+    }
+  }
+  return addresses;
+}
+
+}  // namespace hyssopspar
--- /dev/null
+++ b/src/libhyssopspar/peer_report.cpp
@@ -0,0 +1,25 @@
+#include "hyssopspar/peer_report.h"
+
+#include "pvt/archive.h"
+
+namespace hyssopspar {
+
+template <class A, class T>
+void VisitFields(A& a, T& c, const EndpointCount* /*tag*/) {
+  a(c.m_endpoint, c.m_in_flight);
+}
+template <class A, class T>
+void VisitFields(A& a, T& r, const PeerReport* /*tag*/) {
+  a(r.m_name, r.m_incarnation, r.m_sequence, r.m_failure_domain,
+    r.m_peer_address, r.m_leaving, r.m_counts, r.m_known);
+}
+
+std::string EncodePeerReport(const PeerReport& report) {
+  return pvt::Encode(report);
+}
+
+Result<PeerReport> DecodePeerReport(const std::string& bytes) {
+  return pvt::Decode<PeerReport>(bytes);
+}
+
+}  // namespace hyssopspar
--- a/src/sched/task_pool.cpp
+++ b/src/libhyssopspar/task_pool.cpp
@@ -1,8 +1,8 @@
-#include "sched/task_pool.h"
+#include "hyssopspar/task_pool.h"
 
 #include <utility>
 
-namespace hyssopspar::sched {
+namespace hyssopspar {
 
 TaskPool::TaskPool(std::size_t threads, std::size_t capacity) {
   for (std::size_t i = 0; i < threads; ++i) {
@@ -33,4 +33,4 @@
   }
 }
 
-}  // namespace hyssopspar::sched
+}  // namespace hyssopspar
--- a/src/sched/sched_process.h
+++ b/src/sched/sched_process.h
@@ -19,7 +19,7 @@
 #include "sched/sched_api.h"
 #include "sched/sched_config.h"
 #include "sched/sched_event.h"
-#include "sched/task_pool.h"
+#include "hyssopspar/task_pool.h"
 
 namespace hyssopspar::sched {
 
