--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Installs what is missing and builds.
+#   scripts/build.sh [BUILD_DIR [SANITIZER]]   SANITIZER: address or thread
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/setup.sh
+build="${1:-build}"
+cmake -S . -B "$build" -G Ninja -DHYSSOPSPAR_SANITIZER="${2:-}" >/dev/null
+cmake --build "$build"
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Checks format and lint of every source file. Needs a configured build folder.
+#   scripts/lint.sh [BUILD_DIR]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build="${1:-build}"
+git ls-files '*.cpp' '*.h' | xargs clang-format --dry-run --Werror
+git ls-files '*.cpp' | xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet 2>"$build/tidy.log"
+echo "lint: clean"
--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -29,8 +29,8 @@
   do {
     const TimePoint sent = Clock::now();
     const Result<LogSlice> slice =
-        log->Read(kConfigStream, replay->Next(), kReadRecords,
-                  milliseconds(0), sent + kCallTimeout);
+        log->Read(kConfigStream, replay->Next(), kReadRecords, milliseconds(0),
+                  sent + kCallTimeout);
     if (!slice) {
       return slice.error();
     }
@@ -73,8 +73,8 @@
       const ConfigVerdict verdict =
           decoded ? ApplyConfig(&state, read.m_offset, decoded.value())
                   : ConfigVerdict::kNoChange;
-      const bool ours = read.m_payload == payload &&
-                        (!sent || read.m_offset == sent.value());
+      const bool ours =
+          read.m_payload == payload && (!sent || read.m_offset == sent.value());
       if (ours) {
         std::cout << "revision " << state.m_revision << "\n";
         return verdict == ConfigVerdict::kApplied    ? Fate::kApplied
--- a/src/ctl/job_commands.cpp
+++ b/src/ctl/job_commands.cpp
@@ -95,8 +95,7 @@
   for (const Json& answer : CallAll(scheds, "/v1/jobs/" + id)) {
     for (const Json& task : answer.at("tasks")) {
       Json& known = tasks[task.at("index").get<std::uint64_t>()];
-      const bool newer = known.is_null() ||
-                         task.at("hop") > known.at("hop") ||
+      const bool newer = known.is_null() || task.at("hop") > known.at("hop") ||
                          (task.at("hop") == known.at("hop") &&
                           task.at("attempt") >= known.at("attempt"));
       if (newer) {
@@ -129,15 +128,13 @@
       const std::uint64_t index = task.at("index").get<std::uint64_t>();
       const std::string why = task.at("why").get<std::string>();
       // The owner knows best.
-      if (lines.count(index) == 0 ||
-          why != "another scheduler owns the cell") {
+      if (lines.count(index) == 0 || why != "another scheduler owns the cell") {
         lines[index] = task.at("cell").get<std::string>() + ": " + why;
       }
     }
   }
   for (const std::pair<const std::uint64_t, std::string>& line : lines) {
-    std::cout << id << "/" << line.first << " waits in " << line.second
-              << "\n";
+    std::cout << id << "/" << line.first << " waits in " << line.second << "\n";
   }
   if (lines.empty()) {
     std::cout << "no task of " << id << " waits\n";
@@ -152,8 +149,8 @@
   }
   for (const Json& answer : answers) {
     std::cout << answer.at("name").get<std::string>() << " revision "
-              << answer.at("revision")
-              << " out=" << answer.at("out").dump() << "\n";
+              << answer.at("revision") << " out=" << answer.at("out").dump()
+              << "\n";
     for (const Json& cell : answer.at("cells")) {
       if (!cell.at("owned").get<bool>()) {
         continue;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -59,8 +59,7 @@
   if (command == "config") {
     return ctl::ShowConfig(arguments.m_log);
   }
-  return ctl::SetOut(arguments.m_argument, command == "drain",
-                     arguments.m_log);
+  return ctl::SetOut(arguments.m_argument, command == "drain", arguments.m_log);
 }
 
 int RunJobCommand(const Arguments& arguments) {
@@ -92,13 +91,13 @@
     bool m_config;
     bool m_argument;
   };
-  static const std::vector<Command> commands = {
+  static const std::vector<Command> kCommands = {
       {"validate", true, true}, {"publish", true, true},
       {"config", true, false},  {"drain", true, true},
       {"restore", true, true},  {"submit", false, true},
       {"cancel", false, true},  {"job", false, true},
       {"explain", false, true}, {"status", false, false}};
-  for (const Command& command : commands) {
+  for (const Command& command : kCommands) {
     if (arguments.m_command != command.m_name) {
       continue;
     }
@@ -117,8 +116,8 @@
   Arguments arguments;
   std::uint64_t base = 0;
   po::options_description options("Options");
-  options.add_options()("help,h", "print this text")(
-      "version", "print the version")(
+  options.add_options()("help,h", "print this text")("version",
+                                                     "print the version")(
       "command", po::value<std::string>(&arguments.m_command))(
       "argument", po::value<std::string>(&arguments.m_argument))(
       "log", po::value<std::string>(&arguments.m_log), "address of the log")(
--- a/src/gate/gate_config.cpp
+++ b/src/gate/gate_config.cpp
@@ -24,16 +24,14 @@
   config.m_threads = static_cast<int>(reader->Int("threads", 2, 1, 64));
   config.m_body_bytes = static_cast<std::size_t>(
       reader->Int("body_bytes", 1 << 20, 1024, 1LL << 30));
-  config.m_recorded_bytes = static_cast<std::size_t>(
-      reader->Int("recorded_bytes", 4096, 0, 1 << 20));
-  config.m_vm_list_period =
-      reader->Millis("vm_list_period_ms", config.m_vm_list_period,
-                     milliseconds(50), kMinute);
+  config.m_recorded_bytes =
+      static_cast<std::size_t>(reader->Int("recorded_bytes", 4096, 0, 1 << 20));
+  config.m_vm_list_period = reader->Millis(
+      "vm_list_period_ms", config.m_vm_list_period, milliseconds(50), kMinute);
   config.m_report_period = reader->Millis(
       "report_period_ms", config.m_report_period, milliseconds(10), kMinute);
-  config.m_append_timeout =
-      reader->Millis("append_timeout_ms", config.m_append_timeout,
-                     milliseconds(50), kMinute);
+  config.m_append_timeout = reader->Millis(
+      "append_timeout_ms", config.m_append_timeout, milliseconds(50), kMinute);
   config.m_notice = reader->Millis("notice_ms", config.m_notice,
                                    milliseconds(0), 10 * kMinute);
   s.m_policy = reader->Choice(
@@ -44,8 +42,8 @@
   s.m_routing.m_memory =
       reader->Millis("estimate_half_life_ms", milliseconds(10000),
                      milliseconds(100), 10 * kMinute);
-  s.m_queue_limit = static_cast<std::size_t>(
-      reader->Int("queue_limit", 10000, 1, 10000000));
+  s.m_queue_limit =
+      static_cast<std::size_t>(reader->Int("queue_limit", 10000, 1, 10000000));
   s.m_refused_pause = reader->Millis("refused_pause_ms", s.m_refused_pause,
                                      milliseconds(10), kMinute);
   s.m_suspect_pause = reader->Millis("suspect_pause_ms", s.m_suspect_pause,
--- a/src/gate/gate_process.cpp
+++ b/src/gate/gate_process.cpp
@@ -27,8 +27,7 @@
 
 ExchangeEnd EndOf(const Result<HttpResponse>& answer) {
   if (answer) {
-    const bool refused =
-        answer.value().m_headers.count(kRefusedHeader) > 0;
+    const bool refused = answer.value().m_headers.count(kRefusedHeader) > 0;
     return refused ? ExchangeEnd::kRefused : ExchangeEnd::kAnswered;
   }
   return answer.error().m_code == ErrorCode::kNotSent ? ExchangeEnd::kNotSent
@@ -43,9 +42,9 @@
       m_events(kEventCapacity),
       m_next_id(RandomId()),
       m_append_pool(kAppendThreads, kAppendCapacity),
-      m_upstream(config.m_threads,
-                 static_cast<std::size_t>(
-                     config.m_gate.m_routing.m_connections)),
+      m_upstream(
+          config.m_threads,
+          static_cast<std::size_t>(config.m_gate.m_routing.m_connections)),
       m_peers([this](std::string message) {
         m_events.TryPush(PeerEvent{std::move(message)});
       }),
@@ -67,11 +66,11 @@
 GateProcess::~GateProcess() = default;
 
 Result<void> GateProcess::Start() {
-  const Result<void> linked = m_peers.Start(m_config.m_peer_listen);
+  Result<void> linked = m_peers.Start(m_config.m_peer_listen);
   if (!linked) {
     return linked;
   }
-  const Result<void> started = m_server.Start(m_config.m_listen);
+  Result<void> started = m_server.Start(m_config.m_listen);
   if (!started) {
     return started;
   }
@@ -106,8 +105,8 @@
 }
 
 void GateProcess::OnHttp(HttpRequest request, HttpReply reply) {
-  const std::optional<HttpResponse> health = AnswerHealth(
-      request, m_metrics, m_ready.load() && !m_leaving.load());
+  const std::optional<HttpResponse> health =
+      AnswerHealth(request, m_metrics, m_ready.load() && !m_leaving.load());
   if (health) {
     reply(*health);
     return;
@@ -240,7 +239,7 @@
   }
 }
 
-void GateProcess::CarryOut(GateOutput output, TimePoint now) {
+void GateProcess::CarryOut(const GateOutput& output, TimePoint now) {
   for (const DispatchAction& action : output.m_dispatches) {
     Send(action);
   }
@@ -270,15 +269,13 @@
       action.m_outcome == Outcome::kAnswered && !action.m_replayed;
   pending.m_reply(fresh ? MakeAnswer(std::move(*pending.m_answer))
                         : MakeReply(action));
-  const std::string labels =
-      Label("tenant", pending.m_request.m_tenant) + "," +
-      Label("class", pending.m_request.m_class);
+  const std::string labels = Label("tenant", pending.m_request.m_tenant) + "," +
+                             Label("class", pending.m_request.m_class);
   m_metrics.Histogram("hyssopspar_gate_latency_seconds", labels)
       .Add(now - pending.m_arrived);
   ++m_metrics.Value(
       "hyssopspar_gate_outcomes",
-      labels + "," +
-          Label("outcome", std::string(ToString(action.m_outcome))));
+      labels + "," + Label("outcome", std::string(ToString(action.m_outcome))));
   m_pending.erase(it);
 }
 
@@ -296,9 +293,9 @@
         } while (!sent && !take && Clock::now() < limit &&
                  !m_stop.WaitUntil(Clock::now() + kClaimRetryPause));
         if (take) {
-          const bool maybe =
-              !sent && sent.error().m_code != ErrorCode::kNotSent &&
-              sent.error().m_code != ErrorCode::kUnavailable;
+          const bool maybe = !sent &&
+                             sent.error().m_code != ErrorCode::kNotSent &&
+                             sent.error().m_code != ErrorCode::kUnavailable;
           m_events.Push(
               ClaimAppendEvent{action.m_request, sent.has_value(), maybe});
         } else if (!sent) {
@@ -312,9 +309,7 @@
 }
 
 void GateProcess::FollowStreams() {
-  const auto sink = [this](StreamRead read) {
-    m_events.Push(std::move(read));
-  };
+  const auto sink = [this](StreamRead read) { m_events.Push(std::move(read)); };
   std::map<std::string, Offset> streams = m_core.ClaimStreams();
   streams[kConfigStream] = 0;
   for (const std::pair<const std::string, Offset>& stream : streams) {
--- a/src/gate/gate_process.h
+++ b/src/gate/gate_process.h
@@ -60,7 +60,7 @@
   void Handle(const PeerEvent& event, TimePoint now);
   void Handle(const VmsEvent& event, TimePoint now);
   void Handle(const StreamRead& event, TimePoint now);
-  void CarryOut(GateOutput output, TimePoint now);
+  void CarryOut(const GateOutput& output, TimePoint now);
   void Send(const DispatchAction& action);
   void Answer(const ReplyAction& action, TimePoint now);
   void SubmitClaim(const ClaimAction& action);
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -26,12 +26,17 @@
 
 /// Headers that concern one connection only.
 bool IsHopByHop(const std::string& name) {
-  static const std::set<std::string> names = {
-      "connection",          "keep-alive", "proxy-authenticate",
-      "proxy-authorization", "te",         "trailer",
-      "transfer-encoding",   "upgrade",    "content-length",
-      "host"};
-  return names.count(name) > 0;
+  static const std::set<std::string> kNames = {"connection",
+                                               "keep-alive",
+                                               "proxy-authenticate",
+                                               "proxy-authorization",
+                                               "te",
+                                               "trailer",
+                                               "transfer-encoding",
+                                               "upgrade",
+                                               "content-length",
+                                               "host"};
+  return kNames.count(name) > 0;
 }
 
 HttpHeaders EndToEnd(const HttpHeaders& headers) {
@@ -53,8 +58,8 @@
   const std::string path = PathOf(http.m_target);
   const std::string prefix = kPrefix;
   const std::size_t slash = path.find('/', prefix.size());
-  const bool shaped = path.compare(0, prefix.size(), prefix) == 0 &&
-                      slash != std::string::npos;
+  const bool shaped =
+      path.compare(0, prefix.size(), prefix) == 0 && slash != std::string::npos;
   if (!shaped) {
     return Fail(ErrorCode::kNotFound, path);
   }
@@ -80,9 +85,9 @@
                 "header idempotency-key has at most 256 bytes");
   }
   if (!request_class->m_idempotent && request.m_key.empty()) {
-    return Fail(ErrorCode::kInvalidArgument,
-                "header idempotency-key is needed for class " +
-                    request.m_class);
+    return Fail(
+        ErrorCode::kInvalidArgument,
+        "header idempotency-key is needed for class " + request.m_class);
   }
   if (request_class->m_idempotent) {
     request.m_key.clear();
@@ -141,8 +146,8 @@
       response.m_headers["hyssopspar-replayed"] = "true";
       break;
     case Outcome::kNotRun:
-      response = ErrorResponse(503, outcome,
-                               std::string(ToString(action.m_reason)));
+      response =
+          ErrorResponse(503, outcome, std::string(ToString(action.m_reason)));
       response.m_headers["retry-after"] = "1";
       break;
     case Outcome::kUnknown:
--- a/src/include/hyssopspar/bounded_ring.h
+++ b/src/include/hyssopspar/bounded_ring.h
@@ -7,8 +7,8 @@
 #include <utility>
 
 #ifdef HYSSOPSPAR_THREAD_SANITIZER
-#include <condition_variable>
 #include <boost/circular_buffer.hpp>
+#include <condition_variable>
 #include <mutex>
 #else
 #include <tbb/concurrent_queue.h>
--- a/src/include/hyssopspar/cell_owner.h
+++ b/src/include/hyssopspar/cell_owner.h
@@ -36,9 +36,9 @@
 /// A record to append to another cell's stream.
 struct TransferOrder {
   std::string m_target;
-  TaskId m_task;          ///< Unused for cancellations.
+  TaskId m_task;  ///< Unused for cancellations.
   std::uint32_t m_hop = 0;
-  JobId m_cancel = 0;     ///< Set for a cancellation.
+  JobId m_cancel = 0;  ///< Set for a cancellation.
   std::string m_payload;
 };
 
@@ -60,21 +60,23 @@
   CellReplay m_replay;
 
   bool m_caught_up = false;
-  bool m_reading = false;        ///< The last read succeeded.
-  TimePoint m_read_verified;     ///< Send time of the last good read.
-  TimePoint m_owner_seen;        ///< Start of the present silence of the owner.
-
-  bool m_owned = false;          ///< Our claim was read back and still stands.
-  TimePoint m_lease_deadline;    ///< Owner until then.
-  TimePoint m_outage_deadline;   ///< Worker leases are renewed until then.
-  TimePoint m_takeover_floor;    ///< Leases of earlier owners expired by then.
+  bool m_reading = false;     ///< The last read succeeded.
+  TimePoint m_read_verified;  ///< Send time of the last good read.
+  TimePoint m_owner_seen;     ///< Start of the present silence of the owner.
+
+  bool m_owned = false;         ///< Our claim was read back and still stands.
+  TimePoint m_lease_deadline;   ///< Owner until then.
+  TimePoint m_outage_deadline;  ///< Worker leases are renewed until then.
+  TimePoint m_takeover_floor;   ///< Leases of earlier owners expired by then.
   TimePoint m_next_batch;
   TimePoint m_renew_at;
+  TimePoint m_term_began;
   bool m_releasing = false;
   std::optional<OutstandingBatch> m_outstanding;
   std::uint64_t m_since_snapshot = 0;
 
   std::map<std::string, WorkerView> m_workers;
+  std::map<std::string, TimePoint> m_dead_since;  ///< By the VM list.
   std::set<AttemptId> m_own_commits;
   std::map<TaskId, TimePoint> m_not_before;
   std::map<TaskId, TimePoint> m_pending_since;
@@ -146,7 +148,9 @@
                   TimePoint now);
 
 /// Decides what to do at \p now.
-CellOutput TickCell(CellOwner* owner, const CellContext& context, TimePoint now);
+CellOutput TickCell(CellOwner* owner,
+                    const CellContext& context,
+                    TimePoint now);
 
 /// What others should know about an owned cell.
 CellSummary SummarizeCell(const CellOwner& owner, const CellContext& context);
--- a/src/include/hyssopspar/cell_state.h
+++ b/src/include/hyssopspar/cell_state.h
@@ -68,12 +68,12 @@
 };
 
 struct CellState {
-  bool m_started = false;    ///< False before the first record.
-  Offset m_next = 0;         ///< Offset of the next record to apply.
-  Epoch m_epoch = 0;         ///< 0 before the first claim.
-  std::string m_owner;       ///< Empty when released.
+  bool m_started = false;  ///< False before the first record.
+  Offset m_next = 0;       ///< Offset of the next record to apply.
+  Epoch m_epoch = 0;       ///< 0 before the first claim.
+  std::string m_owner;     ///< Empty when released.
   WriterId m_owner_writer = 0;
-  Offset m_snapshot = 0;     ///< Offset of the last complete snapshot's footer.
+  Offset m_snapshot = 0;  ///< Offset of the last complete snapshot's footer.
   /// Last sequence number of the owner. What other writers may propose is
   /// idempotent by itself, so only the owner's repeats need to be told apart.
   Sequence m_owner_sequence = 0;
--- a/src/include/hyssopspar/config_doc.h
+++ b/src/include/hyssopspar/config_doc.h
@@ -20,8 +20,8 @@
 struct RequestClass {
   std::string m_name;
   bool m_idempotent = true;
-  milliseconds m_timeout{1000};   ///< Used when the caller names none.
-  milliseconds m_expected{30};    ///< First guess of the service time.
+  milliseconds m_timeout{1000};  ///< Used when the caller names none.
+  milliseconds m_expected{30};   ///< First guess of the service time.
 };
 
 struct ServiceConfig {
--- a/src/include/hyssopspar/config_state.h
+++ b/src/include/hyssopspar/config_state.h
@@ -42,7 +42,7 @@
   Revision m_revision = 0;  ///< Never decreases.
   ConfigDoc m_doc;
   std::set<std::string> m_out;  ///< Failure domains and VMs out of service.
-  Offset m_snapshot = 0;  ///< Offset of the last snapshot record.
+  Offset m_snapshot = 0;        ///< Offset of the last snapshot record.
 };
 
 enum class ConfigVerdict { kApplied, kConflict, kNoChange };
--- a/src/include/hyssopspar/endpoint_view.h
+++ b/src/include/hyssopspar/endpoint_view.h
@@ -24,8 +24,8 @@
   std::string m_service;
   std::string m_failure_domain;
   std::int64_t m_slots = 1;
-  Duration m_trip{0};      ///< There and back.
-  bool m_usable = true;    ///< In service by the VM list and configuration.
+  Duration m_trip{0};         ///< There and back.
+  bool m_usable = true;       ///< In service by the VM list and configuration.
   TimePoint m_refused_until;  ///< It refused work itself until then.
   TimePoint m_suspect_until;  ///< A connection to it failed until then.
   std::int64_t m_own = 0;     ///< Requests of ours at the endpoint.
--- a/src/include/hyssopspar/error.h
+++ b/src/include/hyssopspar/error.h
@@ -15,7 +15,7 @@
 /// Every way in which an operation of the library can fail.
 enum class ErrorCode {
   kInvalidArgument,
-  kMalformed,       ///< Bytes that do not parse as the expected message.
+  kMalformed,  ///< Bytes that do not parse as the expected message.
   kNotFound,
   kConflict,        ///< A compare-and-set lost against another writer.
   kNotSent,         ///< The request certainly did not reach the peer.
@@ -24,7 +24,7 @@
   kUnavailable,     ///< The peer answered that it can't serve now.
   kQueueFull,
   kTooLarge,
-  kInvariant,       ///< A state invariant does not hold.
+  kInvariant,  ///< A state invariant does not hold.
 };
 
 /// Name of a code in lower case with dashes, as printed in logs and answers.
@@ -41,10 +41,8 @@
 
 /// Value or Error. Reading the absent side ends the process.
 template <class T>
-using Result =
-    boost::outcome_v2::basic_result<T,
-                                    Error,
-                                    boost::outcome_v2::policy::terminate>;
+using Result = boost::outcome_v2::
+    basic_result<T, Error, boost::outcome_v2::policy::terminate>;
 
 /// Builds the failed side of a Result.
 inline auto Fail(ErrorCode code, std::string detail)
--- a/src/include/hyssopspar/invariant.h
+++ b/src/include/hyssopspar/invariant.h
@@ -16,9 +16,9 @@
 
 /// Ends the process when \p condition is false: a wrong decision is worse than
 /// a restart, after which the state is replayed from the log.
-#define HYSSOPSPAR_INVARIANT(condition)                                      \
-  do {                                                                       \
-    if (!(condition)) {                                                      \
-      ::hyssopspar::pvt::InvariantFailed(#condition, __FILE__, __LINE__);    \
-    }                                                                        \
+#define HYSSOPSPAR_INVARIANT(condition)                                   \
+  do {                                                                    \
+    if (!(condition)) {                                                   \
+      ::hyssopspar::pvt::InvariantFailed(#condition, __FILE__, __LINE__); \
+    }                                                                     \
   } while (false)
--- a/src/include/hyssopspar/job_spec.h
+++ b/src/include/hyssopspar/job_spec.h
@@ -18,8 +18,8 @@
   std::string m_name;
   std::string m_class;
   std::uint32_t m_tasks = 1;
-  Resources m_size;        ///< Declared, for each task.
-  milliseconds m_work{0};  ///< Declared run time of each task.
+  Resources m_size;             ///< Declared, for each task.
+  milliseconds m_work{0};       ///< Declared run time of each task.
   std::int64_t m_priority = 0;  ///< Higher goes first.
 };
 
--- a/src/include/hyssopspar/log_store.h
+++ b/src/include/hyssopspar/log_store.h
@@ -37,9 +37,9 @@
                                 TimePoint deadline) = 0;
 
   /// Reads up to \p max records from offset \p from, waiting up to \p wait for
-  /// the first one. A stream nobody wrote to is empty. When \p from is no longer
-  /// held the slice begins at the oldest record that is: m_start then lies
-  /// beyond \p from.
+  /// the first one. A stream nobody wrote to is empty. When \p from is no
+  /// longer held the slice begins at the oldest record that is: m_start then
+  /// lies beyond \p from.
   virtual Result<LogSlice> Read(const std::string& stream,
                                 Offset from,
                                 std::size_t max,
--- a/src/include/hyssopspar/membership.h
+++ b/src/include/hyssopspar/membership.h
@@ -18,10 +18,10 @@
 /// What the owner of a cell tells the others about it.
 struct CellSummary {
   std::string m_cell;
-  Resources m_free;           ///< Sum over workers that take tasks.
-  Resources m_largest;        ///< Largest capacity of one worker.
+  Resources m_free;     ///< Sum over workers that take tasks.
+  Resources m_largest;  ///< Largest capacity of one worker.
   std::uint32_t m_pending = 0;
-  bool m_out = false;         ///< Failure domain out of service.
+  bool m_out = false;  ///< Failure domain out of service.
 };
 
 /// Heartbeat of a scheduler.
--- a/src/include/hyssopspar/placement.h
+++ b/src/include/hyssopspar/placement.h
@@ -26,16 +26,17 @@
 };
 
 /// Picks the place for \p size, or nothing when none fits.
-using PlacementPolicy = std::optional<std::size_t> (*)(
-    const std::vector<Candidate>& candidates,
-    const Resources& size,
-    std::uint64_t seed);
+using PlacementPolicy =
+    std::optional<std::size_t> (*)(const std::vector<Candidate>& candidates,
+                                   const Resources& size,
+                                   std::uint64_t seed);
 
 /// Least score of leftover imbalance, pressure on endpoints, and crowding of
 /// one rack by one job.
-std::optional<std::size_t> PlaceByScore(const std::vector<Candidate>& candidates,
-                                        const Resources& size,
-                                        std::uint64_t seed);
+std::optional<std::size_t> PlaceByScore(
+    const std::vector<Candidate>& candidates,
+    const Resources& size,
+    std::uint64_t seed);
 
 /// Baseline: the first that fits.
 std::optional<std::size_t> PlaceFirstFit(
--- a/src/include/hyssopspar/sched_settings.h
+++ b/src/include/hyssopspar/sched_settings.h
@@ -23,6 +23,7 @@
   milliseconds m_worker_renew{1000};
   milliseconds m_worker_timeout{1000};
   milliseconds m_drift_margin{250};
+  double m_drift_rate = 0.002;  ///< Bound of clock error, seconds per second.
   /// Age up to which the view of the configuration permits a start.
   milliseconds m_freshness{3000};
   /// How long worker leases are renewed while the log can't be reached.
@@ -31,6 +32,8 @@
   milliseconds m_member_timeout{6000};
   /// Time a better-placed member must be known before a cell moves to it.
   milliseconds m_settle{5000};
+  /// Upper bound of the VM list's lag: a VM shown dead for longer is dead.
+  milliseconds m_vm_list_lag{5000};
   milliseconds m_batch_min{20};
   milliseconds m_batch_max{1000};
   milliseconds m_append_retry{200};
@@ -48,4 +51,12 @@
   std::string m_placement = "score";
 };
 
+/// Time of ours within which \p period has certainly passed on any worker's
+/// clock and on any other scheduler's.
+inline Duration WithDrift(const SchedSettings& settings, Duration period) {
+  const Duration error = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(period) * 2 * settings.m_drift_rate);
+  return period + error + settings.m_drift_margin;
+}
+
 }  // namespace hyssopspar
--- a/src/include/hyssopspar/scheduler.h
+++ b/src/include/hyssopspar/scheduler.h
@@ -35,8 +35,8 @@
     std::string m_cell;
     TransferOrder m_order;
   };
-  std::vector<Append> m_appends;      ///< One outstanding for each cell.
-  std::vector<Append> m_beats;        ///< Sent once, never repeated.
+  std::vector<Append> m_appends;  ///< One outstanding for each cell.
+  std::vector<Append> m_beats;    ///< Sent once, never repeated.
   std::vector<Sync> m_syncs;
   std::vector<Transfer> m_transfers;
 };
--- a/src/include/hyssopspar/settings_reader.h
+++ b/src/include/hyssopspar/settings_reader.h
@@ -53,7 +53,10 @@
                            std::int64_t max);
 
   /// A number from \p min to \p max.
-  double Number(const std::string& key, double fallback, double min, double max);
+  double Number(const std::string& key,
+                double fallback,
+                double min,
+                double max);
 
   /// A period whose key ends in "_ms", in milliseconds.
   milliseconds Millis(const std::string& key,
--- a/src/include/hyssopspar/time.h
+++ b/src/include/hyssopspar/time.h
@@ -24,7 +24,7 @@
   using period = std::milli;
   using duration = milliseconds;
   using time_point = std::chrono::time_point<WorkerClock, milliseconds>;
-  static constexpr bool is_steady = true;
+  static constexpr bool is_steady = true;  // NOLINT: the standard's name.
 };
 using WorkerTime = WorkerClock::time_point;
 
--- a/src/include/hyssopspar/worker_control.h
+++ b/src/include/hyssopspar/worker_control.h
@@ -67,7 +67,8 @@
 struct WorkerReport {
   std::uint64_t m_boot = 0;
   WorkerTime m_now;
-  bool m_accepted = false;  ///< False when the sync came late or for a boot past.
+  bool m_accepted =
+      false;  ///< False when the sync came late or for a boot past.
   std::vector<TaskReport> m_tasks;
 };
 
--- a/src/libhyssopspar/cell_claim.cpp
+++ b/src/libhyssopspar/cell_claim.cpp
@@ -17,6 +17,7 @@
   owner->m_owned = false;
   owner->m_releasing = false;
   owner->m_workers.clear();
+  owner->m_dead_since.clear();
   owner->m_own_commits.clear();
   owner->m_transfer_retry.clear();
   owner->m_cancel_retry.clear();
@@ -33,11 +34,12 @@
                TimePoint now) {
   ResetOwnership(owner);
   owner->m_owned = true;
+  owner->m_term_began = now;
   ++owner->m_counters.m_takeovers;
   const Duration silent =
       graceful ? Duration::zero() : Duration(settings.m_outage_limit);
   owner->m_takeover_floor =
-      now + silent + settings.m_worker_lease + settings.m_drift_margin;
+      now + WithDrift(settings, silent + settings.m_worker_lease);
   owner->m_lease_deadline = sent + settings.m_cell_lease;
   owner->m_outage_deadline = sent + settings.m_outage_limit;
   Log(kLogPart)->info("cell owned cell={} epoch={} graceful={}", owner->m_cell,
@@ -57,8 +59,7 @@
       continue;
     }
     if (const TaskCommit* commit = std::get_if<TaskCommit>(&decision)) {
-      owner->m_own_commits.insert(
-          AttemptId{commit->m_task, commit->m_attempt});
+      owner->m_own_commits.insert(AttemptId{commit->m_task, commit->m_attempt});
       ++owner->m_counters.m_starts;
     } else if (const TaskFinish* finish = std::get_if<TaskFinish>(&decision)) {
       owner->m_own_commits.erase(AttemptId{finish->m_task, finish->m_attempt});
@@ -103,8 +104,7 @@
       state.m_owner_writer == owner->m_writer && !state.m_owner.empty();
   if (confirmed && stands && !owner->m_owned) {
     BeginTerm(owner, settings, sent, released, now);
-  } else if (confirmed && stands &&
-             step.m_batch.m_epoch == state.m_epoch) {
+  } else if (confirmed && stands && step.m_batch.m_epoch == state.m_epoch) {
     owner->m_lease_deadline =
         std::max(owner->m_lease_deadline, sent + settings.m_cell_lease);
     owner->m_outage_deadline =
@@ -153,8 +153,8 @@
       NoteRecord(owner, context, record, now);
     }
   }
-  owner->m_caught_up = owner->m_replay.Next() >= slice.m_end &&
-                       owner->m_replay.IsReady();
+  owner->m_caught_up =
+      owner->m_replay.Next() >= slice.m_end && owner->m_replay.IsReady();
 }
 
 void NoteCellReadFailed(CellOwner* owner, TimePoint /*now*/) {
@@ -172,7 +172,8 @@
   // Without success the same bytes go out again; after success they are only
   // waited for, and sent again should they not turn up.
   owner->m_outstanding->m_retry_at =
-      now + (succeeded ? 10 * settings.m_append_retry : settings.m_append_retry);
+      now +
+      (succeeded ? 10 * settings.m_append_retry : settings.m_append_retry);
 }
 
 }  // namespace hyssopspar
--- a/src/libhyssopspar/cell_place.cpp
+++ b/src/libhyssopspar/cell_place.cpp
@@ -49,8 +49,8 @@
     const Job& job = state.m_jobs.at(id.m_job);
     const std::map<TaskId, TimePoint>::const_iterator delay =
         plan.m_owner->m_not_before.find(id);
-    const bool backing_off = delay != plan.m_owner->m_not_before.end() &&
-                             plan.m_now < delay->second;
+    const bool backing_off =
+        delay != plan.m_owner->m_not_before.end() && plan.m_now < delay->second;
     if (!backing_off) {
       pending.push_back(PendingTask{id, &job, &job.m_tasks.at(id.m_index)});
     }
@@ -160,8 +160,8 @@
     CellSummary& cell = entry.second;
     const bool able = Fits(size, cell.m_largest) &&
                       (!must_have_room || Fits(size, cell.m_free));
-    const bool better = best == nullptr || cell.m_free.m_cpu_milli >
-                                               best->m_free.m_cpu_milli;
+    const bool better =
+        best == nullptr || cell.m_free.m_cpu_milli > best->m_free.m_cpu_milli;
     if (able && better) {
       best = &cell;
     }
@@ -191,8 +191,7 @@
     target->m_free -= size;
     return TaskHandOff{item.m_id, item.m_task->m_hop, target->m_cell};
   }
-  const std::size_t cells =
-      CellNames(plan.m_context->m_config->m_doc).size();
+  const std::size_t cells = CellNames(plan.m_context->m_config->m_doc).size();
   const bool all_known = others->size() + 1 >= cells;
   if (!can_fit && !out_of_service && target == nullptr && all_known) {
     return TaskPark{item.m_id, ParkReason::kNoWorkerLargeEnough};
@@ -208,8 +207,8 @@
   for (const PendingTask& item : pending) {
     plan.m_owner->m_pending_since.emplace(item.m_id, plan.m_now);
   }
-  const bool out_of_service = plan.m_context->m_config->m_out.count(
-                                  plan.m_owner->m_failure_domain) > 0;
+  const bool out_of_service =
+      plan.m_context->m_config->m_out.count(plan.m_owner->m_failure_domain) > 0;
   if (!out_of_service && StartsAllowed(plan)) {
     std::vector<Candidate> candidates = MakeCandidates(plan);
     QuotaUse use = MeasureQuotas(state);
--- a/src/libhyssopspar/cell_plan.cpp
+++ b/src/libhyssopspar/cell_plan.cpp
@@ -40,8 +40,8 @@
 bool MustLeave(const PlanContext& plan, const WorkerSlot& slot) {
   const Vm* vm = FindVm(plan, slot.m_name);
   const bool leaving = vm != nullptr && vm->m_state != VmState::kLive;
-  return leaving || IsOut(*plan.m_context->m_config, slot.m_failure_domain,
-                          slot.m_name);
+  return leaving ||
+         IsOut(*plan.m_context->m_config, slot.m_failure_domain, slot.m_name);
 }
 
 bool AcceptsStarts(const PlanContext& plan, const WorkerSlot& slot) {
@@ -56,16 +56,41 @@
 
 namespace {
 
-bool IsDead(const PlanContext& plan, const WorkerSlot& slot) {
-  const Vm* vm = FindVm(plan, slot.m_name);
-  return vm != nullptr && vm->m_state == VmState::kDead;
+/// True when the worker has been shown dead for longer than the list may lag,
+/// and has not answered since. Before that it may be back already, and the
+/// list's word be about its life before.
+bool IsDead(const PlanContext& plan,
+            const WorkerSlot& slot,
+            const WorkerView& view) {
+  const std::map<std::string, TimePoint>::const_iterator since =
+      plan.m_owner->m_dead_since.find(slot.m_name);
+  return since != plan.m_owner->m_dead_since.end() &&
+         plan.m_now - since->second >=
+             plan.m_context->m_settings->m_vm_list_lag &&
+         (!view.m_contacted || view.m_received <= since->second);
+}
+
+/// Notes since when each worker is shown dead.
+void NoteDead(const PlanContext& plan) {
+  std::map<std::string, TimePoint>& dead = plan.m_owner->m_dead_since;
+  for (const WorkerSlot& slot : plan.m_owner->m_replay.State().m_workers) {
+    const Vm* vm = FindVm(plan, slot.m_name);
+    if (vm != nullptr && vm->m_state == VmState::kDead) {
+      dead.emplace(slot.m_name, plan.m_now);
+    } else {
+      dead.erase(slot.m_name);
+    }
+  }
 }
 
 /// True when no lease on the worker can still stand, whoever granted it.
 bool LeasesLapsed(const PlanContext& plan, const WorkerView& view) {
-  const TimePoint last =
-      std::max(view.m_lease_deadline, plan.m_owner->m_takeover_floor);
-  return plan.m_now > last + plan.m_context->m_settings->m_drift_margin;
+  const SchedSettings& settings = *plan.m_context->m_settings;
+  const Duration margin = WithDrift(settings, settings.m_worker_lease) -
+                          settings.m_worker_lease;
+  const TimePoint lapsed =
+      std::max(view.m_lease_deadline + margin, plan.m_owner->m_takeover_floor);
+  return plan.m_now > lapsed;
 }
 
 /// Counts a failed attempt against its worker, and sets a worker aside that
@@ -111,8 +136,7 @@
     case TaskPhase::kFailed:
       JudgeFailure(plan, id.m_task.m_job, view);
       plan.m_owner->m_not_before[id.m_task] =
-          plan.m_now +
-          RetryDelay(*plan.m_context->m_settings, task.m_failures);
+          plan.m_now + RetryDelay(*plan.m_context->m_settings, task.m_failures);
       return TaskStop{id.m_task, id.m_attempt, StopReason::kFailed,
                       report.m_progress};
     case TaskPhase::kStopped:
@@ -166,19 +190,19 @@
   const std::map<AttemptId, TaskReport>::const_iterator listed =
       view.m_tasks.find(attempt);
   if (listed != view.m_tasks.end()) {
-    const std::optional<Decision> end =
+    std::optional<Decision> end =
         EndOfListed(plan, attempt, task, listed->second, &view);
     if (end) {
       return end;
     }
   } else if (view.m_contacted) {
-    const std::optional<Decision> end =
+    std::optional<Decision> end =
         EndOfUnlisted(plan, attempt, task, slot, view);
     if (end) {
       return end;
     }
   }
-  if (IsDead(plan, slot)) {
+  if (IsDead(plan, slot, view)) {
     return TaskStop{id, task.m_attempt, StopReason::kLost, 0};
   }
   if (view.m_errors > 0 && LeasesLapsed(plan, view)) {
@@ -198,8 +222,7 @@
     if (out->size() >= plan.m_context->m_settings->m_batch_decisions) {
       return;
     }
-    const std::optional<Decision> end =
-        EndOfAttempt(plan, id, *FindTask(state, id));
+    std::optional<Decision> end = EndOfAttempt(plan, id, *FindTask(state, id));
     if (end) {
       out->push_back(*end);
     }
@@ -209,8 +232,7 @@
 /// What endpoints reserve on each worker.
 std::map<std::string, Resources> ReservedByHost(const PlanContext& plan) {
   std::map<std::string, Resources> reserved;
-  for (const std::pair<const std::string, Vm>& entry :
-       *plan.m_context->m_vms) {
+  for (const std::pair<const std::string, Vm>& entry : *plan.m_context->m_vms) {
     const Vm& vm = entry.second;
     const ServiceConfig* service =
         vm.m_kind == VmKind::kEndpoint && vm.m_state != VmState::kDead
@@ -253,20 +275,17 @@
     const bool gone = vm == nullptr || vm->m_state == VmState::kDead;
     if (gone && slot.m_live.empty()) {
       out->push_back(WorkerRemove{index});
-    } else if (!gone &&
-               !(BatchCapacity(*vm, reserved) == slot.m_capacity)) {
+    } else if (!gone && !(BatchCapacity(*vm, reserved) == slot.m_capacity)) {
       out->push_back(WorkerResize{index, BatchCapacity(*vm, reserved)});
     }
   }
-  for (const std::pair<const std::string, Vm>& entry :
-       *plan.m_context->m_vms) {
+  for (const std::pair<const std::string, Vm>& entry : *plan.m_context->m_vms) {
     const Vm& vm = entry.second;
-    const bool ours = vm.m_kind == VmKind::kWorker &&
-                      vm.m_state == VmState::kLive &&
-                      known.count(vm.m_name) == 0 &&
-                      CellOfWorker(plan.m_context->m_config->m_doc,
-                                   vm.m_failure_domain,
-                                   vm.m_name) == plan.m_owner->m_cell;
+    const bool ours =
+        vm.m_kind == VmKind::kWorker && vm.m_state == VmState::kLive &&
+        known.count(vm.m_name) == 0 &&
+        CellOfWorker(plan.m_context->m_config->m_doc, vm.m_failure_domain,
+                     vm.m_name) == plan.m_owner->m_cell;
     if (ours) {
       out->push_back(WorkerAdd{vm.m_name, vm.m_failure_domain, vm.m_rack,
                                BatchCapacity(vm, reserved)});
@@ -288,8 +307,7 @@
       continue;
     }
     const TimePoint ended =
-        plan.m_owner->m_ended_at.emplace(entry.first, plan.m_now)
-            .first->second;
+        plan.m_owner->m_ended_at.emplace(entry.first, plan.m_now).first->second;
     if (plan.m_now - ended >= settings.m_forget_after) {
       out->push_back(JobForget{entry.first});
     }
@@ -297,12 +315,11 @@
 }
 
 bool HasTaskUnderWay(const Job& job) {
-  return std::any_of(
-      job.m_tasks.begin(), job.m_tasks.end(),
-      [](const std::pair<const std::uint32_t, Task>& task) {
-        return task.second.m_state == TaskState::kHandedOff &&
-               !task.second.m_handed_over;
-      });
+  return std::any_of(job.m_tasks.begin(), job.m_tasks.end(),
+                     [](const std::pair<const std::uint32_t, Task>& task) {
+                       return task.second.m_state == TaskState::kHandedOff &&
+                              !task.second.m_handed_over;
+                     });
 }
 
 /// Records transfers and forwarded cancellations that arrived.
@@ -363,6 +380,7 @@
     return decisions;
   }
   pvt::PruneNotes(owner);
+  pvt::NoteDead(plan);
   pvt::PlanDelivered(plan, &decisions);
   pvt::PlanEnds(plan, &decisions);
   pvt::PlanWorkerTable(plan, &decisions);
--- a/src/libhyssopspar/cell_state.cpp
+++ b/src/libhyssopspar/cell_state.cpp
@@ -62,7 +62,10 @@
   }
 }
 
-Verdict Do(CellState* state, const OwnerClaim& d, const Batch& batch, Offset at) {
+Verdict Do(CellState* state,
+           const OwnerClaim& d,
+           const Batch& batch,
+           Offset at) {
   if (d.m_previous != state->m_epoch) {
     return Verdict::kStaleEpoch;
   }
--- a/src/libhyssopspar/cell_sync.cpp
+++ b/src/libhyssopspar/cell_sync.cpp
@@ -135,8 +135,8 @@
   // an outage of the log.
   TimePoint not_after =
       owner ? plan.m_owner->m_lease_deadline : plan.m_owner->m_outage_deadline;
-  AddWanted(plan, slot, *view,
-            StartsAllowed(plan) && AcceptsStarts(plan, slot), &sync);
+  AddWanted(plan, slot, *view, StartsAllowed(plan) && AcceptsStarts(plan, slot),
+            &sync);
   if (owner) {
     AddUnwanted(plan, slot, *view, &sync);
   }
@@ -164,7 +164,7 @@
   }
   for (const WorkerSlot& slot : plan.m_owner->m_replay.State().m_workers) {
     const Vm* vm = slot.m_name.empty() ? nullptr : FindVm(plan, slot.m_name);
-    if (vm == nullptr || vm->m_state == VmState::kDead) {
+    if (vm == nullptr) {
       continue;
     }
     WorkerView& view = plan.m_owner->m_workers[slot.m_name];
@@ -173,8 +173,7 @@
       view.m_in_flight = true;
       view.m_next_sync =
           plan.m_now + plan.m_context->m_settings->m_worker_renew;
-      orders.push_back(
-          SyncOrder{slot.m_name, vm->m_address, std::move(*sync)});
+      orders.push_back(SyncOrder{slot.m_name, vm->m_address, std::move(*sync)});
     }
   }
   return orders;
@@ -195,8 +194,8 @@
   if (!report) {
     ++it->second.m_errors;
     if (report.error().m_code != ErrorCode::kNotSent) {
-      it->second.m_unsettled_until = std::max(it->second.m_unsettled_until,
-                                              it->second.m_sent_not_after);
+      it->second.m_unsettled_until =
+          std::max(it->second.m_unsettled_until, it->second.m_sent_not_after);
     }
     return;
   }
--- a/src/libhyssopspar/cell_tick.cpp
+++ b/src/libhyssopspar/cell_tick.cpp
@@ -67,7 +67,7 @@
   const bool vacant = owner.m_replay.State().m_owner.empty();
   const Duration wait =
       vacant ? Duration::zero()
-             : Duration(settings.m_cell_lease + settings.m_drift_margin);
+             : WithDrift(settings, settings.m_cell_lease);
   return now - owner.m_owner_seen >= wait + turn;
 }
 
@@ -84,9 +84,12 @@
   if (ranked.empty() || ranked.front() == context.m_settings->m_name) {
     return false;
   }
-  const Member& first =
-      context.m_membership->m_members.at(ranked.front());
-  return now - first.m_first_seen >= context.m_settings->m_settle;
+  const SchedSettings& settings = *context.m_settings;
+  const Member& first = context.m_membership->m_members.at(ranked.front());
+  // A member that has just fallen silent must not get the cell back at once.
+  const bool heard = now - first.m_last_seen < 2 * settings.m_beat_period;
+  return heard && now - first.m_first_seen >= settings.m_settle &&
+         now - owner.m_term_began >= settings.m_settle;
 }
 
 /// True when no message to a worker can still take effect.
@@ -104,9 +107,9 @@
                                     TimePoint now) {
   if (owner->m_releasing) {
     const bool ready = IsSettled(*owner, now);
-    return ready ? std::vector<Decision>{OwnerRelease{
-                       context.m_settings->m_name}}
-                 : std::vector<Decision>{};
+    return ready
+               ? std::vector<Decision>{OwnerRelease{context.m_settings->m_name}}
+               : std::vector<Decision>{};
   }
   if (owner->m_since_snapshot >= context.m_settings->m_snapshot_records) {
     return MakeSnapshot(owner->m_replay.State());
@@ -128,9 +131,8 @@
     owner->m_next_batch = now + context.m_settings->m_batch_min;
     return std::nullopt;
   }
-  return StartBatch(owner, *context.m_settings,
-                    owner->m_replay.State().m_epoch, std::move(decisions),
-                    now);
+  return StartBatch(owner, *context.m_settings, owner->m_replay.State().m_epoch,
+                    std::move(decisions), now);
 }
 
 /// Sends handed-off tasks to their targets.
@@ -158,8 +160,7 @@
     order.m_target = task.m_target;
     order.m_task = id;
     order.m_hop = task.m_hop;
-    order.m_payload =
-        EncodeBatch(Batch{0, 0, 0, {Decision(accept)}});
+    order.m_payload = EncodeBatch(Batch{0, 0, 0, {Decision(accept)}});
     out->push_back(std::move(order));
   }
 }
@@ -183,8 +184,8 @@
       TransferOrder order;
       order.m_target = target;
       order.m_cancel = entry.first;
-      order.m_payload = EncodeBatch(
-          Batch{0, 0, 0, {Decision(JobCancel{entry.first})}});
+      order.m_payload =
+          EncodeBatch(Batch{0, 0, 0, {Decision(JobCancel{entry.first})}});
       out->push_back(std::move(order));
     }
   }
@@ -217,8 +218,8 @@
     if (ShouldClaim(*owner, context, now)) {
       const OwnerClaim claim{context.m_settings->m_name,
                              owner->m_replay.State().m_epoch};
-      output.m_append = StartBatch(owner, *context.m_settings, 0,
-                                   {Decision(claim)}, now);
+      output.m_append =
+          StartBatch(owner, *context.m_settings, 0, {Decision(claim)}, now);
     }
     return output;
   }
--- a/src/libhyssopspar/claim_state.cpp
+++ b/src/libhyssopspar/claim_state.cpp
@@ -23,7 +23,9 @@
 namespace {
 
 /// The open claim with \p token on \p key, or null.
-Claim* FindOpen(ClaimState* state, const std::string& key, std::uint64_t token) {
+Claim* FindOpen(ClaimState* state,
+                const std::string& key,
+                std::uint64_t token) {
   const std::map<std::string, Claim>::iterator it = state->m_claims.find(key);
   const bool open = it != state->m_claims.end() && !it->second.m_done &&
                     it->second.m_token == token;
@@ -70,8 +72,8 @@
 }
 
 std::string EncodeClaim(const ClaimRecord& record) {
-  pvt::Json fields = std::visit(
-      [](const auto& r) { return pvt::Writer::ToJson(r); }, record);
+  pvt::Json fields =
+      std::visit([](const auto& r) { return pvt::Writer::ToJson(r); }, record);
   return pvt::ToCbor(pvt::Json::array({record.index(), std::move(fields)}));
 }
 
--- a/src/libhyssopspar/config_replay.cpp
+++ b/src/libhyssopspar/config_replay.cpp
@@ -58,8 +58,7 @@
 
 void ConfigReplay::TrySnapshot(const ConfigSnapshot& snapshot) {
   // Records between the snapshot and the oldest one held would be missing.
-  if (snapshot.m_covers < m_start ||
-      snapshot.m_revision < m_state.m_revision) {
+  if (snapshot.m_covers < m_start || snapshot.m_revision < m_state.m_revision) {
     return;
   }
   m_state.m_revision = snapshot.m_revision;
--- a/src/libhyssopspar/config_state.cpp
+++ b/src/libhyssopspar/config_state.cpp
@@ -62,9 +62,8 @@
 }
 
 ConfigVerdict Do(ConfigState* state, Offset /*at*/, const ConfigDrain& record) {
-  const bool changed = record.m_out
-                           ? state->m_out.insert(record.m_name).second
-                           : state->m_out.erase(record.m_name) > 0;
+  const bool changed = record.m_out ? state->m_out.insert(record.m_name).second
+                                    : state->m_out.erase(record.m_name) > 0;
   if (!changed) {
     return ConfigVerdict::kNoChange;
   }
@@ -90,8 +89,8 @@
 }
 
 std::string EncodeConfig(const ConfigRecord& record) {
-  pvt::Json fields = std::visit(
-      [](const auto& r) { return pvt::Writer::ToJson(r); }, record);
+  pvt::Json fields =
+      std::visit([](const auto& r) { return pvt::Writer::ToJson(r); }, record);
   return pvt::ToCbor(pvt::Json::array({record.index(), std::move(fields)}));
 }
 
--- a/src/libhyssopspar/decision_codec.cpp
+++ b/src/libhyssopspar/decision_codec.cpp
@@ -45,9 +45,9 @@
   for (const Decision& decision : batch.m_decisions) {
     decisions.push_back(EncodeDecision(decision));
   }
-  return pvt::ToCbor(pvt::Json::array({kFormat, batch.m_writer,
-                                       batch.m_sequence, batch.m_epoch,
-                                       std::move(decisions)}));
+  return pvt::ToCbor(
+      pvt::Json::array({kFormat, batch.m_writer, batch.m_sequence,
+                        batch.m_epoch, std::move(decisions)}));
 }
 
 Result<Batch> DecodeBatch(const std::string& bytes) {
--- a/src/libhyssopspar/exchange.cpp
+++ b/src/libhyssopspar/exchange.cpp
@@ -26,7 +26,8 @@
     return ErrorCode::kTooLarge;
   }
   const bool parse_error =
-      ec.category() == http::make_error_code(http::error::bad_version).category();
+      ec.category() ==
+      http::make_error_code(http::error::bad_version).category();
   const bool ended =
       ec == http::error::end_of_stream || ec == http::error::partial_message;
   return parse_error && !ended ? ErrorCode::kMalformed
@@ -95,18 +96,17 @@
     return;
   }
   m_impl->m_stream.expires_at(m_impl->m_deadline);
-  m_impl->m_stream.async_connect(
-      endpoint, [self = shared_from_this()](beast::error_code error) {
-        if (error) {
-          self->Finish(Fail(ErrorCode::kNotSent, error.message()));
-          return;
-        }
-        beast::error_code ignored;
-        self->m_impl->m_stream.socket().set_option(tcp::no_delay(true),
-                                                   ignored);
-        self->m_impl->m_connected = true;
-        self->Write();
-      });
+  m_impl->m_stream.async_connect(endpoint, [self = shared_from_this()](
+                                               beast::error_code error) {
+    if (error) {
+      self->Finish(Fail(ErrorCode::kNotSent, error.message()));
+      return;
+    }
+    beast::error_code ignored;
+    self->m_impl->m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    self->m_impl->m_connected = true;
+    self->Write();
+  });
 }
 
 void Exchange::Write() {
--- a/src/libhyssopspar/gate_core.cpp
+++ b/src/libhyssopspar/gate_core.cpp
@@ -79,15 +79,13 @@
   Entry entry;
   entry.m_request = request;
   entry.m_class.m_name = request.m_class;
-  const ServiceConfig* service =
-      FindService(m_config.m_doc, request.m_service);
+  const ServiceConfig* service = FindService(m_config.m_doc, request.m_service);
   const RequestClass* request_class =
       service == nullptr ? nullptr : FindClass(*service, request.m_class);
   if (request_class != nullptr) {
     entry.m_class.m_expected = request_class->m_expected;
   }
-  const TenantConfig* tenant =
-      FindTenant(m_config.m_doc, request.m_tenant);
+  const TenantConfig* tenant = FindTenant(m_config.m_doc, request.m_tenant);
   entry.m_weight = tenant == nullptr ? 1 : tenant->m_weight;
   Admit(std::move(entry), now);
 }
@@ -128,8 +126,8 @@
 
 void GateCore::ReleaseClaim(const std::string& key, std::uint64_t token) {
   m_tokens.erase(token);
-  m_output.m_claims.push_back(ClaimAction{
-      0, ClaimStream(key), EncodeClaim(ClaimRelease{key, token})});
+  m_output.m_claims.push_back(
+      ClaimAction{0, ClaimStream(key), EncodeClaim(ClaimRelease{key, token})});
 }
 
 void GateCore::OnClaimAppend(RequestId request,
@@ -157,14 +155,14 @@
     }
     const Result<ClaimRecord> decoded = DecodeClaim(record.m_payload);
     if (!decoded) {
-      Log(kLogPart)->error("claim record malformed stream={} offset={}",
-                           stream, record.m_offset);
+      Log(kLogPart)->error("claim record malformed stream={} offset={}", stream,
+                           record.m_offset);
       state.m_next = record.m_offset + 1;
       continue;
     }
     ApplyClaim(&state, record.m_offset, decoded.value());
-    touched.insert(std::visit([](const auto& r) { return r.m_key; },
-                              decoded.value()));
+    touched.insert(
+        std::visit([](const auto& r) { return r.m_key; }, decoded.value()));
   }
   for (const std::string& key : touched) {
     OnClaimState(key, now);
@@ -199,14 +197,13 @@
                            TimePoint now) {
   const std::map<std::string, std::set<RequestId>>::const_iterator waiting =
       m_by_key.find(key);
-  const std::set<RequestId> ids = waiting == m_by_key.end()
-                                      ? std::set<RequestId>()
-                                      : waiting->second;
+  const std::set<RequestId> ids =
+      waiting == m_by_key.end() ? std::set<RequestId>() : waiting->second;
   bool claimed_here = false;
   for (const RequestId id : ids) {
     Entry& entry = m_entries.at(id);
-    const bool waits = entry.m_phase == Phase::kClaiming ||
-                       entry.m_phase == Phase::kFollowing;
+    const bool waits =
+        entry.m_phase == Phase::kClaiming || entry.m_phase == Phase::kFollowing;
     if (entry.m_claimed) {
       claimed_here = true;
     } else if (claim.m_done && waits) {
@@ -331,10 +328,10 @@
     if (entry.m_claimed) {
       RecordOutcome(entry, answer);
     }
-    Reply(request,
-          end == ExchangeEnd::kAnswered ? Outcome::kAnswered
-                                        : Outcome::kUnknown,
-          NotRunReason::kNone);
+    Reply(
+        request,
+        end == ExchangeEnd::kAnswered ? Outcome::kAnswered : Outcome::kUnknown,
+        NotRunReason::kNone);
     return;
   }
   // It certainly did not start there, so it may go elsewhere.
@@ -344,8 +341,7 @@
     m_tokens[entry.m_token] = false;
   }
   const bool again = entry.m_tries < m_settings.m_max_tries &&
-                     m_retry_budget >= 1.0 &&
-                     now < entry.m_request.m_deadline;
+                     m_retry_budget >= 1.0 && now < entry.m_request.m_deadline;
   if (!again) {
     GiveUp(&entry, NotRunReason::kRefused);
     return;
@@ -382,8 +378,8 @@
         Reply(id, Outcome::kInProgress, NotRunReason::kNone);
         break;
       case Phase::kQueued:
-        Remove(&m_queues[entry.m_request.m_service],
-               entry.m_request.m_tenant, id, entry.m_request.m_deadline);
+        Remove(&m_queues[entry.m_request.m_service], entry.m_request.m_tenant,
+               id, entry.m_request.m_deadline);
         GiveUp(&entry, NotRunReason::kDeadline);
         break;
       case Phase::kSent:
@@ -405,10 +401,9 @@
   for (const std::string& name : names->second) {
     const EndpointView& endpoint = m_endpoints.at(name);
     if (endpoint.m_usable) {
-      least = std::min(least,
-                       endpoint.m_trip +
-                           ExpectedService(endpoint, request_class,
-                                           m_settings.m_routing, now));
+      least = std::min(
+          least, endpoint.m_trip + ExpectedService(endpoint, request_class,
+                                                   m_settings.m_routing, now));
     }
   }
   return least;
@@ -421,8 +416,8 @@
     if (!front) {
       continue;
     }
-    const Duration least = LeastExpected(
-        queue.first, m_entries.at(*front).m_class, now);
+    const Duration least =
+        LeastExpected(queue.first, m_entries.at(*front).m_class, now);
     for (const RequestId id : TakeExpired(&queue.second, now + least / 2)) {
       GiveUp(&m_entries.at(id), NotRunReason::kDeadline);
     }
@@ -463,8 +458,8 @@
       0, endpoint.m_own + endpoint.m_peers + 1 - endpoint.m_slots);
   ++entry.m_tries;
   if (entry.m_tries == 1) {
-    m_retry_budget = std::min(kMaxRetryBudget,
-                              m_retry_budget + m_settings.m_retry_share);
+    m_retry_budget =
+        std::min(kMaxRetryBudget, m_retry_budget + m_settings.m_retry_share);
   }
   if (!entry.m_request.m_key.empty()) {
     HYSSOPSPAR_INVARIANT(entry.m_claimed);
--- a/src/libhyssopspar/gate_members.cpp
+++ b/src/libhyssopspar/gate_members.cpp
@@ -45,9 +45,8 @@
     endpoint.m_service = vm.m_service;
     endpoint.m_failure_domain = vm.m_failure_domain;
     endpoint.m_slots = std::max<std::int64_t>(vm.m_slots, 1);
-    endpoint.m_trip =
-        2 * LinkDelay(m_config.m_doc, m_settings.m_failure_domain,
-                      vm.m_failure_domain);
+    endpoint.m_trip = 2 * LinkDelay(m_config.m_doc, m_settings.m_failure_domain,
+                                    vm.m_failure_domain);
     endpoint.m_usable = vm.m_state == VmState::kLive &&
                         !IsOut(m_config, vm.m_failure_domain, vm.m_name);
   }
@@ -55,8 +54,7 @@
   m_by_hash.clear();
   std::map<std::string, EndpointView>::iterator it = m_endpoints.begin();
   while (it != m_endpoints.end()) {
-    const bool gone =
-        m_vms.count(it->first) == 0 && it->second.m_own == 0;
+    const bool gone = m_vms.count(it->first) == 0 && it->second.m_own == 0;
     if (gone) {
       it = m_endpoints.erase(it);
       continue;
@@ -76,9 +74,8 @@
   }
   m_peer_addresses[report.m_peer_address] = now;
   Peer& peer = m_peers[report.m_name];
-  const bool older =
-      peer.m_report.m_incarnation == report.m_incarnation &&
-      peer.m_report.m_sequence >= report.m_sequence;
+  const bool older = peer.m_report.m_incarnation == report.m_incarnation &&
+                     peer.m_report.m_sequence >= report.m_sequence;
   if (!older) {
     peer.m_report = report;
     peer.m_seen = now;
--- a/src/libhyssopspar/http_client.cpp
+++ b/src/libhyssopspar/http_client.cpp
@@ -31,10 +31,9 @@
   }
   Result<HttpResponse> answer =
       Fail(ErrorCode::kTimeout, "no answer from " + m_impl->m_address);
-  m_impl->m_exchange->Send(request, deadline,
-                           [&answer](Result<HttpResponse> got) {
-                             answer = std::move(got);
-                           });
+  m_impl->m_exchange->Send(
+      request, deadline,
+      [&answer](Result<HttpResponse> got) { answer = std::move(got); });
   m_impl->m_io.restart();
   m_impl->m_io.run();
   if (!m_impl->m_exchange->IsReusable()) {
--- a/src/libhyssopspar/http_message.cpp
+++ b/src/libhyssopspar/http_message.cpp
@@ -47,8 +47,8 @@
   body["error"] = code;
   body["detail"] = detail;
   return JsonResponse(
-      status, body.dump(-1, ' ', false,
-                        nlohmann::json::error_handler_t::replace));
+      status,
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 }  // namespace hyssopspar
--- a/src/libhyssopspar/http_server.cpp
+++ b/src/libhyssopspar/http_server.cpp
@@ -78,11 +78,11 @@
     m_parser->header_limit(
         static_cast<std::uint32_t>(m_shared->m_limits.m_header_bytes));
     m_stream.expires_after(m_shared->m_limits.m_io_timeout);
-    http::async_read(m_stream, m_buffer, *m_parser,
-                     [self = shared_from_this()](beast::error_code ec,
-                                                 std::size_t) {
-                       self->OnRead(ec);
-                     });
+    http::async_read(
+        m_stream, m_buffer, *m_parser,
+        [self = shared_from_this()](beast::error_code ec, std::size_t) {
+          self->OnRead(ec);
+        });
   }
 
   void OnRead(beast::error_code ec) {
@@ -91,8 +91,9 @@
       Reject(ErrorResponse(413, "too-large", "request body too large"));
     } else if (ec == http::error::header_limit) {
       Reject(ErrorResponse(431, "too-large", "request header too large"));
-    } else if (ec.category() == http::make_error_code(http::error::end_of_stream)
-                                    .category() &&
+    } else if (ec.category() ==
+                   http::make_error_code(http::error::end_of_stream)
+                       .category() &&
                ec != http::error::end_of_stream) {
       Reject(ErrorResponse(400, "malformed", "bad HTTP request"));
     } else if (!ec) {
@@ -136,11 +137,11 @@
     m_response->body() = std::move(response.m_body);
     m_response->prepare_payload();
     m_stream.expires_after(m_shared->m_limits.m_io_timeout);
-    http::async_write(m_stream, *m_response,
-                      [self = shared_from_this()](beast::error_code ec,
-                                                  std::size_t) {
-                        self->OnWritten(ec);
-                      });
+    http::async_write(
+        m_stream, *m_response,
+        [self = shared_from_this()](beast::error_code ec, std::size_t) {
+          self->OnWritten(ec);
+        });
   }
 
   void OnWritten(beast::error_code ec) {
@@ -173,11 +174,10 @@
   int m_thread_count = 1;
 
   void Accept() {
-    m_acceptor.async_accept(
-        asio::make_strand(m_io),
-        [this](beast::error_code ec, tcp::socket socket) {
-          OnAccept(ec, std::move(socket));
-        });
+    m_acceptor.async_accept(asio::make_strand(m_io),
+                            [this](beast::error_code ec, tcp::socket socket) {
+                              OnAccept(ec, std::move(socket));
+                            });
   }
 
   void OnAccept(beast::error_code ec, tcp::socket socket) {
@@ -185,8 +185,7 @@
       return;
     }
     const std::size_t limit = m_shared->m_limits.m_connections;
-    const bool full =
-        limit > 0 && m_shared->m_connections.load() >= limit;
+    const bool full = limit > 0 && m_shared->m_connections.load() >= limit;
     if (!ec && !full) {
       beast::error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
@@ -196,7 +195,9 @@
   }
 };
 
-HttpServer::HttpServer(HttpHandler handler, HttpServerLimits limits, int threads)
+HttpServer::HttpServer(HttpHandler handler,
+                       HttpServerLimits limits,
+                       int threads)
     : m_impl(std::make_shared<Impl>()) {
   m_impl->m_shared->m_handler = std::move(handler);
   m_impl->m_shared->m_limits = limits;
--- a/src/libhyssopspar/logging.cpp
+++ b/src/libhyssopspar/logging.cpp
@@ -30,8 +30,9 @@
 namespace pvt {
 
 void InvariantFailed(const char* condition, const char* file, int line) {
-  Log("invariant")->critical("invariant broken condition=\"{}\" at={}:{}",
-                             condition, file, line);
+  Log("invariant")
+      ->critical("invariant broken condition=\"{}\" at={}:{}", condition, file,
+                 line);
   spdlog::shutdown();
   std::abort();
 }
--- a/src/libhyssopspar/membership.cpp
+++ b/src/libhyssopspar/membership.cpp
@@ -28,8 +28,7 @@
 
 void NoteBeat(Membership* membership, const MemberBeat& beat, TimePoint now) {
   Member& member = membership->m_members[beat.m_name];
-  const bool restarted =
-      member.m_beat.m_incarnation != beat.m_incarnation;
+  const bool restarted = member.m_beat.m_incarnation != beat.m_incarnation;
   if (restarted) {
     member.m_first_seen = now;
   }
--- a/src/libhyssopspar/metrics.cpp
+++ b/src/libhyssopspar/metrics.cpp
@@ -30,7 +30,8 @@
 namespace pvt {
 
 struct HistogramCells {
-  Cells m_cells{std::make_tuple(LogAxis(kBins, kLowestSeconds, kHighestSeconds))};
+  Cells m_cells{
+      std::make_tuple(LogAxis(kBins, kLowestSeconds, kHighestSeconds))};
 };
 
 }  // namespace pvt
@@ -70,8 +71,8 @@
       const double share = (target - below) / count;
       const double low = bin < 0 ? 0 : axis.value(bin);
       const double high = bin < 0 ? kLowestSeconds : axis.value(bin + 1);
-      seconds = bin >= axis.size() ? kHighestSeconds
-                                   : low + share * (high - low);
+      seconds =
+          bin >= axis.size() ? kHighestSeconds : low + share * (high - low);
       break;
     }
     below += count;
@@ -91,13 +92,14 @@
   for (int bin = -1; bin < axis.size(); ++bin) {
     below += cells.at(bin);
     if ((bin + 1) % kRenderStep == 0) {
-      text += name + "_bucket{" + labels + comma + "le=\"" +
-              Number(axis.value(bin + 1)) + "\"} " + Number(below) + "\n";
+      text.append(name).append("_bucket{").append(labels).append(comma);
+      text.append("le=\"").append(Number(axis.value(bin + 1))).append("\"} ");
+      text.append(Number(below)).append("\n");
     }
   }
   below += cells.at(axis.size());
-  text += name + "_bucket{" + labels + comma + "le=\"+Inf\"} " +
-          Number(below) + "\n";
+  text += name + "_bucket{" + labels + comma + "le=\"+Inf\"} " + Number(below) +
+          "\n";
   text += name + "_sum{" + labels + "} " + Number(m_sum_seconds) + "\n";
   text += name + "_count{" + labels + "} " + Number(below) + "\n";
   return text;
--- a/src/libhyssopspar/peer_link.cpp
+++ b/src/libhyssopspar/peer_link.cpp
@@ -153,8 +153,7 @@
     return Fail(ErrorCode::kUnavailable,
                 "can't listen on " + address + ": " + ec.message());
   }
-  m_impl->m_timer =
-      std::make_unique<boost::asio::steady_timer>(m_impl->m_io);
+  m_impl->m_timer = std::make_unique<boost::asio::steady_timer>(m_impl->m_io);
   boost::asio::post(m_impl->m_io, [this] { m_impl->Reopen(); });
   m_impl->m_thread = std::thread([this] { m_impl->m_io.run(); });
   return Ok();
@@ -186,8 +185,7 @@
 }
 
 void PeerLink::Broadcast(const std::string& message) {
-  boost::asio::post(m_impl->m_io,
-                    [this, message] { m_impl->Send(message); });
+  boost::asio::post(m_impl->m_io, [this, message] { m_impl->Send(message); });
 }
 
 void PeerLink::Stop() {
--- a/src/libhyssopspar/platform_codec.cpp
+++ b/src/libhyssopspar/platform_codec.cpp
@@ -105,12 +105,9 @@
 }
 
 Json ToJson(const Vm& vm) {
-  Json json{{"name", vm.m_name},
-            {"kind", vm.m_kind},
-            {"state", vm.m_state},
-            {"failure_domain", vm.m_failure_domain},
-            {"rack", vm.m_rack},
-            {"address", vm.m_address}};
+  Json json{{"name", vm.m_name},   {"kind", vm.m_kind},
+            {"state", vm.m_state}, {"failure_domain", vm.m_failure_domain},
+            {"rack", vm.m_rack},   {"address", vm.m_address}};
   if (vm.m_kind == VmKind::kWorker) {
     json["capacity"] = ToJson(vm.m_capacity);
   } else {
@@ -146,9 +143,9 @@
 std::string EncodeSlice(const LogSlice& slice) {
   Json records = Json::array();
   for (const LogRecord& record : slice.m_records) {
-    records.push_back(Json{
-        {"offset", record.m_offset},
-        {"payload", websocketpp::base64_encode(record.m_payload)}});
+    records.push_back(
+        Json{{"offset", record.m_offset},
+             {"payload", websocketpp::base64_encode(record.m_payload)}});
   }
   return Json{{"start", slice.m_start},
               {"end", slice.m_end},
@@ -237,12 +234,12 @@
 }
 
 Result<std::vector<Vm>> DecodeVms(const std::string& text) {
-  return Parse<std::vector<Vm>>(
-      text, [](const Json& json, std::vector<Vm>& vms) {
-        for (const Json& item : json.at("vms")) {
-          vms.push_back(VmOf(item));
-        }
-      });
+  return Parse<std::vector<Vm>>(text,
+                                [](const Json& json, std::vector<Vm>& vms) {
+                                  for (const Json& item : json.at("vms")) {
+                                    vms.push_back(VmOf(item));
+                                  }
+                                });
 }
 
 }  // namespace hyssopspar
--- a/src/libhyssopspar/program.cpp
+++ b/src/libhyssopspar/program.cpp
@@ -17,8 +17,8 @@
                                        const std::string& purpose,
                                        ProgramOptions* options) {
   po::options_description description("Options");
-  description.add_options()("help,h", "print this text")(
-      "version", "print the version")(
+  description.add_options()("help,h", "print this text")("version",
+                                                         "print the version")(
       "config,c", po::value<std::string>(&options->m_config),
       "settings file (TOML)")("check-config", "check the settings and stop")(
       "port-file", po::value<std::string>(&options->m_port_file),
--- a/src/libhyssopspar/pvt/archive.h
+++ b/src/libhyssopspar/pvt/archive.h
@@ -60,8 +60,7 @@
  private:
   static Json Compound(const std::string& value) {
     // Bytes rather than text: names may hold what is not UTF-8.
-    return Json::binary(
-        std::vector<std::uint8_t>(value.begin(), value.end()));
+    return Json::binary(std::vector<std::uint8_t>(value.begin(), value.end()));
   }
   template <class Rep, class Period>
   static Json Compound(const std::chrono::duration<Rep, Period>& value) {
--- a/src/libhyssopspar/request_queue.cpp
+++ b/src/libhyssopspar/request_queue.cpp
@@ -30,11 +30,9 @@
              const std::string& tenant,
              RequestId request,
              TimePoint deadline) {
-  const std::map<std::string, TenantQueue>::const_iterator least =
-      Next(*queue);
-  const double floor = least == queue->m_tenants.end()
-                           ? 0.0
-                           : least->second.m_virtual_time;
+  const std::map<std::string, TenantQueue>::const_iterator least = Next(*queue);
+  const double floor =
+      least == queue->m_tenants.end() ? 0.0 : least->second.m_virtual_time;
   TenantQueue& own = queue->m_tenants[tenant];
   if (own.m_requests.empty()) {
     own.m_virtual_time = std::max(own.m_virtual_time, floor);
@@ -58,8 +56,9 @@
   }
   TenantQueue& tenant = queue->m_tenants[next->first];
   tenant.m_requests.erase(tenant.m_requests.begin());
-  tenant.m_virtual_time += std::chrono::duration<double>(cost).count() /
-                           static_cast<double>(std::max<std::int64_t>(weight, 1));
+  tenant.m_virtual_time +=
+      std::chrono::duration<double>(cost).count() /
+      static_cast<double>(std::max<std::int64_t>(weight, 1));
   --queue->m_size;
 }
 
--- a/src/libhyssopspar/routing.cpp
+++ b/src/libhyssopspar/routing.cpp
@@ -98,10 +98,9 @@
                   Duration took,
                   std::int64_t ahead,
                   TimePoint now) {
-  const double share = 1.0 + static_cast<double>(ahead) /
-                                 static_cast<double>(endpoint->m_slots);
-  const double sample =
-      std::max(0.0, Seconds(took - endpoint->m_trip)) / share;
+  const double share =
+      1.0 + static_cast<double>(ahead) / static_cast<double>(endpoint->m_slots);
+  const double sample = std::max(0.0, Seconds(took - endpoint->m_trip)) / share;
   const Duration before =
       ExpectedService(*endpoint, request_class, limits, now);
   ServiceEstimate& estimate = endpoint->m_estimates[request_class.m_name];
@@ -139,10 +138,9 @@
     const RoutingLimits& limits,
     std::uint64_t seed,
     TimePoint now) {
-  return PickLeast(endpoints, limits, seed, now,
-                   [](const EndpointView&, const EndpointView&) {
-                     return false;
-                   });
+  return PickLeast(
+      endpoints, limits, seed, now,
+      [](const EndpointView&, const EndpointView&) { return false; });
 }
 
 std::optional<std::size_t> RouteByOwnCount(
--- a/src/libhyssopspar/scheduler.cpp
+++ b/src/libhyssopspar/scheduler.cpp
@@ -3,13 +3,10 @@
 #include <algorithm>
 #include <utility>
 
-#include "hyssopspar/logging.h"
-
 namespace hyssopspar {
 
 namespace {
 
-constexpr const char* kLogPart = "sched";
 constexpr const char* kCellStreamPrefix = "cell-";
 /// Configuration records after which the state is written out whole again.
 constexpr Offset kConfigSnapshotRecords = 64;
@@ -72,8 +69,7 @@
   }
   if (!m_members_reading) {
     // Nobody could be heard while the log was out of reach.
-    for (std::pair<const std::string, Member>& entry :
-         m_membership.m_members) {
+    for (std::pair<const std::string, Member>& entry : m_membership.m_members) {
       entry.second.m_last_seen = now;
     }
   }
@@ -166,11 +162,10 @@
   }
   for (const std::string& cell : CellNames(m_config.State().m_doc)) {
     const std::vector<std::string> ranked = RankOwners(m_membership, cell);
-    const std::size_t watched =
-        std::min<std::size_t>(ranked.size(), m_settings.m_watch_ranks);
-    const bool watch =
-        std::find(ranked.begin(), ranked.begin() + watched,
-                  m_settings.m_name) != ranked.begin() + watched;
+    const std::vector<std::string>::const_iterator place =
+        std::find(ranked.begin(), ranked.end(), m_settings.m_name);
+    const bool watch = place != ranked.end() &&
+                       place - ranked.begin() < m_settings.m_watch_ranks;
     const std::map<std::string, CellOwner>::iterator it = m_cells.find(cell);
     if (watch && it == m_cells.end()) {
       CellOwner owner;
--- a/src/libhyssopspar/settings_reader.cpp
+++ b/src/libhyssopspar/settings_reader.cpp
@@ -44,9 +44,8 @@
     return false;
   }
   const std::string port = text.substr(colon + 1);
-  const bool digits =
-      std::all_of(port.begin(), port.end(),
-                  [](char c) { return c >= '0' && c <= '9'; });
+  const bool digits = std::all_of(port.begin(), port.end(),
+                                  [](char c) { return c >= '0' && c <= '9'; });
   return digits && port.size() <= 5 && std::stoi(port) <= 65535;
 }
 
@@ -125,7 +124,7 @@
 std::string SettingsReader::Choice(const std::string& key,
                                    const std::vector<std::string>& allowed,
                                    const char* fallback) {
-  const std::string value = String(key, fallback);
+  std::string value = String(key, fallback);
   if (!value.empty() &&
       std::find(allowed.begin(), allowed.end(), value) == allowed.end()) {
     std::string expected = "expected one of";
@@ -139,7 +138,7 @@
 
 std::string SettingsReader::Address(const std::string& key,
                                     const char* fallback) {
-  const std::string value = String(key, fallback);
+  std::string value = String(key, fallback);
   if (!value.empty() && !IsAddress(value)) {
     AddProblem(key, "expected IP:PORT with a port from 0 to 65535");
   }
@@ -181,9 +180,8 @@
   if (node == nullptr) {
     return fallback;
   }
-  const double value = node->is_number()
-                           ? node->value<double>().value_or(min - 1)
-                           : min - 1;
+  const double value =
+      node->is_number() ? node->value<double>().value_or(min - 1) : min - 1;
   if (!(value >= min && value <= max)) {
     AddProblem(key, "expected a number from " + std::to_string(min) + " to " +
                         std::to_string(max));
--- a/src/libhyssopspar/upstream_pool.cpp
+++ b/src/libhyssopspar/upstream_pool.cpp
@@ -62,8 +62,8 @@
   void Return(const std::string& address, Connection connection) {
     std::lock_guard<std::mutex> lock(m_mutex);
     Peer& peer = m_peers[address];
-    const bool keep = connection.m_exchange->IsReusable() &&
-                      peer.m_idle.size() < m_max_idle;
+    const bool keep =
+        connection.m_exchange->IsReusable() && peer.m_idle.size() < m_max_idle;
     if (keep) {
       peer.m_idle.push_back(std::move(connection));
       return;
@@ -90,17 +90,17 @@
                         TimePoint deadline,
                         Callback done) {
   const Connection connection = m_impl->Take(address);
-  asio::post(connection.m_executor, [impl = m_impl, connection, address,
-                                     request = std::move(request), deadline,
-                                     done = std::move(done)]() mutable {
-    connection.m_exchange->Send(
-        request, deadline,
-        [impl, connection, address,
-         done = std::move(done)](Result<HttpResponse> answer) {
-          impl->Return(address, connection);
-          done(std::move(answer));
-        });
-  });
+  asio::post(connection.m_executor,
+             [impl = m_impl, connection, address, request = std::move(request),
+              deadline, done = std::move(done)]() mutable {
+               connection.m_exchange->Send(
+                   request, deadline,
+                   [impl, connection, address,
+                    done = std::move(done)](Result<HttpResponse> answer) {
+                     impl->Return(address, connection);
+                     done(std::move(answer));
+                   });
+             });
 }
 
 std::size_t UpstreamPool::Connections(const std::string& address) const {
--- a/src/load/batch_runner.cpp
+++ b/src/load/batch_runner.cpp
@@ -38,8 +38,7 @@
     const std::string& address =
         config.m_scheds[(first + static_cast<std::size_t>(i)) %
                         config.m_scheds.size()];
-    const Result<HttpResponse> answer =
-        Call(address, "POST", "/v1/jobs", body);
+    const Result<HttpResponse> answer = Call(address, "POST", "/v1/jobs", body);
     if (answer && answer.value().m_status == 202) {
       const Json json = Json::parse(answer.value().m_body, nullptr, false);
       record->m_id = json.value("id", std::string());
@@ -69,12 +68,11 @@
                         task.at("state").get<std::string>()};
       Newest& known = tasks[task.at("index").get<std::uint64_t>()];
       // One scheduler may lag behind another on the same cell.
-      const bool ended = seen.m_state == "finished" ||
-                         seen.m_state == "cancelled";
-      const bool newer =
-          known.m_state.empty() || seen.m_hop > known.m_hop ||
-          (seen.m_hop == known.m_hop &&
-           (seen.m_attempt > known.m_attempt || ended));
+      const bool ended =
+          seen.m_state == "finished" || seen.m_state == "cancelled";
+      const bool newer = known.m_state.empty() || seen.m_hop > known.m_hop ||
+                         (seen.m_hop == known.m_hop &&
+                          (seen.m_attempt > known.m_attempt || ended));
       if (newer) {
         known = seen;
       }
@@ -93,9 +91,9 @@
     record->m_attempts += static_cast<std::uint32_t>(entry.second.m_attempt);
   }
   const bool ended =
-      record->m_tasks > 0 && record->m_finished + record->m_cancelled +
-                                     record->m_parked ==
-                                 record->m_tasks;
+      record->m_tasks > 0 &&
+      record->m_finished + record->m_cancelled + record->m_parked ==
+          record->m_tasks;
   if (ended) {
     record->m_ended = Clock::now();
   }
--- a/src/load/call_record.h
+++ b/src/load/call_record.h
@@ -17,9 +17,9 @@
   std::string m_key;
   TimePoint m_intended;  ///< When it should have been sent.
   TimePoint m_done;
-  int m_status = 0;        ///< 0 when no answer came.
-  std::string m_outcome;   ///< Of the gate, or "none".
-  bool m_whole = true;     ///< The answer was to this request, and complete.
+  int m_status = 0;       ///< 0 when no answer came.
+  std::string m_outcome;  ///< Of the gate, or "none".
+  bool m_whole = true;    ///< The answer was to this request, and complete.
 };
 
 }  // namespace hyssopspar::load
--- a/src/load/load_config.cpp
+++ b/src/load/load_config.cpp
@@ -14,8 +14,8 @@
   traffic.m_rate = table->Number("rate", 10, 0.01, 1000000);
   traffic.m_keyed = table->Bool("keyed", false);
   traffic.m_repeat = table->Number("repeat", 0, 0, 1);
-  traffic.m_timeout = table->Millis("timeout_ms", milliseconds(1000),
-                                    milliseconds(1), kHour);
+  traffic.m_timeout =
+      table->Millis("timeout_ms", milliseconds(1000), milliseconds(1), kHour);
   traffic.m_body_bytes =
       static_cast<std::size_t>(table->Int("body_bytes", 200, 0, 1 << 20));
   return traffic;
@@ -30,8 +30,8 @@
   config.m_scheds = reader->Strings("scheds");
   config.m_duration = reader->Millis("duration_ms", config.m_duration,
                                      milliseconds(1), 24 * kHour);
-  config.m_settle = reader->Millis("settle_ms", config.m_settle,
-                                   milliseconds(0), 24 * kHour);
+  config.m_settle =
+      reader->Millis("settle_ms", config.m_settle, milliseconds(0), 24 * kHour);
   config.m_seed =
       static_cast<std::uint64_t>(reader->Int("seed", 1, 0, 1LL << 40));
   config.m_threads = static_cast<int>(reader->Int("threads", 2, 1, 64));
--- a/src/load/plot.cpp
+++ b/src/load/plot.cpp
@@ -26,8 +26,7 @@
 }
 
 double Y(double millis) {
-  const double decades =
-      std::log10(std::max(millis, kLowMillis) / kLowMillis);
+  const double decades = std::log10(std::max(millis, kLowMillis) / kLowMillis);
   return kTop + kPlotHeight * (1 - std::min(decades / kDecades, 1.0));
 }
 
@@ -54,14 +53,14 @@
     std::snprintf(label, sizeof(label), "%g ms", millis);
     svg += line + Text(10, Y(millis) + 4, label);
   }
-  static const std::array<const char*, 5> names = {"all", "p90", "p99",
-                                                   "p99.9", "p99.99"};
+  static const std::array<const char*, 5> kNames = {"all", "p90", "p99",
+                                                    "p99.9", "p99.99"};
   for (int i = 0; i <= static_cast<int>(kTailDecades); ++i) {
     const double x = X(std::pow(10, -i));
     std::snprintf(line, sizeof(line),
                   "<path d=\"M%.1f %.1fv%.1f\" stroke=\"#ddd\"/>\n", x, kTop,
                   kPlotHeight);
-    svg += line + Text(x - 12, kTop + kPlotHeight + 18, names[i]);
+    svg += line + Text(x - 12, kTop + kPlotHeight + 18, kNames[i]);
   }
   return svg;
 }
@@ -71,8 +70,8 @@
   for (int i = 0; i <= kSteps; ++i) {
     const double share = std::pow(10, -kTailDecades * i / kSteps);
     const std::size_t size = line.m_sorted.size();
-    const std::size_t beyond = static_cast<std::size_t>(
-        std::floor(share * static_cast<double>(size)));
+    const std::size_t beyond =
+        static_cast<std::size_t>(std::floor(share * static_cast<double>(size)));
     if (beyond == 0) {
       break;
     }
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -18,8 +18,8 @@
   if (sorted.empty()) {
     return Duration::zero();
   }
-  const std::size_t at = static_cast<std::size_t>(
-      q * static_cast<double>(sorted.size()));
+  const std::size_t at =
+      static_cast<std::size_t>(q * static_cast<double>(sorted.size()));
   return sorted[std::min(at, sorted.size() - 1)];
 }
 
@@ -56,17 +56,17 @@
 std::string History(const std::vector<CallRecord>& calls) {
   std::string text;
   for (const CallRecord& call : calls) {
-    text += nlohmann::json{{"id", call.m_id},
-                           {"traffic", call.m_traffic},
-                           {"gate", call.m_gate},
-                           {"key", call.m_key},
-                           {"latency_us",
-                            ToMicros(call.m_done - call.m_intended)},
-                           {"status", call.m_status},
-                           {"outcome", call.m_outcome},
-                           {"whole", call.m_whole}}
-                .dump() +
-            "\n";
+    text +=
+        nlohmann::json{{"id", call.m_id},
+                       {"traffic", call.m_traffic},
+                       {"gate", call.m_gate},
+                       {"key", call.m_key},
+                       {"latency_us", ToMicros(call.m_done - call.m_intended)},
+                       {"status", call.m_status},
+                       {"outcome", call.m_outcome},
+                       {"whole", call.m_whole}}
+            .dump() +
+        "\n";
   }
   return text;
 }
@@ -167,17 +167,18 @@
   for (const TrafficFigures& figures : traffic) {
     csv += Line("%s,%s,%zu,%zu,%zu,%zu,%zu,%zu,%zu,%.3f,%.3f,%.3f\n", figures);
   }
-  csv += "batch_jobs,batch_ended,batch_tasks,batch_finished,batch_attempts,"
-         "batch_tasks_per_s\n" +
-         std::to_string(batch.m_jobs) + "," + std::to_string(batch.m_ended) +
-         "," + std::to_string(batch.m_tasks) + "," +
-         std::to_string(batch.m_finished) + "," +
-         std::to_string(batch.m_attempts) + "," +
-         std::to_string(batch.m_tasks_per_second) + "\n";
+  csv +=
+      "batch_jobs,batch_ended,batch_tasks,batch_finished,batch_attempts,"
+      "batch_tasks_per_s\n" +
+      std::to_string(batch.m_jobs) + "," + std::to_string(batch.m_ended) + "," +
+      std::to_string(batch.m_tasks) + "," + std::to_string(batch.m_finished) +
+      "," + std::to_string(batch.m_attempts) + "," +
+      std::to_string(batch.m_tasks_per_second) + "\n";
   std::vector<PlotLine> lines;
+  lines.reserve(traffic.size());
   for (const TrafficFigures& figures : traffic) {
-    lines.push_back(PlotLine{figures.m_tenant + " " + figures.m_class,
-                             figures.m_sorted});
+    lines.push_back(
+        PlotLine{figures.m_tenant + " " + figures.m_class, figures.m_sorted});
   }
   const std::string base = config.m_report + "/";
   BOOST_OUTCOME_TRYV(WriteFileWhole(base + "figures.csv", csv));
--- a/src/load/traffic_runner.cpp
+++ b/src/load/traffic_runner.cpp
@@ -28,8 +28,7 @@
 
 std::vector<Planned> Plan(const LoadConfig& config, TimePoint start) {
   std::mt19937_64 random(config.m_seed);
-  std::uniform_int_distribution<std::size_t> gate(0,
-                                                  config.m_gates.size() - 1);
+  std::uniform_int_distribution<std::size_t> gate(0, config.m_gates.size() - 1);
   std::uniform_real_distribution<double> unit(0, 1);
   std::vector<Planned> plan;
   for (std::size_t i = 0; i < config.m_traffic.size(); ++i) {
@@ -53,10 +52,9 @@
       }
     }
   }
-  std::stable_sort(plan.begin(), plan.end(),
-                   [](const Planned& a, const Planned& b) {
-                     return a.m_when < b.m_when;
-                   });
+  std::stable_sort(
+      plan.begin(), plan.end(),
+      [](const Planned& a, const Planned& b) { return a.m_when < b.m_when; });
   return plan;
 }
 
@@ -146,9 +144,8 @@
                   record.m_status = answer.value().m_status;
                   record.m_outcome = HeaderOr(answer.value().m_headers,
                                               "hyssopspar-outcome", "none");
-                  record.m_whole =
-                      record.m_outcome != "answered" ||
-                      IsOwnAnswer(answer.value(), body, keyed);
+                  record.m_whole = record.m_outcome != "answered" ||
+                                   IsOwnAnswer(answer.value(), body, keyed);
                 }
                 collector.Put(i, std::move(record));
               });
--- a/src/sched/sched_api.cpp
+++ b/src/sched/sched_api.cpp
@@ -76,8 +76,8 @@
   }
   const std::string key = json["key"].get<std::string>();
   if (key.empty() || key.size() > kMaxKeyBytes) {
-    return Answer(ErrorResponse(400, "invalid-argument",
-                                "key must have 1 to 256 bytes"));
+    return Answer(
+        ErrorResponse(400, "invalid-argument", "key must have 1 to 256 bytes"));
   }
   const std::string name = json["job"].get<std::string>();
   const ConfigDoc& doc = scheduler.Config().m_doc;
@@ -118,12 +118,9 @@
   for (const std::pair<const std::uint32_t, Task>& entry :
        job->second.m_tasks) {
     const Task& task = entry.second;
-    Json item{{"index", entry.first},
-              {"state", StateName(task.m_state)},
-              {"cell", owner.m_cell},
-              {"attempt", task.m_attempt},
-              {"hop", task.m_hop},
-              {"failures", task.m_failures},
+    Json item{{"index", entry.first},       {"state", StateName(task.m_state)},
+              {"cell", owner.m_cell},       {"attempt", task.m_attempt},
+              {"hop", task.m_hop},          {"failures", task.m_failures},
               {"progress", task.m_progress}};
     const bool live = task.m_state == TaskState::kLive ||
                       task.m_state == TaskState::kEvicting;
@@ -190,12 +187,11 @@
       const bool waits = entry.second.m_state == TaskState::kPending ||
                          entry.second.m_state == TaskState::kParked;
       if (waits) {
-        lines.push_back(
-            Json{{"index", entry.first},
-                 {"cell", cell.first},
-                 {"why", WhyWaiting(scheduler, cell.second,
-                                    TaskId{id, entry.first}, entry.second,
-                                    now)}});
+        lines.push_back(Json{
+            {"index", entry.first},
+            {"cell", cell.first},
+            {"why", WhyWaiting(scheduler, cell.second, TaskId{id, entry.first},
+                               entry.second, now)}});
       }
     }
   }
@@ -240,14 +236,14 @@
        scheduler.Members().m_members) {
     members.push_back(member.first);
   }
-  return Answer(JsonResponse(
-      200, Json{{"name", scheduler.Settings().m_name},
-                {"revision", scheduler.Config().m_revision},
-                {"out", scheduler.Config().m_out},
-                {"config_fresh", scheduler.IsConfigFresh(now)},
-                {"members", std::move(members)},
-                {"cells", std::move(cells)}}
-               .dump()));
+  return Answer(
+      JsonResponse(200, Json{{"name", scheduler.Settings().m_name},
+                             {"revision", scheduler.Config().m_revision},
+                             {"out", scheduler.Config().m_out},
+                             {"config_fresh", scheduler.IsConfigFresh(now)},
+                             {"members", std::move(members)},
+                             {"cells", std::move(cells)}}
+                            .dump()));
 }
 
 bool StartsWith(const std::string& text, const std::string& start) {
--- a/src/sched/sched_config.cpp
+++ b/src/sched/sched_config.cpp
@@ -45,12 +45,10 @@
   config.m_vm_list_address = reader->Address("vm_list_address");
   config.m_log_level = reader->Choice(
       "log_level", {"debug", "info", "warn", "error", "off"}, "info");
-  config.m_vm_list_period =
-      reader->Millis("vm_list_period_ms", config.m_vm_list_period,
-                     milliseconds(50), kMinute);
-  config.m_append_timeout =
-      reader->Millis("append_timeout_ms", config.m_append_timeout,
-                     milliseconds(50), kMinute);
+  config.m_vm_list_period = reader->Millis(
+      "vm_list_period_ms", config.m_vm_list_period, milliseconds(50), kMinute);
+  config.m_append_timeout = reader->Millis(
+      "append_timeout_ms", config.m_append_timeout, milliseconds(50), kMinute);
   ReadLeases(reader, &s);
   s.m_freshness = reader->Millis("freshness_ms", s.m_freshness,
                                  milliseconds(600), milliseconds(10000));
@@ -58,16 +56,16 @@
                                    milliseconds(100), kMinute);
   s.m_member_timeout = reader->Millis("member_timeout_ms", s.m_member_timeout,
                                       milliseconds(500), kHour);
-  s.m_batch_min = reader->Millis("batch_min_ms", s.m_batch_min,
-                                 milliseconds(1), milliseconds(10000));
-  s.m_spill_after = reader->Millis("spill_after_ms", s.m_spill_after,
-                                   milliseconds(0), kHour);
+  s.m_batch_min = reader->Millis("batch_min_ms", s.m_batch_min, milliseconds(1),
+                                 milliseconds(10000));
+  s.m_spill_after =
+      reader->Millis("spill_after_ms", s.m_spill_after, milliseconds(0), kHour);
   s.m_quarantine = reader->Millis("quarantine_ms", s.m_quarantine,
                                   milliseconds(100), 24 * kHour);
-  s.m_retry_base = reader->Millis("retry_base_ms", s.m_retry_base,
-                                  milliseconds(1), kMinute);
-  s.m_retry_max = reader->Millis("retry_max_ms", s.m_retry_max,
-                                 milliseconds(1), kHour);
+  s.m_retry_base =
+      reader->Millis("retry_base_ms", s.m_retry_base, milliseconds(1), kMinute);
+  s.m_retry_max =
+      reader->Millis("retry_max_ms", s.m_retry_max, milliseconds(1), kHour);
   s.m_forget_after = reader->Millis("forget_after_ms", s.m_forget_after,
                                     milliseconds(1000), 240 * kHour);
   s.m_snapshot_records = static_cast<std::uint64_t>(
--- a/src/sched/sched_process.cpp
+++ b/src/sched/sched_process.cpp
@@ -48,7 +48,7 @@
 SchedProcess::~SchedProcess() = default;
 
 Result<void> SchedProcess::Start() {
-  const Result<void> started = m_server.Start(m_config.m_listen);
+  Result<void> started = m_server.Start(m_config.m_listen);
   if (!started) {
     return started;
   }
@@ -63,11 +63,9 @@
   m_leaving.store(true);
   m_events.Push(LeaveEvent{});
   const TimePoint deadline = Clock::now() + kLeaveLimit;
-  while (!m_left.load() && Clock::now() < deadline) {
-    std::this_thread::sleep_for(kTickPeriod);
-  }
+  m_left.WaitUntil(deadline);
   m_server.StopAccepting();
-  m_stopping.store(true);
+  m_stop.Set();
   m_events.Push(TickEvent{});
   m_tick_thread.join();
   m_vm_thread.join();
@@ -75,12 +73,12 @@
   m_append_pool.Stop();
   m_worker_pool.Stop();
   m_server.Stop();
-  Log(kLogPart)->info("stopped handed_over={}", m_left.load());
+  Log(kLogPart)->info("stopped handed_over={}", m_left.IsSet());
 }
 
 void SchedProcess::OnHttp(HttpRequest request, HttpReply reply) {
-  const std::optional<HttpResponse> health = AnswerHealth(
-      request, m_metrics, m_ready.load() && !m_leaving.load());
+  const std::optional<HttpResponse> health =
+      AnswerHealth(request, m_metrics, m_ready.load() && !m_leaving.load());
   if (health) {
     reply(*health);
     return;
@@ -92,15 +90,14 @@
 }
 
 void SchedProcess::TickLoop() {
-  while (!m_stopping.load()) {
+  while (!m_stop.WaitUntil(Clock::now() + kTickPeriod)) {
     m_events.TryPush(TickEvent{});
-    std::this_thread::sleep_for(kTickPeriod);
   }
 }
 
 void SchedProcess::VmLoop() {
   HttpVmDirectory directory(m_config.m_vm_list_address);
-  while (!m_stopping.load()) {
+  do {
     const Result<std::vector<Vm>> vms =
         directory.Fetch(Clock::now() + kVmTimeout);
     if (vms) {
@@ -109,24 +106,19 @@
       Log(kLogPart)->warn("vm list not read error=\"{}\"",
                           ToString(vms.error()));
     }
-    const TimePoint next = Clock::now() + m_config.m_vm_list_period;
-    while (!m_stopping.load() && Clock::now() < next) {
-      std::this_thread::sleep_for(kTickPeriod);
-    }
-  }
+  } while (!m_stop.WaitUntil(Clock::now() + m_config.m_vm_list_period));
 }
 
 void SchedProcess::DecisionLoop() {
-  while (!m_stopping.load()) {
+  while (!m_stop.IsSet()) {
     SchedEvent event = m_events.Pop();
     std::visit([this](auto& e) { Handle(std::move(e)); }, event);
   }
   m_readers.clear();
 }
 
-void SchedProcess::Handle(StreamRead event) {
-  m_scheduler.OnRead(event.m_stream, event.m_slice, event.m_sent,
-                     Clock::now());
+void SchedProcess::Handle(const StreamRead& event) {
+  m_scheduler.OnRead(event.m_stream, event.m_slice, event.m_sent, Clock::now());
 }
 
 void SchedProcess::Handle(const AppendEvent& event) {
@@ -147,12 +139,12 @@
   m_scheduler.OnVms(event.m_vms);
 }
 
-void SchedProcess::Handle(ApiEvent event) {
+void SchedProcess::Handle(const ApiEvent& event) {
   ApiResult result = AnswerApi(m_scheduler, event.m_request, Clock::now());
   if (result.m_answer) {
     event.m_reply(std::move(*result.m_answer));
   } else {
-    SubmitApiAppend(std::move(*result.m_append), std::move(event.m_reply));
+    SubmitApiAppend(std::move(*result.m_append), event.m_reply);
   }
 }
 
@@ -162,7 +154,7 @@
   UpdateMetrics();
   m_ready.store(m_scheduler.IsReady());
   if (m_leaving.load() && m_scheduler.HasLeft()) {
-    m_left.store(true);
+    m_left.Set();
   }
 }
 
@@ -210,41 +202,42 @@
 void SchedProcess::SubmitSync(SchedulerOutput::Sync sync) {
   const std::string cell = sync.m_cell;
   const std::string worker = sync.m_order.m_worker;
-  const bool queued = m_worker_pool.TrySubmit(
-      Hash(worker), [this, sync = std::move(sync)](std::size_t thread) {
-        const SyncOrder& order = sync.m_order;
-        Result<WorkerReport> report = m_controls[thread]->Sync(
-            order.m_address, order.m_worker, order.m_sync,
-            Clock::now() + m_config.m_sched.m_worker_timeout);
-        m_events.Push(
-            ReportEvent{sync.m_cell, order.m_worker, std::move(report)});
-      });
+  const bool queued = m_worker_pool.TrySubmit(Hash(worker), [this,
+                                                             sync = std::move(
+                                                                 sync)](
+                                                                std::size_t
+                                                                    thread) {
+    const SyncOrder& order = sync.m_order;
+    Result<WorkerReport> report = m_controls[thread]->Sync(
+        order.m_address, order.m_worker, order.m_sync,
+        Clock::now() + m_config.m_sched.m_worker_timeout);
+    m_events.Push(ReportEvent{sync.m_cell, order.m_worker, std::move(report)});
+  });
   if (!queued) {
-    m_scheduler.OnReport(
-        cell, worker, Fail(ErrorCode::kNotSent, "worker ring full"),
-        Clock::now());
+    m_scheduler.OnReport(cell, worker,
+                         Fail(ErrorCode::kNotSent, "worker ring full"),
+                         Clock::now());
   }
 }
 
 void SchedProcess::SubmitTransfer(SchedulerOutput::Transfer transfer) {
+  const std::uint64_t key = Hash(transfer.m_order.m_target);
   m_append_pool.TrySubmit(
-      Hash(transfer.m_order.m_target),
-      [this, transfer = std::move(transfer)](std::size_t thread) {
+      key, [this, transfer = std::move(transfer)](std::size_t thread) {
         const TransferOrder& order = transfer.m_order;
-        const Result<Offset> sent = m_logs[thread]->Append(
-            CellStream(order.m_target), order.m_payload,
-            Clock::now() + m_config.m_append_timeout);
-        m_events.Push(
-            TransferEvent{transfer.m_cell, order, sent.has_value()});
+        const Result<Offset> sent =
+            m_logs[thread]->Append(CellStream(order.m_target), order.m_payload,
+                                   Clock::now() + m_config.m_append_timeout);
+        m_events.Push(TransferEvent{transfer.m_cell, order, sent.has_value()});
       });
 }
 
-void SchedProcess::SubmitApiAppend(ApiAppend append, HttpReply reply) {
-  const HttpReply answer = reply;
+void SchedProcess::SubmitApiAppend(ApiAppend append, const HttpReply& reply) {
+  const std::uint64_t key = Hash(append.m_payload);
   const TimePoint limit = Clock::now() + kApiAppendLimit;
   const bool queued = m_append_pool.TrySubmit(
-      Hash(append.m_payload), [this, append = std::move(append), limit,
-                               reply](std::size_t thread) {
+      key,
+      [this, append = std::move(append), limit, reply](std::size_t thread) {
         // The record is idempotent, so a lost answer is met by a repeat.
         bool maybe = false;
         while (Clock::now() < limit) {
@@ -258,14 +251,14 @@
           const ErrorCode code = sent.error().m_code;
           maybe = maybe || (code != ErrorCode::kNotSent &&
                             code != ErrorCode::kUnavailable);
-          std::this_thread::sleep_for(kApiRetryPause);
+          m_stop.WaitUntil(Clock::now() + kApiRetryPause);
         }
         reply(maybe ? ErrorResponse(504, "unknown",
                                     "repeat with the same key to find out")
                     : ErrorResponse(503, "not-run", "log not available"));
       });
   if (!queued) {
-    answer(ErrorResponse(503, "queue-full", "too many submits waiting"));
+    reply(ErrorResponse(503, "queue-full", "too many submits waiting"));
   }
 }
 
--- a/src/sched/sched_process.h
+++ b/src/sched/sched_process.h
@@ -15,11 +15,12 @@
 #include "hyssopspar/http_server.h"
 #include "hyssopspar/metrics.h"
 #include "hyssopspar/scheduler.h"
+#include "hyssopspar/stop_flag.h"
 #include "hyssopspar/stream_reader.h"
+#include "hyssopspar/task_pool.h"
 #include "sched/sched_api.h"
 #include "sched/sched_config.h"
 #include "sched/sched_event.h"
-#include "hyssopspar/task_pool.h"
 
 namespace hyssopspar::sched {
 
@@ -40,19 +41,19 @@
   void DecisionLoop();
   void TickLoop();
   void VmLoop();
-  void Handle(StreamRead event);
+  void Handle(const StreamRead& event);
   void Handle(const AppendEvent& event);
   void Handle(const ReportEvent& event);
   void Handle(const TransferEvent& event);
   void Handle(const VmsEvent& event);
-  void Handle(ApiEvent event);
+  void Handle(const ApiEvent& event);
   void Handle(const TickEvent& event);
   void Handle(const LeaveEvent& event);
   void CarryOut(SchedulerOutput output);
   void SubmitAppend(const std::string& stream, const std::string& payload);
   void SubmitSync(SchedulerOutput::Sync sync);
   void SubmitTransfer(SchedulerOutput::Transfer transfer);
-  void SubmitApiAppend(ApiAppend append, HttpReply reply);
+  void SubmitApiAppend(ApiAppend append, const HttpReply& reply);
   void FollowStreams();
   void UpdateMetrics();
 
@@ -61,14 +62,14 @@
   Metrics m_metrics;
   BoundedRing<SchedEvent> m_events;
   std::map<std::string, std::unique_ptr<StreamReader>> m_readers;
-  std::vector<std::unique_ptr<HttpLogStore>> m_logs;      ///< One a thread.
+  std::vector<std::unique_ptr<HttpLogStore>> m_logs;  ///< One a thread.
   std::vector<std::unique_ptr<HttpWorkerControl>> m_controls;
   TaskPool m_append_pool;
   TaskPool m_worker_pool;
   std::atomic<bool> m_ready{false};
   std::atomic<bool> m_leaving{false};
-  std::atomic<bool> m_left{false};
-  std::atomic<bool> m_stopping{false};
+  StopFlag m_left;
+  StopFlag m_stop;
   std::thread m_decision_thread;
   std::thread m_tick_thread;
   std::thread m_vm_thread;
--- a/src/standin/endpoint_server.cpp
+++ b/src/standin/endpoint_server.cpp
@@ -23,12 +23,10 @@
     : m_settings(settings),
       m_name(std::move(name)),
       m_delays(delays),
-      m_server(
-          [this](HttpRequest request, HttpReply reply) {
-            Handle(std::move(request), std::move(reply));
-          },
-          LimitsOf(settings),
-          1) {
+      m_server([this](HttpRequest request,
+                      const HttpReply& reply) { Handle(std::move(request), reply); },
+               LimitsOf(settings),
+               1) {
   m_model.m_name = m_name;
   m_model.m_failure_domain = std::move(failure_domain);
   m_model.m_slots = static_cast<std::size_t>(settings.m_slots);
@@ -71,7 +69,7 @@
   return ClassSettings().m_service;
 }
 
-void EndpointServer::Handle(HttpRequest request, HttpReply reply) {
+void EndpointServer::Handle(HttpRequest request, const HttpReply& reply) {
   std::shared_ptr<Pending> pending = std::make_shared<Pending>();
   const std::string path = PathOf(request.m_target);
   pending->m_service.m_class = path.substr(path.rfind('/') + 1);
@@ -85,7 +83,7 @@
     std::lock_guard<std::mutex> lock(m_mutex);
     leaving = m_model.m_leaving;
     if (!leaving) {
-      pending->m_reply = std::move(reply);
+      pending->m_reply = reply;
       m_queue.push_back(pending);
     }
   }
--- a/src/standin/endpoint_server.h
+++ b/src/standin/endpoint_server.h
@@ -48,7 +48,7 @@
     HttpReply m_reply;
   };
 
-  void Handle(HttpRequest request, HttpReply reply);
+  void Handle(HttpRequest request, const HttpReply& reply);
   void StartNext();
   void Finish(std::size_t index, const std::shared_ptr<Pending>& pending);
   Duration MeanOf(const std::string& request_class) const;
--- a/src/standin/log_service.h
+++ b/src/standin/log_service.h
@@ -16,8 +16,8 @@
 
 /// Faults of the log that can be switched on and off.
 struct LogFaults {
-  bool m_down = false;           ///< Every call is answered with 503.
-  double m_lose_answers = 0;     ///< Share of appends answered 504 after effect.
+  bool m_down = false;        ///< Every call is answered with 503.
+  double m_lose_answers = 0;  ///< Share of appends answered 504 after effect.
   milliseconds m_extra_delay{0};
 };
 
@@ -32,7 +32,9 @@
   void Append(const std::string& stream, HttpRequest request, HttpReply reply);
 
   /// GET /v1/streams/NAME/records?from=&max=&wait_ms=
-  void Read(const std::string& stream, const HttpRequest& request, HttpReply reply);
+  void Read(const std::string& stream,
+            const HttpRequest& request,
+            HttpReply reply);
 
   void SetFaults(const LogFaults& faults);
   LogFaults Faults() const;
--- a/src/standin/main.cpp
+++ b/src/standin/main.cpp
@@ -10,9 +10,9 @@
   using namespace hyssopspar;
   BlockSignals();
   ProgramOptions options;
-  std::optional<int> done = ParseProgramOptions(
-      argc, argv, "hyssopspar-standin", "plays the platform in tests",
-      &options);
+  std::optional<int> done =
+      ParseProgramOptions(argc, argv, "hyssopspar-standin",
+                          "plays the platform in tests", &options);
   if (done) {
     return *done;
   }
--- a/src/standin/platform_service.cpp
+++ b/src/standin/platform_service.cpp
@@ -49,13 +49,13 @@
 }
 
 Result<void> PlatformService::Start() {
-  const Result<void> started = m_server.Start(m_settings.m_listen);
+  Result<void> started = m_server.Start(m_settings.m_listen);
   if (!started) {
     return started;
   }
   MakeVms();
   for (const std::unique_ptr<EndpointServer>& endpoint : m_endpoints) {
-    const Result<void> up = endpoint->Start();
+    Result<void> up = endpoint->Start();
     if (!up) {
       return up;
     }
@@ -223,8 +223,8 @@
       }
     }
     if (json.contains("leaving")) {
-      SetVmState(vm, json["leaving"].get<bool>() ? VmState::kLeaving
-                                                 : VmState::kLive);
+      SetVmState(
+          vm, json["leaving"].get<bool>() ? VmState::kLeaving : VmState::kLive);
     }
     std::lock_guard<std::mutex> lock(m_mutex);
     const std::map<std::string, WorkerModel>::iterator worker =
--- a/src/standin/run_history.h
+++ b/src/standin/run_history.h
@@ -21,6 +21,9 @@
   bool m_finished = false;
 };
 
+/// Violations of "one place at a time", one line each.
+std::vector<std::string> CheckOnePlace(const std::vector<AttemptRun>& runs);
+
 /// Violations of "one place at a time" and "finished once", one line each.
 std::vector<std::string> CheckRuns(const std::vector<AttemptRun>& runs);
 
--- a/src/standin/worker_model.h
+++ b/src/standin/worker_model.h
@@ -18,7 +18,8 @@
 struct ModelTask {
   TaskPhase m_phase = TaskPhase::kRunning;
   Resources m_size;
-  milliseconds m_work{0};  ///< True run time, which need not be the declared one.
+  milliseconds m_work{
+      0};  ///< True run time, which need not be the declared one.
   milliseconds m_done{0};
   bool m_throttled = false;
   std::size_t m_run = 0;  ///< Index in m_runs.
@@ -32,7 +33,7 @@
   TimePoint m_boot_time;      ///< Our time at which its clock showed zero.
   double m_clock_rate = 1.0;  ///< Its seconds per second of ours.
   bool m_fails_all = false;
-  WorkerTime m_advanced;      ///< Its clock up to which tasks were run.
+  WorkerTime m_advanced;  ///< Its clock up to which tasks were run.
   WorkerTime m_lease_until;
   std::map<AttemptId, ModelTask> m_tasks;
   std::vector<AttemptRun> m_runs;
--- /dev/null
+++ b/testsuite/sched_state/sched_soak.cpp
@@ -0,0 +1,79 @@
+// Long randomised runs of the scheduler world:
+//   sched_soak --seed N --steps N [--cases N]
+
+#include <boost/program_options.hpp>
+#include <iostream>
+#include <random>
+
+#include "hyssopspar/logging.h"
+#include "sched_state/sched_world.h"
+#include "sched_state/world_driver.h"
+
+namespace {
+
+namespace po = boost::program_options;
+using namespace hyssopspar;
+using namespace hyssopspar::testsuite;
+
+std::vector<DriverStep> DrawSteps(std::uint64_t seed, std::uint32_t count) {
+  std::mt19937_64 random(seed);
+  std::vector<DriverStep> steps(count);
+  for (DriverStep& step : steps) {
+    step.m_action = static_cast<std::uint32_t>(random());
+    step.m_target = static_cast<std::uint32_t>(random() % 30000);
+    step.m_span = static_cast<std::uint32_t>(random() % 4000);
+  }
+  return steps;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::uint64_t seed = 1;
+  std::uint32_t steps = 60;
+  std::uint32_t cases = 100;
+  bool verbose = false;
+  po::options_description options("Options");
+  options.add_options()("help,h", "print this text")(
+      "seed", po::value(&seed), "seed of the first case")(
+      "steps", po::value(&steps), "faults in each case")(
+      "cases", po::value(&cases), "cases, each with the next seed")(
+      "verbose", po::bool_switch(&verbose), "print faults and the log's verdicts");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(argc, argv, options), values);
+    po::notify(values);
+  } catch (const po::error& e) {
+    std::cerr << e.what() << "\n";
+    return 2;
+  }
+  if (values.count("help") > 0) {
+    std::cout << options;
+    return 0;
+  }
+  SetLogLevel("off");
+  std::uint32_t failed = 0;
+  std::uint64_t starts = 0;
+  Duration simulated{0};
+  for (std::uint32_t i = 0; i < cases; ++i) {
+    WorldSettings settings;
+    settings.m_seed = seed + i;
+    settings.m_trace = verbose;
+    SchedWorld world(settings);
+    const TimePoint begin = world.Now();
+    const std::vector<DriverStep> drawn = DrawSteps(seed + i, steps);
+    const std::vector<std::string> violations = DriveAll(&world, drawn);
+    simulated += world.Now() - begin;
+    starts += world.Starts();
+    failed += violations.empty() ? 0 : 1;
+    for (const std::string& violation : violations) {
+      std::cout << "seed " << seed + i << ": " << violation << "\n";
+    }
+  }
+  std::cout << cases << " cases of " << steps << " steps, " << starts
+            << " starts, "
+            << std::chrono::duration<double, std::ratio<3600>>(simulated)
+                   .count()
+            << " simulated hours, " << failed << " failed\n";
+  return failed == 0 ? 0 : 1;
+}
