Count an owner's silence by looks at the log, and refuse overtaken claims

Change: silence ends at the last verified read; a claim names the offset it is based on and replay refuses it if the owner wrote later; an attempt is forgotten only when no start of it can still be taken; a proposed end forbids starts.

--- a/src/include/hyssopspar/decision.h
+++ b/src/include/hyssopspar/decision.h
@@ -15,10 +15,12 @@
 
 namespace hyssopspar {
 
-/// Takes ownership of the cell if \p m_previous is still its epoch.
+/// Takes ownership of the cell if \p m_previous is still its epoch and its owner
+/// has written nothing at \p m_seen or later, or has released it.
 struct OwnerClaim {
   std::string m_owner;
   Epoch m_previous = 0;
+  Offset m_seen = 0;  ///< Next offset the claimant would have read.
 };
 
 /// Gives ownership up; whoever claims next need not wait.
--- a/src/libhyssopspar/cell_plan.cpp
+++ b/src/libhyssopspar/cell_plan.cpp
@@ -86,8 +86,8 @@
 /// True when no lease on the worker can still stand, whoever granted it.
 bool LeasesLapsed(const PlanContext& plan, const WorkerView& view) {
   const SchedSettings& settings = *plan.m_context->m_settings;
-  const Duration margin = WithDrift(settings, settings.m_worker_lease) -
-                          settings.m_worker_lease;
+  const Duration margin =
+      WithDrift(settings, settings.m_worker_lease) - settings.m_worker_lease;
   const TimePoint lapsed =
       std::max(view.m_lease_deadline + margin, plan.m_owner->m_takeover_floor);
   return plan.m_now > lapsed;
--- a/src/libhyssopspar/cell_snapshot.cpp
+++ b/src/libhyssopspar/cell_snapshot.cpp
@@ -22,8 +22,8 @@
 }
 template <class A, class T>
 void VisitFields(A& a, T& s, const CellState* /*tag*/) {
-  a(s.m_started, s.m_next, s.m_epoch, s.m_owner, s.m_owner_writer, s.m_snapshot,
-    s.m_owner_sequence, s.m_workers, s.m_jobs);
+  a(s.m_started, s.m_next, s.m_epoch, s.m_owner, s.m_owner_writer,
+    s.m_owner_last, s.m_snapshot, s.m_owner_sequence, s.m_workers, s.m_jobs);
 }
 
 namespace {
--- a/src/libhyssopspar/cell_state.cpp
+++ b/src/libhyssopspar/cell_state.cpp
@@ -66,7 +66,10 @@
            const OwnerClaim& d,
            const Batch& batch,
            Offset at) {
-  if (d.m_previous != state->m_epoch) {
+  const bool held = !state->m_owner.empty();
+  // An owner that renewed after the claimant looked is not silent.
+  const bool renewed = held && state->m_owner_last >= d.m_seen;
+  if (d.m_previous != state->m_epoch || renewed) {
     return Verdict::kStaleEpoch;
   }
   // Offsets start at 0 and epoch 0 stands for "never claimed".
@@ -74,6 +77,7 @@
   state->m_owner = d.m_owner;
   state->m_owner_writer = batch.m_writer;
   state->m_owner_sequence = batch.m_sequence;
+  state->m_owner_last = at;
   return Verdict::kApplied;
 }
 
@@ -350,6 +354,12 @@
   std::vector<Verdict> verdicts;
   verdicts.reserve(batch.m_decisions.size());
   const bool fresh = NoteSequence(state, batch);
+  const bool by_owner = fresh && batch.m_epoch == state->m_epoch &&
+                        batch.m_writer == state->m_owner_writer &&
+                        !state->m_owner.empty();
+  if (by_owner) {
+    state->m_owner_last = offset;
+  }
   for (const Decision& decision : batch.m_decisions) {
     Verdict verdict = Verdict::kDuplicate;
     if (fresh) {
--- a/src/libhyssopspar/cell_sync.cpp
+++ b/src/libhyssopspar/cell_sync.cpp
@@ -66,6 +66,15 @@
   }
 }
 
+/// True while a start that was sent may be on its way. A worker that forgot
+/// the attempt by then would run it again.
+bool MayStillStart(const WorkerView& view, const AttemptId& id) {
+  const std::map<AttemptId, StartTrack>::const_iterator start =
+      view.m_starts.find(id);
+  return start != view.m_starts.end() && start->second.m_boot == view.m_boot &&
+         view.m_worker_now <= start->second.m_not_after;
+}
+
 /// Stops and forgets for attempts that the worker lists and the state does not.
 void AddUnwanted(const PlanContext& plan,
                  const WorkerSlot& slot,
@@ -82,7 +91,7 @@
     }
     if (entry.second.m_phase == TaskPhase::kRunning) {
       sync->m_stop.push_back(entry.first);
-    } else {
+    } else if (!MayStillStart(view, entry.first)) {
       sync->m_forget.push_back(entry.first);
     }
   }
@@ -104,6 +113,7 @@
   std::map<AttemptId, StartTrack>::iterator it = view->m_starts.begin();
   while (it != view->m_starts.end()) {
     const bool over =
+        !MayStillStart(*view, it->first) &&
         plan.m_owner->m_replay.State().m_live.count(it->first.m_task) == 0;
     it = over ? view->m_starts.erase(it) : std::next(it);
   }
--- a/src/libhyssopspar/cell_tick.cpp
+++ b/src/libhyssopspar/cell_tick.cpp
@@ -66,9 +66,10 @@
   const Duration turn = settings.m_claim_stagger * *rank;
   const bool vacant = owner.m_replay.State().m_owner.empty();
   const Duration wait =
-      vacant ? Duration::zero()
-             : WithDrift(settings, settings.m_cell_lease);
-  return now - owner.m_owner_seen >= wait + turn;
+      vacant ? Duration::zero() : WithDrift(settings, settings.m_cell_lease);
+  // Silence counts up to the last look at the log, not up to now: a process
+  // that was paused has not looked.
+  return owner.m_read_verified - owner.m_owner_seen >= wait + turn;
 }
 
 /// True when the cell should move to a better-placed member, or this process is
@@ -117,6 +118,16 @@
   return PlanCell(owner, context, now);
 }
 
+/// An attempt that was judged over must not be started while the judgement is
+/// on its way into the log, however long that takes.
+void ForbidStarts(CellOwner* owner, const std::vector<Decision>& decisions) {
+  for (const Decision& decision : decisions) {
+    if (const TaskStop* stop = std::get_if<TaskStop>(&decision)) {
+      owner->m_own_commits.erase(AttemptId{stop->m_task, stop->m_attempt});
+    }
+  }
+}
+
 std::optional<std::string> TickOwned(CellOwner* owner,
                                      const CellContext& context,
                                      TimePoint now) {
@@ -131,6 +142,7 @@
     owner->m_next_batch = now + context.m_settings->m_batch_min;
     return std::nullopt;
   }
+  ForbidStarts(owner, decisions);
   return StartBatch(owner, *context.m_settings, owner->m_replay.State().m_epoch,
                     std::move(decisions), now);
 }
@@ -217,7 +229,8 @@
   if (!owner->m_owned) {
     if (ShouldClaim(*owner, context, now)) {
       const OwnerClaim claim{context.m_settings->m_name,
-                             owner->m_replay.State().m_epoch};
+                             owner->m_replay.State().m_epoch,
+                             owner->m_replay.Next()};
       output.m_append =
           StartBatch(owner, *context.m_settings, 0, {Decision(claim)}, now);
     }
--- a/src/libhyssopspar/pvt/decision_fields.h
+++ b/src/libhyssopspar/pvt/decision_fields.h
@@ -9,7 +9,7 @@
 
 template <class A, class T>
 void VisitFields(A& a, T& d, const OwnerClaim* /*tag*/) {
-  a(d.m_owner, d.m_previous);
+  a(d.m_owner, d.m_previous, d.m_seen);
 }
 template <class A, class T>
 void VisitFields(A& a, T& d, const OwnerRelease* /*tag*/) {
