Let the ranked first claim a vacant cell at once

Ruled out: disagreement about ranks (each process logged the same order). Change: a vacant cell is claimed by the clock; the epoch check makes it safe.

--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -28,6 +28,7 @@
     2>>"$SITE_DIR/$1.log" &
   echo $! >"$SITE_DIR/$1.pid"
   site_pids+=($!)
+  disown $!
   site_wait_file "$SITE_DIR/$1.port"
 }
 
@@ -150,14 +151,18 @@
   local pid
   pid=$(cat "$SITE_DIR/$1.pid")
   kill -TERM "$pid" 2>/dev/null || true
-  wait "$pid" 2>/dev/null
+  while kill -0 "$pid" 2>/dev/null; do sleep 0.05; done
 }
 
 # site_stop_all: ends everything that was started.
 site_stop_all() {
   local pid
-  for pid in "${site_pids[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
-  for pid in "${site_pids[@]}"; do wait "$pid" 2>/dev/null; done
+  for pid in "${site_pids[@]}"; do
+    { kill -CONT "$pid" && kill -KILL "$pid"; } 2>/dev/null || true
+  done
+  for pid in "${site_pids[@]}"; do
+    while kill -0 "$pid" 2>/dev/null; do sleep 0.02; done
+  done
   site_pids=()
   return 0
 }
--- a/src/libhyssopspar/cell_tick.cpp
+++ b/src/libhyssopspar/cell_tick.cpp
@@ -68,8 +68,9 @@
   const Duration wait =
       vacant ? Duration::zero() : WithDrift(settings, settings.m_cell_lease);
   // Silence counts up to the last look at the log, not up to now: a process
-  // that was paused has not looked.
-  return owner.m_read_verified - owner.m_owner_seen >= wait + turn;
+  // that was paused has not looked. Nobody can be hurt in a vacant cell.
+  const TimePoint looked = vacant ? now : owner.m_read_verified;
+  return looked - owner.m_owner_seen >= wait + turn;
 }
 
 /// True when the cell should move to a better-placed member, or this process is
