--- a/testsuite/sched_state/sched_soak.cpp
+++ b/testsuite/sched_state/sched_soak.cpp
@@ -34,11 +34,12 @@
   std::uint32_t cases = 100;
   bool verbose = false;
   po::options_description options("Options");
-  options.add_options()("help,h", "print this text")(
-      "seed", po::value(&seed), "seed of the first case")(
+  options.add_options()("help,h", "print this text")("seed", po::value(&seed),
+                                                     "seed of the first case")(
       "steps", po::value(&steps), "faults in each case")(
       "cases", po::value(&cases), "cases, each with the next seed")(
-      "verbose", po::bool_switch(&verbose), "print faults and the log's verdicts");
+      "verbose", po::bool_switch(&verbose),
+      "print faults and the log's verdicts");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, options), values);
@@ -51,7 +52,7 @@
     std::cout << options;
     return 0;
   }
-  SetLogLevel("off");
+  SetLogLevel("critical");
   std::uint32_t failed = 0;
   std::uint64_t starts = 0;
   Duration simulated{0};
@@ -70,10 +71,9 @@
       std::cout << "seed " << seed + i << ": " << violation << "\n";
     }
   }
-  std::cout << cases << " cases of " << steps << " steps, " << starts
-            << " starts, "
-            << std::chrono::duration<double, std::ratio<3600>>(simulated)
-                   .count()
-            << " simulated hours, " << failed << " failed\n";
+  std::cout
+      << cases << " cases of " << steps << " steps, " << starts << " starts, "
+      << std::chrono::duration<double, std::ratio<3600>>(simulated).count()
+      << " simulated hours, " << failed << " failed\n";
   return failed == 0 ? 0 : 1;
 }
--- a/testsuite/sched_state/sched_state_test.cpp
+++ b/testsuite/sched_state/sched_state_test.cpp
@@ -31,7 +31,7 @@
 
 class Quiet : public testing::Test {
  protected:
-  void SetUp() override { SetLogLevel("off"); }
+  void SetUp() override { SetLogLevel("critical"); }
 };
 
 TEST_F(Quiet, WorkFinishesOnceWithoutFaults) {
--- a/testsuite/sched_state/sched_world.cpp
+++ b/testsuite/sched_state/sched_world.cpp
@@ -76,8 +76,7 @@
 }
 
 Duration SchedWorld::Jitter(Duration least, Duration most) {
-  std::uniform_int_distribution<std::int64_t> draw(least.count(),
-                                                   most.count());
+  std::uniform_int_distribution<std::int64_t> draw(least.count(), most.count());
   return Duration(draw(m_random));
 }
 
@@ -167,21 +166,21 @@
     });
   };
   // Sending is an act of its own, so a freeze may come before it.
-  Later(index, Jitter(milliseconds(0), milliseconds(5)), [this, index, stream,
-                                                          payload, reply] {
-    if (m_log_down || m_processes[index].m_cut) {
-      reply(kAppendTimeout, false);
-      return;
-    }
-    const Duration effect = m_append_delay + Jitter(milliseconds(0),
-                                                    milliseconds(10));
-    std::bernoulli_distribution lose(m_lose_answers);
-    const bool lost = lose(m_random) || effect > kAppendTimeout;
-    // The effect is the log's own doing, whatever becomes of the process.
-    Later(-1, effect,
-          [this, stream, payload] { AppendNow(stream, payload); });
-    reply(lost ? Duration(kAppendTimeout) : effect, !lost);
-  });
+  Later(index, Jitter(milliseconds(0), milliseconds(5)),
+        [this, index, stream, payload, reply] {
+          if (m_log_down || m_processes[index].m_cut) {
+            reply(kAppendTimeout, false);
+            return;
+          }
+          const Duration effect =
+              m_append_delay + Jitter(milliseconds(0), milliseconds(10));
+          std::bernoulli_distribution lose(m_lose_answers);
+          const bool lost = lose(m_random) || effect > kAppendTimeout;
+          // The effect is the log's own doing, whatever becomes of the process.
+          Later(-1, effect,
+                [this, stream, payload] { AppendNow(stream, payload); });
+          reply(lost ? Duration(kAppendTimeout) : effect, !lost);
+        });
 }
 
 void SchedWorld::Sync(int index, const SchedulerOutput::Sync& sync) {
@@ -209,9 +208,8 @@
     const Duration way = late ? Jitter(kSyncTimeout, std::chrono::seconds(12))
                               : Jitter(milliseconds(1), milliseconds(10));
     Later(-1, way, [this, worker, sync, reply, late] {
-      const WorkerReport report =
-          standin::SyncWorker(&m_workers[worker], sync.m_order.m_sync,
-                              standin::SpreadWork, m_now);
+      const WorkerReport report = standin::SyncWorker(
+          &m_workers[worker], sync.m_order.m_sync, standin::SpreadWork, m_now);
       for (const StartCommand& start : sync.m_order.m_sync.m_start) {
         Trace("start " + TaskName(start.m_id.m_task) + " attempt " +
               std::to_string(start.m_id.m_attempt) + " on " +
@@ -306,8 +304,8 @@
     Append(index, CellStream(transfer.m_order.m_target),
            transfer.m_order.m_payload,
            [transfer](Scheduler* scheduler, bool succeeded, TimePoint at) {
-             scheduler->OnTransfer(transfer.m_cell, transfer.m_order,
-                                   succeeded, at);
+             scheduler->OnTransfer(transfer.m_cell, transfer.m_order, succeeded,
+                                   at);
            });
   }
   for (const SchedulerOutput::Sync& sync : output.m_syncs) {
--- a/testsuite/sched_state/sched_world.h
+++ b/testsuite/sched_state/sched_world.h
@@ -37,8 +37,8 @@
   Duration m_clock_offset{0};
   bool m_alive = false;
   bool m_leaving = false;
-  bool m_cut = false;          ///< Can't reach the log.
-  TimePoint m_frozen_until;    ///< World time.
+  bool m_cut = false;        ///< Can't reach the log.
+  TimePoint m_frozen_until;  ///< World time.
   std::uint64_t m_generation = 0;
   std::map<std::string, TimePoint> m_next_read;
 };
--- a/testsuite/sched_state/world_checks.cpp
+++ b/testsuite/sched_state/world_checks.cpp
@@ -50,10 +50,9 @@
   for (const standin::AttemptRun& run : runs) {
     const std::map<AttemptId, AttemptRecord>::const_iterator it =
         m_attempts.find(run.m_id);
-    const bool is_void =
-        it != m_attempts.end() && !it->second.m_finished &&
-        (it->second.m_stopped == StopReason::kLapsed ||
-         it->second.m_stopped == StopReason::kLost);
+    const bool is_void = it != m_attempts.end() && !it->second.m_finished &&
+                         (it->second.m_stopped == StopReason::kLapsed ||
+                          it->second.m_stopped == StopReason::kLost);
     finished[run.m_id.m_task] += run.m_finished && !is_void ? 1 : 0;
   }
   for (const std::pair<const TaskId, int>& entry : finished) {
@@ -165,11 +164,10 @@
       const CellReplay& replay = cell.second.m_replay;
       const std::map<std::string, CellState>::const_iterator truth =
           m_true_cells.find(cell.first);
-      const bool comparable = truth != m_true_cells.end() &&
-                              replay.IsReady() &&
+      const bool comparable = truth != m_true_cells.end() && replay.IsReady() &&
                               replay.State().m_next == truth->second.m_next;
-      if (comparable && EncodeCellState(replay.State()) !=
-                            EncodeCellState(truth->second)) {
+      if (comparable &&
+          EncodeCellState(replay.State()) != EncodeCellState(truth->second)) {
         violations->push_back("state of " + cell.first + " differs at " +
                               process.m_name);
       }
--- a/testsuite/sched_state/world_driver.cpp
+++ b/testsuite/sched_state/world_driver.cpp
@@ -49,16 +49,13 @@
      [](SchedWorld* w, std::uint32_t t) {
        w->Freeze(SchedulerOf(*w, t), milliseconds(4000 + t % 26000));
      }},
-    {"cut off",
-     [](SchedWorld* w, std::uint32_t t) {
-       w->SetCut(SchedulerOf(*w, t), true);
-     }},
+    {"cut off", [](SchedWorld* w,
+                   std::uint32_t t) { w->SetCut(SchedulerOf(*w, t), true); }},
     {"reconnect",
      [](SchedWorld* w, std::uint32_t t) {
        w->SetCut(SchedulerOf(*w, t), false);
      }},
-    {"log down",
-     [](SchedWorld* w, std::uint32_t) { w->SetLogDown(true); }},
+    {"log down", [](SchedWorld* w, std::uint32_t) { w->SetLogDown(true); }},
     {"log up", [](SchedWorld* w, std::uint32_t) { w->SetLogDown(false); }},
     {"answers lost",
      [](SchedWorld* w, std::uint32_t t) {
@@ -98,8 +95,7 @@
      [](SchedWorld* w, std::uint32_t t) {
        w->SetOut(static_cast<int>(t % w->Domains()), false);
      }},
-    {"publish race",
-     [](SchedWorld* w, std::uint32_t) { w->PublishAgain(); }},
+    {"publish race", [](SchedWorld* w, std::uint32_t) { w->PublishAgain(); }},
 }};
 
 constexpr milliseconds kLeastSpan{100};
--- a/testsuite/sched_state/world_steps.cpp
+++ b/testsuite/sched_state/world_steps.cpp
@@ -53,8 +53,8 @@
     }
   }
   for (const std::string& name : m_true_config.m_out) {
-    const bool open = std::any_of(
-        m_outs.begin(), m_outs.end(), [&name](const OutSpan& span) {
+    const bool open =
+        std::any_of(m_outs.begin(), m_outs.end(), [&name](const OutSpan& span) {
           return span.m_name == name && span.m_to == TimePoint::max();
         });
     if (!open) {
@@ -110,9 +110,8 @@
   // A submitter whose answer was lost tries again.
   AppendNow(stream, payload);
   if (spec.m_id % 3 == 0) {
-    Later(-1, std::chrono::seconds(2), [this, stream, payload] {
-      AppendNow(stream, payload);
-    });
+    Later(-1, std::chrono::seconds(2),
+          [this, stream, payload] { AppendNow(stream, payload); });
   }
   m_jobs.emplace_back(spec.m_id, tasks);
 }
@@ -124,9 +123,8 @@
   const JobId job = m_jobs[m_next_cancel].first;
   m_next_cancel += 2;
   m_cancelled.insert(job);
-  AppendNow(
-      CellStream(HomeCell(m_true_config.m_doc, job)),
-      EncodeBatch(Batch{0, 0, 0, {Decision(JobCancel{job})}}));
+  AppendNow(CellStream(HomeCell(m_true_config.m_doc, job)),
+            EncodeBatch(Batch{0, 0, 0, {Decision(JobCancel{job})}}));
 }
 
 void SchedWorld::Heal() {
