--- a/src/include/hyssopspar/cell_state.h
+++ b/src/include/hyssopspar/cell_state.h
@@ -73,8 +73,8 @@
   Epoch m_epoch = 0;       ///< 0 before the first claim.
   std::string m_owner;     ///< Empty when released.
   WriterId m_owner_writer = 0;
-  Offset m_owner_last = 0;   ///< Offset of the owner's last record.
-  Offset m_snapshot = 0;  ///< Offset of the last complete snapshot's footer.
+  Offset m_owner_last = 0;  ///< Offset of the owner's last record.
+  Offset m_snapshot = 0;    ///< Offset of the last complete snapshot's footer.
   /// Last sequence number of the owner. What other writers may propose is
   /// idempotent by itself, so only the owner's repeats need to be told apart.
   Sequence m_owner_sequence = 0;
--- a/src/include/hyssopspar/decision.h
+++ b/src/include/hyssopspar/decision.h
@@ -15,8 +15,8 @@
 
 namespace hyssopspar {
 
-/// Takes ownership of the cell if \p m_previous is still its epoch and its owner
-/// has written nothing at \p m_seen or later, or has released it.
+/// Takes ownership of the cell if \p m_previous is still its epoch and its
+/// owner has written nothing at \p m_seen or later, or has released it.
 struct OwnerClaim {
   std::string m_owner;
   Epoch m_previous = 0;
--- /dev/null
+++ b/src/libhyssopspar/concurrent_test.cpp
@@ -0,0 +1,198 @@
+// Parts that several threads use at once. The thread sanitizer runs these.
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+#include "hyssopspar/bounded_ring.h"
+#include "hyssopspar/http_client.h"
+#include "hyssopspar/http_server.h"
+#include "hyssopspar/metrics.h"
+#include "hyssopspar/peer_link.h"
+#include "hyssopspar/upstream_pool.h"
+
+namespace hyssopspar {
+namespace {
+
+constexpr std::chrono::seconds kLong{20};
+
+std::string AddressOf(std::uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+HttpRequest Post(const std::string& body) {
+  HttpRequest request;
+  request.m_method = "POST";
+  request.m_body = body;
+  return request;
+}
+
+void Echo(HttpRequest request, const HttpReply& reply) {
+  HttpResponse response;
+  response.m_body = std::move(request.m_body);
+  reply(std::move(response));
+}
+
+TEST(Concurrent, RingHandsOverEveryItemOnce) {
+  BoundedRing<int> ring(16);
+  std::atomic<int> sum{0};
+  std::vector<std::thread> threads;
+  for (int t = 0; t < 3; ++t) {
+    threads.emplace_back([&ring] {
+      for (int i = 1; i <= 1000; ++i) {
+        ring.Push(i);
+      }
+    });
+    threads.emplace_back([&ring, &sum] {
+      for (int i = 0; i < 1000; ++i) {
+        sum += ring.Pop();
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  EXPECT_EQ(sum.load(), 3 * 500500);
+  int left = 0;
+  EXPECT_FALSE(ring.TryPop(&left));
+}
+
+TEST(Concurrent, RingRefusesWhenFull) {
+  BoundedRing<int> ring(2);
+  EXPECT_TRUE(ring.TryPush(1));
+  EXPECT_TRUE(ring.TryPush(2));
+  EXPECT_FALSE(ring.TryPush(3));
+}
+
+TEST(Concurrent, EveryCallerGetsTheAnswerToItsOwnRequest) {
+  HttpServer server(Echo, HttpServerLimits(), 2);
+  ASSERT_TRUE(server.Start("127.0.0.1:0").has_value());
+  UpstreamPool pool(2, 8);
+  std::vector<std::future<std::string>> answers;
+  for (int i = 0; i < 200; ++i) {
+    const std::shared_ptr<std::promise<std::string>> promise =
+        std::make_shared<std::promise<std::string>>();
+    answers.push_back(promise->get_future());
+    pool.Send(AddressOf(server.Port()), Post(std::to_string(i)),
+              Clock::now() + kLong, [promise](Result<HttpResponse> answer) {
+                promise->set_value(answer ? answer.value().m_body : "failed");
+              });
+  }
+  for (int i = 0; i < 200; ++i) {
+    EXPECT_EQ(answers[i].get(), std::to_string(i));
+  }
+  EXPECT_LE(pool.Connections(AddressOf(server.Port())), 200U);
+  pool.Stop();
+}
+
+TEST(Concurrent, ALateAnswerReachesNoLaterRequest) {
+  std::promise<HttpReply> held;
+  HttpServer server(
+      [&held](HttpRequest request, HttpReply reply) {
+        if (request.m_body == "slow") {
+          held.set_value(std::move(reply));
+        } else {
+          Echo(std::move(request), reply);
+        }
+      },
+      HttpServerLimits(), 1);
+  ASSERT_TRUE(server.Start("127.0.0.1:0").has_value());
+  HttpClient client(AddressOf(server.Port()));
+  const Result<HttpResponse> first =
+      client.Send(Post("slow"), Clock::now() + milliseconds(50));
+  ASSERT_FALSE(first.has_value());
+  EXPECT_EQ(first.error().m_code, ErrorCode::kTimeout);
+  HttpResponse late;
+  late.m_body = "late";
+  held.get_future().get()(late);
+  const Result<HttpResponse> second =
+      client.Send(Post("next"), Clock::now() + kLong);
+  ASSERT_TRUE(second.has_value());
+  EXPECT_EQ(second.value().m_body, "next");
+}
+
+TEST(Concurrent, ARefusedConnectionIsCertainlyNotSent) {
+  HttpServer server(Echo, HttpServerLimits(), 1);
+  ASSERT_TRUE(server.Start("127.0.0.1:0").has_value());
+  const std::string address = AddressOf(server.Port());
+  server.Stop();
+  server.StopAccepting();
+  HttpClient client("127.0.0.1:1");
+  const Result<HttpResponse> answer =
+      client.Send(Post("x"), Clock::now() + kLong);
+  ASSERT_FALSE(answer.has_value());
+  EXPECT_EQ(answer.error().m_code, ErrorCode::kNotSent);
+}
+
+TEST(Concurrent, ServerRefusesOversizedBodies) {
+  HttpServerLimits limits;
+  limits.m_body_bytes = 100;
+  HttpServer server(Echo, limits, 1);
+  ASSERT_TRUE(server.Start("127.0.0.1:0").has_value());
+  HttpClient client(AddressOf(server.Port()));
+  const Result<HttpResponse> answer =
+      client.Send(Post(std::string(200, 'x')), Clock::now() + kLong);
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer.value().m_status, 413);
+}
+
+TEST(Concurrent, ServerRefusesMalformedRequests) {
+  HttpServer server(Echo, HttpServerLimits(), 1);
+  ASSERT_TRUE(server.Start("127.0.0.1:0").has_value());
+  HttpClient client(AddressOf(server.Port()));
+  HttpRequest request;
+  request.m_headers["content-length"] = "many";
+  request.m_method = "BAD METHOD";
+  const Result<HttpResponse> answer =
+      client.Send(request, Clock::now() + kLong);
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer.value().m_status, 400);
+}
+
+TEST(Concurrent, PeersHearEachOther) {
+  std::promise<std::string> heard;
+  std::atomic<bool> done{false};
+  PeerLink listener([&heard, &done](const std::string& message) {
+    if (!done.exchange(true)) {
+      heard.set_value(message);
+    }
+  });
+  ASSERT_TRUE(listener.Start("127.0.0.1:0").has_value());
+  PeerLink speaker([](const std::string&) {});
+  ASSERT_TRUE(speaker.Start("127.0.0.1:0").has_value());
+  speaker.SetPeers({AddressOf(listener.Port())});
+  std::future<std::string> future = heard.get_future();
+  while (future.wait_for(milliseconds(5)) != std::future_status::ready) {
+    speaker.Broadcast("hello");
+  }
+  EXPECT_EQ(future.get(), "hello");
+  speaker.Stop();
+  listener.Stop();
+}
+
+TEST(Concurrent, MetricsCountFromSeveralThreads) {
+  Metrics metrics;
+  std::vector<std::thread> threads;
+  for (int t = 0; t < 4; ++t) {
+    threads.emplace_back([&metrics] {
+      for (int i = 0; i < 500; ++i) {
+        ++metrics.Value("n", Label("class", "a\"b"));
+        metrics.Histogram("h").Add(milliseconds(1 + i % 100));
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  EXPECT_EQ(metrics.Value("n", Label("class", "a\"b")).load(), 2000);
+  EXPECT_EQ(metrics.Histogram("h").Count(), 2000U);
+  const Duration p50 = metrics.Histogram("h").Quantile(0.5);
+  EXPECT_GT(p50, milliseconds(45));
+  EXPECT_LT(p50, milliseconds(56));
+  EXPECT_NE(metrics.Render().find("h_bucket{le=\"+Inf\"} 2000"),
+            std::string::npos);
+}
+
+}  // namespace
+}  // namespace hyssopspar
--- a/src/standin/endpoint_server.cpp
+++ b/src/standin/endpoint_server.cpp
@@ -23,10 +23,12 @@
     : m_settings(settings),
       m_name(std::move(name)),
       m_delays(delays),
-      m_server([this](HttpRequest request,
-                      const HttpReply& reply) { Handle(std::move(request), reply); },
-               LimitsOf(settings),
-               1) {
+      m_server(
+          [this](HttpRequest request, const HttpReply& reply) {
+            Handle(std::move(request), reply);
+          },
+          LimitsOf(settings),
+          1) {
   m_model.m_name = m_name;
   m_model.m_failure_domain = std::move(failure_domain);
   m_model.m_slots = static_cast<std::size_t>(settings.m_slots);
--- a/src/standin/run_history.cpp
+++ b/src/standin/run_history.cpp
@@ -33,8 +33,8 @@
   const AttemptRun* last = nullptr;
   for (const AttemptRun& run : runs) {
     if (last != nullptr && run.m_start < busy_until) {
-      violations->push_back("two places at once: " + Describe(*last) +
-                            " and " + Describe(run));
+      violations->push_back("two places at once: " + Describe(*last) + " and " +
+                            Describe(run));
     }
     if (last == nullptr || run.m_end >= busy_until) {
       busy_until = run.m_end;
