Make the tests clean under the linter

Cause: the linter was first run over the tests after they were written. Change: const references, reserved capacity, explicit casts.

--- a/src/libhyssopspar/codec_test.cpp
+++ b/src/libhyssopspar/codec_test.cpp
@@ -81,7 +81,9 @@
   EXPECT_FALSE(DecodePeerReport(bytes).has_value());
 }
 
-RC_GTEST_PROP(CodecProperty, RandomBytesAreRefusedOrRead, (std::string bytes)) {
+RC_GTEST_PROP(CodecProperty,
+              RandomBytesAreRefusedOrRead,
+              (const std::string& bytes)) {
   DecodeAll(bytes);
 }
 
@@ -89,7 +91,7 @@
               DamagedMessagesAreRefusedOrRead,
               (std::uint32_t at, std::uint8_t flip, bool cut)) {
   std::string bytes = EncodeBatch(MakeBatch());
-  bytes[at % bytes.size()] ^= static_cast<char>(flip);
+  bytes[at % bytes.size()] = static_cast<char>(bytes[at % bytes.size()] ^ flip);
   if (cut) {
     bytes.resize(at % bytes.size());
   }
@@ -110,7 +112,7 @@
   sync.m_start.push_back(StartCommand{});
   sync.m_stop.push_back(AttemptId{});
   std::string text = EncodeSync(sync);
-  text[at % text.size()] ^= static_cast<char>(flip);
+  text[at % text.size()] = static_cast<char>(text[at % text.size()] ^ flip);
   DecodeAll(text);
 }
 
--- a/src/libhyssopspar/concurrent_test.cpp
+++ b/src/libhyssopspar/concurrent_test.cpp
@@ -38,6 +38,7 @@
   BoundedRing<int> ring(16);
   std::atomic<int> sum{0};
   std::vector<std::thread> threads;
+  threads.reserve(8);
   for (int t = 0; t < 3; ++t) {
     threads.emplace_back([&ring] {
       for (int i = 1; i <= 1000; ++i) {
@@ -174,6 +175,7 @@
 TEST(Concurrent, MetricsCountFromSeveralThreads) {
   Metrics metrics;
   std::vector<std::thread> threads;
+  threads.reserve(8);
   for (int t = 0; t < 4; ++t) {
     threads.emplace_back([&metrics] {
       for (int i = 0; i < 500; ++i) {
--- a/src/libhyssopspar/placement_test.cpp
+++ b/src/libhyssopspar/placement_test.cpp
@@ -32,8 +32,9 @@
 
 RC_GTEST_PROP(PlacementProperty,
               NothingIsPlacedWhereItDoesNotFit,
-              (std::vector<std::uint16_t> cpus, std::uint64_t seed)) {
+              (const std::vector<std::uint16_t>& cpus, std::uint64_t seed)) {
   std::vector<Candidate> candidates;
+  candidates.reserve(cpus.size());
   for (const std::uint16_t cpu : cpus) {
     candidates.push_back(MakeCandidate(cpu, cpu / 2));
   }
--- a/testsuite/gate_state/gate_state_test.cpp
+++ b/testsuite/gate_state/gate_state_test.cpp
@@ -99,7 +99,8 @@
 // not run, one answer for each caller, whatever fails.
 RC_GTEST_FIXTURE_PROP(Gates,
                       KeepPromisesUnderRandomFaults,
-                      (std::uint64_t seed, std::vector<GateStep> steps)) {
+                      (std::uint64_t seed,
+                       const std::vector<GateStep>& steps)) {
   GateWorldSettings settings;
   settings.m_seed = seed;
   GateWorld world(settings);
--- a/testsuite/sched_state/sched_state_test.cpp
+++ b/testsuite/sched_state/sched_state_test.cpp
@@ -87,7 +87,8 @@
 // out of service, and once the faults end all work ends.
 RC_GTEST_FIXTURE_PROP(Quiet,
                       HoldsUnderRandomFaults,
-                      (std::uint64_t seed, std::vector<DriverStep> steps)) {
+                      (std::uint64_t seed,
+                       const std::vector<DriverStep>& steps)) {
   WorldSettings settings;
   settings.m_seed = seed;
   SchedWorld world(settings);
