--- /dev/null
+++ b/testsuite/mutations/run.sh
@@ -0,0 +1,59 @@
+#!/usr/bin/env bash
+# Plants one fault after the other in a copy of the sources, and shows that the
+# random runs find it. Prints a table; fails if a fault stays unseen.
+#   testsuite/mutations/run.sh
+set -euo pipefail
+here=$(cd "$(dirname "$0")" && pwd)
+root=$(cd "$here/../.." && pwd)
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+cp -r "$root/CMakeLists.txt" "$root/src" "$root/testsuite" "$copy/"
+cmake -S "$copy" -B "$copy/build" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+trim() { sed 's/^ *//; s/ *$//'; }
+missed=0
+echo "| planted fault | found by | first finding |"
+echo "| --- | --- | --- |"
+while IFS= read -r line; do
+  case $line in '#'* | '') continue ;; esac
+  name=$(sed 's/ | .*//' <<<"$line")
+  rest=${line#* | }
+  file=${rest%% | *}
+  rest=${rest#* | }
+  steps=${rest##* | }
+  rest=${rest% | *}
+  cases=${rest##* | }
+  rest=${rest% | *}
+  soak=${rest##* | }
+  expression=${rest% | *}
+  cp "$root/$file" "$copy/$file"
+  perl -0pi -e "$expression" "$copy/$file"
+  if cmp -s "$root/$file" "$copy/$file"; then
+    echo "| $name | NOT PLANTED | the expression matches nothing |"
+    missed=1
+    continue
+  fi
+  cmake --build "$copy/build" --target "$soak" >"$copy/build.log" 2>&1 || {
+    echo "| $name | NOT BUILT | $(grep -m 1 error "$copy/build.log") |"
+    missed=1
+    cp "$root/$file" "$copy/$file"
+    continue
+  }
+  program=$(find "$copy/build/testsuite" -name "$soak" -type f)
+  found=0
+  pids=()
+  share=$(((cases + 7) / 8))
+  for i in 0 1 2 3 4 5 6 7; do
+    "$program" --seed $((1 + i * 1000)) --cases "$share" --steps "$steps" >"$copy/out.$i" 2>&1 &
+    pids+=($!)
+  done
+  for pid in "${pids[@]}"; do wait "$pid" || found=1; done
+  first=$(cat "$copy"/out.? | grep -m 1 -E '^seed|invariant' | sed 's/.*critical //' || true)
+  if [ "$found" -eq 1 ]; then
+    echo "| $name | $soak, $cases cases | ${first:-it stopped} |"
+  else
+    echo "| $name | NOT FOUND | $soak, $cases cases of $steps steps |"
+    missed=1
+  fi
+  cp "$root/$file" "$copy/$file"
+done <"$here/mutations.txt"
+exit $missed
