Route by prediction with ties broken by our own count

Cause: with 8 of 50 endpoints three times slower the tail was 20 % above that of equal endpoints, and at 95 % load worse than by own counts: chance differences between estimates, counts of peers that every gate sees equally late, and slow endpoints that took a dozen samples to be known. Change: estimates near the class's own mean count as equal; ties go to the endpoint with the fewest requests of ours; first samples weigh more.

--- a/src/include/hyssopspar/endpoint_view.h
+++ b/src/include/hyssopspar/endpoint_view.h
@@ -15,6 +15,7 @@
 /// Service time of one class at one endpoint, learned from answers.
 struct ServiceEstimate {
   Duration m_mean{0};
+  std::uint32_t m_samples = 0;
   TimePoint m_updated;
 };
 
--- a/src/include/hyssopspar/gate_core.h
+++ b/src/include/hyssopspar/gate_core.h
@@ -174,6 +174,7 @@
   void ReplyRecorded(RequestId id, const ClaimOutcome& outcome);
   void GiveUp(Entry* entry, NotRunReason reason);
   void RecordOutcome(const Entry& entry, ClaimOutcome outcome);
+  void LearnClass(const Entry& entry, Duration service);
   void Shed(TimePoint now);
   TimePoint LatestStart(const Entry& entry, TimePoint now) const;
   void Dispatch(TimePoint now);
@@ -206,6 +207,8 @@
   /// Claims of ours that are not over; true once forwarded.
   std::map<std::uint64_t, bool> m_tokens;
   std::uint64_t m_claim_counter = 0;
+  /// Mean service time of each service and class over all endpoints.
+  std::map<std::string, Duration> m_class_means;
   double m_retry_budget = 1.0;
   GateOutput m_output;
   GateCounters m_counters;
--- a/src/include/hyssopspar/routing.h
+++ b/src/include/hyssopspar/routing.h
@@ -31,9 +31,16 @@
              const RoutingLimits& limits,
              TimePoint now);
 
-/// Service time to expect at the endpoint: what was learned, drifting back to
-/// the class's expectation as it ages, and no less than requests out there have
-/// been waiting.
+/// Mean service time learned at the endpoint, drifting back to the class's
+/// expectation as it ages.
+Duration LearnedService(const EndpointView& endpoint,
+                        const RouteClass& request_class,
+                        const RoutingLimits& limits,
+                        TimePoint now);
+
+/// Service time to expect at the endpoint: what was learned, unless it lies
+/// near the class's expectation, and no less than what requests that wait out
+/// there suggest.
 Duration ExpectedService(const EndpointView& endpoint,
                          const RouteClass& request_class,
                          const RoutingLimits& limits,
--- a/src/libhyssopspar/gate_core.cpp
+++ b/src/libhyssopspar/gate_core.cpp
@@ -13,6 +13,8 @@
 constexpr const char* kLogPart = "gate";
 /// Longest time between two runs of Pump.
 constexpr milliseconds kMaxWake{20};
+/// Samples over which the mean of a class is taken.
+constexpr int kClassSamples = 200;
 /// Service times of a request's usual length that must be left when it is sent.
 constexpr int kHeadroom = 3;
 constexpr double kMaxRetryBudget = 100.0;
@@ -86,7 +88,11 @@
   const RequestClass* request_class =
       service == nullptr ? nullptr : FindClass(*service, request.m_class);
   if (request_class != nullptr) {
-    entry.m_class.m_expected = request_class->m_expected;
+    entry.m_class.m_expected =
+        m_class_means
+            .emplace(request.m_service + "/" + request.m_class,
+                     request_class->m_expected)
+            .first->second;
   }
   const TenantConfig* tenant = FindTenant(m_config.m_doc, request.m_tenant);
   entry.m_weight = tenant == nullptr ? 1 : tenant->m_weight;
@@ -322,6 +328,10 @@
     if (end == ExchangeEnd::kAnswered) {
       LearnService(&endpoint, entry.m_class, m_settings.m_routing,
                    now - entry.m_sent, entry.m_ahead, now);
+      LearnClass(entry, std::max<Duration>(now - entry.m_sent - endpoint.m_trip,
+                                           milliseconds(1)) *
+                            endpoint.m_slots /
+                            (endpoint.m_slots + entry.m_ahead));
     } else if (end == ExchangeEnd::kRefused) {
       endpoint.m_refused_until = now + m_settings.m_refused_pause;
     } else {
@@ -413,6 +423,12 @@
   return least;
 }
 
+void GateCore::LearnClass(const Entry& entry, Duration service) {
+  Duration& mean =
+      m_class_means[entry.m_request.m_service + "/" + entry.m_request.m_class];
+  mean += (service - mean) / kClassSamples;
+}
+
 TimePoint GateCore::LatestStart(const Entry& entry, TimePoint now) const {
   const GateRequest& request = entry.m_request;
   const Duration expected =
--- a/src/libhyssopspar/routing.cpp
+++ b/src/libhyssopspar/routing.cpp
@@ -15,6 +15,9 @@
 /// evidence of a slower endpoint.
 constexpr double kOverdue = 4.0;
 
+/// Share by which an endpoint's mean may differ from its class's by chance.
+constexpr double kTolerance = 0.35;
+
 double Seconds(Duration d) {
   return std::chrono::duration<double>(d).count();
 }
@@ -61,18 +64,31 @@
          endpoint.m_own + endpoint.m_peers < endpoint.m_slots + limits.m_ahead;
 }
 
+Duration LearnedService(const EndpointView& endpoint,
+                        const RouteClass& request_class,
+                        const RoutingLimits& limits,
+                        TimePoint now) {
+  const std::map<std::string, ServiceEstimate>::const_iterator it =
+      endpoint.m_estimates.find(request_class.m_name);
+  if (it == endpoint.m_estimates.end()) {
+    return request_class.m_expected;
+  }
+  const double age = Seconds(now - it->second.m_updated);
+  const double kept = std::exp2(-age / Seconds(limits.m_memory));
+  return FromSeconds(kept * Seconds(it->second.m_mean) +
+                     (1 - kept) * Seconds(request_class.m_expected));
+}
+
 Duration ExpectedService(const EndpointView& endpoint,
                          const RouteClass& request_class,
                          const RoutingLimits& limits,
                          TimePoint now) {
-  Duration expected = request_class.m_expected;
-  const std::map<std::string, ServiceEstimate>::const_iterator it =
-      endpoint.m_estimates.find(request_class.m_name);
-  if (it != endpoint.m_estimates.end()) {
-    const double age = Seconds(now - it->second.m_updated);
-    const double kept = std::exp2(-age / Seconds(limits.m_memory));
-    expected = FromSeconds(kept * Seconds(it->second.m_mean) +
-                           (1 - kept) * Seconds(request_class.m_expected));
+  Duration expected = LearnedService(endpoint, request_class, limits, now);
+  // Means of a few samples differ by chance; what lies near the class's own
+  // mean counts as equal to it.
+  const double ratio = Seconds(expected) / Seconds(request_class.m_expected);
+  if (ratio > 1 - kTolerance && ratio < 1 + kTolerance) {
+    expected = request_class.m_expected;
   }
   if (!endpoint.m_sent.empty()) {
     const Duration waiting = now - *endpoint.m_sent.begin();
@@ -101,11 +117,14 @@
   const double share =
       1.0 + static_cast<double>(ahead) / static_cast<double>(endpoint->m_slots);
   const double sample = std::max(0.0, Seconds(took - endpoint->m_trip)) / share;
-  const Duration before =
-      ExpectedService(*endpoint, request_class, limits, now);
+  const Duration before = LearnedService(*endpoint, request_class, limits, now);
   ServiceEstimate& estimate = endpoint->m_estimates[request_class.m_name];
-  estimate.m_mean = FromSeconds((1 - kSampleWeight) * Seconds(before) +
-                                kSampleWeight * sample);
+  // The first samples weigh more, so that a slow endpoint is known at once.
+  ++estimate.m_samples;
+  const double weight =
+      std::max(kSampleWeight, 1.0 / (1.0 + estimate.m_samples));
+  estimate.m_mean =
+      FromSeconds((1 - weight) * Seconds(before) + weight * sample);
   estimate.m_updated = now;
 }
 
@@ -124,7 +143,12 @@
     }
     const Duration time =
         PredictCompletion(*endpoints[i], request_class, limits, now);
-    if (time < best_time) {
+    // Counts of other gates are a little old, and every gate has the same ones;
+    // among equals our own count spreads what they would heap up.
+    const bool better =
+        time < best_time || (time == best_time && best &&
+                             endpoints[i]->m_own < endpoints[*best]->m_own);
+    if (better) {
       best_time = time;
       best = i;
     }
