Let one piece of code serve where two stood

Ruled out: joining the two worlds' message queues (their rules for frozen processes differ in what is dropped). Change: EncodeVariant/DecodeVariant, CallOnce, VmPoller.

--- a/src/ctl/job_commands.cpp
+++ b/src/ctl/job_commands.cpp
@@ -21,18 +21,6 @@
   return kExitFailure;
 }
 
-Result<HttpResponse> Call(const std::string& address,
-                          const std::string& method,
-                          const std::string& target,
-                          const std::string& body) {
-  HttpClient client(address);
-  HttpRequest request;
-  request.m_method = method;
-  request.m_target = target;
-  request.m_body = body;
-  return client.Send(request, Clock::now() + kCallTimeout);
-}
-
 /// Calls the schedulers in turn until one answers. Repeating is safe: what the
 /// commands append is idempotent.
 int CallFirst(const std::vector<std::string>& scheds,
@@ -41,7 +29,8 @@
               const std::string& body) {
   std::string last = "no scheduler given";
   for (const std::string& address : scheds) {
-    const Result<HttpResponse> answer = Call(address, method, target, body);
+    const Result<HttpResponse> answer =
+        CallOnce(address, method, target, body, Clock::now() + kCallTimeout);
     if (!answer) {
       last = address + ": " + ToString(answer.error());
       continue;
@@ -64,7 +53,8 @@
                           const std::string& target) {
   std::vector<Json> answers;
   for (const std::string& address : scheds) {
-    const Result<HttpResponse> answer = Call(address, "GET", target, "");
+    const Result<HttpResponse> answer =
+        CallOnce(address, "GET", target, "", Clock::now() + kCallTimeout);
     if (!answer || answer.value().m_status != 200) {
       continue;
     }
--- a/src/gate/gate_process.cpp
+++ b/src/gate/gate_process.cpp
@@ -16,7 +16,6 @@
 constexpr std::size_t kAppendThreads = 4;
 constexpr std::size_t kAppendCapacity = 4096;
 constexpr milliseconds kWakePeriod{5};
-constexpr milliseconds kVmTimeout{2000};
 constexpr milliseconds kClaimRetryPause{100};
 /// How long the end of a claim is tried to be recorded.
 constexpr milliseconds kClaimRecordLimit{60000};
@@ -77,7 +76,10 @@
   FollowStreams();
   m_routing_thread = std::thread([this] { RoutingLoop(); });
   m_wake_thread = std::thread([this] { WakeLoop(); });
-  m_vm_thread = std::thread([this] { VmLoop(); });
+  m_vm_poller = std::make_unique<VmPoller>(
+      std::make_unique<HttpVmDirectory>(m_config.m_vm_list_address),
+      m_config.m_vm_list_period,
+      [this](std::vector<Vm> vms) { m_events.Push(VmsEvent{std::move(vms)}); });
   return Ok();
 }
 
@@ -96,7 +98,7 @@
   m_stop.Set();
   m_events.Push(WakeEvent{});
   m_wake_thread.join();
-  m_vm_thread.join();
+  m_vm_poller.reset();
   m_routing_thread.join();
   m_upstream.Stop();
   m_peers.Stop();
@@ -127,20 +129,6 @@
   }
 }
 
-void GateProcess::VmLoop() {
-  HttpVmDirectory directory(m_config.m_vm_list_address);
-  do {
-    const Result<std::vector<Vm>> vms =
-        directory.Fetch(Clock::now() + kVmTimeout);
-    if (vms) {
-      m_events.Push(VmsEvent{vms.value()});
-    } else {
-      Log(kLogPart)->warn("vm list not read error=\"{}\"",
-                          ToString(vms.error()));
-    }
-  } while (!m_stop.WaitUntil(Clock::now() + m_config.m_vm_list_period));
-}
-
 void GateProcess::RoutingLoop() {
   while (!m_stop.IsSet()) {
     GateEvent event = m_events.Pop();
--- a/src/gate/gate_process.h
+++ b/src/gate/gate_process.h
@@ -22,6 +22,7 @@
 #include "hyssopspar/stream_reader.h"
 #include "hyssopspar/task_pool.h"
 #include "hyssopspar/upstream_pool.h"
+#include "hyssopspar/vm_poller.h"
 
 namespace hyssopspar::gate {
 
@@ -51,7 +52,6 @@
   void OnHttp(HttpRequest request, HttpReply reply);
   void RoutingLoop();
   void WakeLoop();
-  void VmLoop();
   void ReportLoop();
   void Handle(const WakeEvent& event, TimePoint now);
   void Handle(RequestEvent event, TimePoint now);
@@ -86,7 +86,7 @@
   std::atomic<bool> m_leaving{false};
   std::thread m_routing_thread;
   std::thread m_wake_thread;
-  std::thread m_vm_thread;
+  std::unique_ptr<VmPoller> m_vm_poller;
   HttpServer m_server;
 };
 
--- a/src/include/hyssopspar/http_client.h
+++ b/src/include/hyssopspar/http_client.h
@@ -34,4 +34,12 @@
   std::unique_ptr<Impl> m_impl;
 };
 
+/// One request over a connection of its own. Errors are those of
+/// HttpClient::Send.
+Result<HttpResponse> CallOnce(const std::string& address,
+                              const std::string& method,
+                              const std::string& target,
+                              const std::string& body,
+                              TimePoint deadline);
+
 }  // namespace hyssopspar
--- /dev/null
+++ b/src/include/hyssopspar/vm_poller.h
@@ -0,0 +1,38 @@
+/// \file
+/// A thread that reads the VM list again and again.
+
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "hyssopspar/stop_flag.h"
+#include "hyssopspar/vm_directory.h"
+
+namespace hyssopspar {
+
+/// Hands every list that could be read to \p sink, on its own thread.
+class VmPoller {
+ public:
+  using Sink = std::function<void(std::vector<Vm>)>;
+
+  VmPoller(std::unique_ptr<VmDirectory> directory,
+           milliseconds period,
+           Sink sink);
+  ~VmPoller();
+  VmPoller(const VmPoller&) = delete;
+  VmPoller& operator=(const VmPoller&) = delete;
+
+ private:
+  void Run();
+
+  std::unique_ptr<VmDirectory> m_directory;
+  milliseconds m_period;
+  Sink m_sink;
+  StopFlag m_stop;
+  std::thread m_thread;
+};
+
+}  // namespace hyssopspar
--- a/src/libhyssopspar/claim_state.cpp
+++ b/src/libhyssopspar/claim_state.cpp
@@ -72,33 +72,11 @@
 }
 
 std::string EncodeClaim(const ClaimRecord& record) {
-  pvt::Json fields =
-      std::visit([](const auto& r) { return pvt::Writer::ToJson(r); }, record);
-  return pvt::ToCbor(pvt::Json::array({record.index(), std::move(fields)}));
+  return pvt::EncodeVariant(record);
 }
 
 Result<ClaimRecord> DecodeClaim(const std::string& bytes) {
-  const Result<pvt::Json> parsed = pvt::FromCbor(bytes);
-  if (!parsed) {
-    return parsed.error();
-  }
-  const pvt::Json& json = parsed.value();
-  const bool shaped =
-      json.is_array() && json.size() == 2 && json[0].is_number_unsigned();
-  const std::uint64_t type = shaped ? json[0].get<std::uint64_t>() : 99;
-  ClaimRecord record;
-  bool good = false;
-  if (type == 0) {
-    good = pvt::Reader::FromJson(json[1], record.emplace<ClaimTake>());
-  } else if (type == 1) {
-    good = pvt::Reader::FromJson(json[1], record.emplace<ClaimRelease>());
-  } else if (type == 2) {
-    good = pvt::Reader::FromJson(json[1], record.emplace<ClaimOutcome>());
-  }
-  if (!good) {
-    return Fail(ErrorCode::kMalformed, "not a claim record");
-  }
-  return record;
+  return pvt::DecodeVariant<ClaimRecord>(bytes, "claim record");
 }
 
 }  // namespace hyssopspar
--- a/src/libhyssopspar/config_state.cpp
+++ b/src/libhyssopspar/config_state.cpp
@@ -89,33 +89,11 @@
 }
 
 std::string EncodeConfig(const ConfigRecord& record) {
-  pvt::Json fields =
-      std::visit([](const auto& r) { return pvt::Writer::ToJson(r); }, record);
-  return pvt::ToCbor(pvt::Json::array({record.index(), std::move(fields)}));
+  return pvt::EncodeVariant(record);
 }
 
 Result<ConfigRecord> DecodeConfig(const std::string& bytes) {
-  const Result<pvt::Json> parsed = pvt::FromCbor(bytes);
-  if (!parsed) {
-    return parsed.error();
-  }
-  const pvt::Json& json = parsed.value();
-  const bool shaped =
-      json.is_array() && json.size() == 2 && json[0].is_number_unsigned();
-  ConfigRecord record;
-  bool good = false;
-  const std::uint64_t type = shaped ? json[0].get<std::uint64_t>() : 99;
-  if (type == 0) {
-    good = pvt::Reader::FromJson(json[1], record.emplace<ConfigPublish>());
-  } else if (type == 1) {
-    good = pvt::Reader::FromJson(json[1], record.emplace<ConfigDrain>());
-  } else if (type == 2) {
-    good = pvt::Reader::FromJson(json[1], record.emplace<ConfigSnapshot>());
-  }
-  if (!good) {
-    return Fail(ErrorCode::kMalformed, "not a configuration record");
-  }
-  return record;
+  return pvt::DecodeVariant<ConfigRecord>(bytes, "configuration record");
 }
 
 bool IsOut(const ConfigState& state,
--- a/src/libhyssopspar/decision_codec.cpp
+++ b/src/libhyssopspar/decision_codec.cpp
@@ -10,40 +10,12 @@
 
 constexpr std::uint64_t kFormat = 1;
 
-template <std::size_t I = 0>
-bool DecodeAlternative(std::size_t type,
-                       const pvt::Json& fields,
-                       Decision* decision) {
-  if constexpr (I == std::variant_size_v<Decision>) {
-    return false;
-  } else {
-    if (type != I) {
-      return DecodeAlternative<I + 1>(type, fields, decision);
-    }
-    return pvt::Reader::FromJson(fields, decision->emplace<I>());
-  }
-}
-
-pvt::Json EncodeDecision(const Decision& decision) {
-  pvt::Json fields = std::visit(
-      [](const auto& alternative) { return pvt::Writer::ToJson(alternative); },
-      decision);
-  return pvt::Json::array({decision.index(), std::move(fields)});
-}
-
-bool DecodeDecision(const pvt::Json& json, Decision* decision) {
-  const bool shaped =
-      json.is_array() && json.size() == 2 && json[0].is_number_unsigned();
-  return shaped &&
-         DecodeAlternative(json[0].get<std::size_t>(), json[1], decision);
-}
-
 }  // namespace
 
 std::string EncodeBatch(const Batch& batch) {
   pvt::Json::array_t decisions;
   for (const Decision& decision : batch.m_decisions) {
-    decisions.push_back(EncodeDecision(decision));
+    decisions.push_back(pvt::VariantToJson(decision));
   }
   return pvt::ToCbor(
       pvt::Json::array({kFormat, batch.m_writer, batch.m_sequence,
@@ -70,7 +42,7 @@
   batch.m_epoch = json[3].get<Epoch>();
   for (const pvt::Json& item : json[4]) {
     batch.m_decisions.emplace_back();
-    if (!DecodeDecision(item, &batch.m_decisions.back())) {
+    if (!pvt::VariantFromJson(item, &batch.m_decisions.back())) {
       return Fail(ErrorCode::kMalformed, "not a decision");
     }
   }
--- a/src/libhyssopspar/http_client.cpp
+++ b/src/libhyssopspar/http_client.cpp
@@ -42,4 +42,17 @@
   return answer;
 }
 
+Result<HttpResponse> CallOnce(const std::string& address,
+                              const std::string& method,
+                              const std::string& target,
+                              const std::string& body,
+                              TimePoint deadline) {
+  HttpClient client(address);
+  HttpRequest request;
+  request.m_method = method;
+  request.m_target = target;
+  request.m_body = body;
+  return client.Send(request, deadline);
+}
+
 }  // namespace hyssopspar
--- a/src/libhyssopspar/pvt/archive.h
+++ b/src/libhyssopspar/pvt/archive.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <type_traits>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "hyssopspar/error.h"
@@ -245,4 +246,56 @@
   return value;
 }
 
+/// `[alternative, fields]` of a variant.
+template <class Variant>
+Json VariantToJson(const Variant& variant) {
+  Json fields = std::visit(
+      [](const auto& alternative) { return Writer::ToJson(alternative); },
+      variant);
+  return Json::array({variant.index(), std::move(fields)});
+}
+
+template <class Variant, std::size_t I = 0>
+bool AlternativeFromJson(std::size_t index,
+                         const Json& fields,
+                         Variant* variant) {
+  if constexpr (I == std::variant_size_v<Variant>) {
+    return false;
+  } else {
+    if (index != I) {
+      return AlternativeFromJson<Variant, I + 1>(index, fields, variant);
+    }
+    return Reader::FromJson(fields, variant->template emplace<I>());
+  }
+}
+
+/// Reads what VariantToJson made; false when \p json is anything else.
+template <class Variant>
+bool VariantFromJson(const Json& json, Variant* variant) {
+  const bool shaped =
+      json.is_array() && json.size() == 2 && json[0].is_number_unsigned();
+  return shaped &&
+         AlternativeFromJson(json[0].get<std::size_t>(), json[1], variant);
+}
+
+/// CBOR bytes of a variant of structures.
+template <class Variant>
+std::string EncodeVariant(const Variant& variant) {
+  return ToCbor(VariantToJson(variant));
+}
+
+/// Variant out of CBOR bytes; \p what names it in the error.
+template <class Variant>
+Result<Variant> DecodeVariant(const std::string& bytes, const char* what) {
+  const Result<Json> json = FromCbor(bytes);
+  if (!json) {
+    return json.error();
+  }
+  Variant variant;
+  if (!VariantFromJson(json.value(), &variant)) {
+    return Fail(ErrorCode::kMalformed, std::string("not a ") + what);
+  }
+  return variant;
+}
+
 }  // namespace hyssopspar::pvt
--- a/src/load/batch_runner.cpp
+++ b/src/load/batch_runner.cpp
@@ -17,18 +17,6 @@
 constexpr milliseconds kPollPeriod{250};
 constexpr int kSubmitTries = 5;
 
-Result<HttpResponse> Call(const std::string& address,
-                          const std::string& method,
-                          const std::string& target,
-                          const std::string& body) {
-  HttpClient client(address);
-  HttpRequest request;
-  request.m_method = method;
-  request.m_target = target;
-  request.m_body = body;
-  return client.Send(request, Clock::now() + kCallTimeout);
-}
-
 /// Submits, going on to the next scheduler when one fails; the key makes the
 /// repeats harmless.
 void Submit(const LoadConfig& config, std::size_t first, JobRecord* record) {
@@ -38,7 +26,8 @@
     const std::string& address =
         config.m_scheds[(first + static_cast<std::size_t>(i)) %
                         config.m_scheds.size()];
-    const Result<HttpResponse> answer = Call(address, "POST", "/v1/jobs", body);
+    const Result<HttpResponse> answer = CallOnce(
+        address, "POST", "/v1/jobs", body, Clock::now() + kCallTimeout);
     if (answer && answer.value().m_status == 202) {
       const Json json = Json::parse(answer.value().m_body, nullptr, false);
       record->m_id = json.value("id", std::string());
@@ -57,7 +46,8 @@
   std::map<std::uint64_t, Newest> tasks;
   for (const std::string& address : config.m_scheds) {
     const Result<HttpResponse> answer =
-        Call(address, "GET", "/v1/jobs/" + record->m_id, "");
+        CallOnce(address, "GET", "/v1/jobs/" + record->m_id, "",
+                 Clock::now() + kCallTimeout);
     if (!answer || answer.value().m_status != 200) {
       continue;
     }
--- a/src/sched/sched_process.cpp
+++ b/src/sched/sched_process.cpp
@@ -15,7 +15,6 @@
 constexpr std::size_t kWorkerThreads = 8;
 constexpr int kServerThreads = 2;
 constexpr milliseconds kTickPeriod{5};
-constexpr milliseconds kVmTimeout{2000};
 /// How long a submitter's record is tried before it is told "unknown".
 constexpr milliseconds kApiAppendLimit{5000};
 constexpr milliseconds kApiRetryPause{100};
@@ -54,7 +53,10 @@
   }
   m_decision_thread = std::thread([this] { DecisionLoop(); });
   m_tick_thread = std::thread([this] { TickLoop(); });
-  m_vm_thread = std::thread([this] { VmLoop(); });
+  m_vm_poller = std::make_unique<VmPoller>(
+      std::make_unique<HttpVmDirectory>(m_config.m_vm_list_address),
+      m_config.m_vm_list_period,
+      [this](std::vector<Vm> vms) { m_events.Push(VmsEvent{std::move(vms)}); });
   return Ok();
 }
 
@@ -68,7 +70,7 @@
   m_stop.Set();
   m_events.Push(TickEvent{});
   m_tick_thread.join();
-  m_vm_thread.join();
+  m_vm_poller.reset();
   m_decision_thread.join();
   m_append_pool.Stop();
   m_worker_pool.Stop();
@@ -95,20 +97,6 @@
   }
 }
 
-void SchedProcess::VmLoop() {
-  HttpVmDirectory directory(m_config.m_vm_list_address);
-  do {
-    const Result<std::vector<Vm>> vms =
-        directory.Fetch(Clock::now() + kVmTimeout);
-    if (vms) {
-      m_events.Push(VmsEvent{vms.value()});
-    } else {
-      Log(kLogPart)->warn("vm list not read error=\"{}\"",
-                          ToString(vms.error()));
-    }
-  } while (!m_stop.WaitUntil(Clock::now() + m_config.m_vm_list_period));
-}
-
 void SchedProcess::DecisionLoop() {
   while (!m_stop.IsSet()) {
     SchedEvent event = m_events.Pop();
--- a/src/sched/sched_process.h
+++ b/src/sched/sched_process.h
@@ -18,6 +18,7 @@
 #include "hyssopspar/stop_flag.h"
 #include "hyssopspar/stream_reader.h"
 #include "hyssopspar/task_pool.h"
+#include "hyssopspar/vm_poller.h"
 #include "sched/sched_api.h"
 #include "sched/sched_config.h"
 #include "sched/sched_event.h"
@@ -40,7 +41,6 @@
   void OnHttp(HttpRequest request, HttpReply reply);
   void DecisionLoop();
   void TickLoop();
-  void VmLoop();
   void Handle(const StreamRead& event);
   void Handle(const AppendEvent& event);
   void Handle(const ReportEvent& event);
@@ -72,7 +72,7 @@
   StopFlag m_stop;
   std::thread m_decision_thread;
   std::thread m_tick_thread;
-  std::thread m_vm_thread;
+  std::unique_ptr<VmPoller> m_vm_poller;
   HttpServer m_server;
 };
 
