Prove an outage of eleven minutes and a burst of cancellations

Change: two directed tests of the sched world; the outage limit is a setting of the world; drift_rate and vm_list_lag_ms can be set.

--- a/src/sched/sched_config.cpp
+++ b/src/sched/sched_config.cpp
@@ -20,6 +20,7 @@
                                        milliseconds(50), kMinute);
   s->m_drift_margin = reader->Millis("drift_margin_ms", s->m_drift_margin,
                                      milliseconds(1), kMinute);
+  s->m_drift_rate = reader->Number("drift_rate", s->m_drift_rate, 0.0, 0.1);
   s->m_outage_limit = reader->Millis("outage_limit_ms", s->m_outage_limit,
                                      milliseconds(0), 24 * kHour);
   if (2 * s->m_cell_renew > s->m_cell_lease) {
@@ -58,6 +59,8 @@
                                       milliseconds(500), kHour);
   s.m_batch_min = reader->Millis("batch_min_ms", s.m_batch_min, milliseconds(1),
                                  milliseconds(10000));
+  s.m_vm_list_lag = reader->Millis("vm_list_lag_ms", s.m_vm_list_lag,
+                                   milliseconds(100), kHour);
   s.m_spill_after =
       reader->Millis("spill_after_ms", s.m_spill_after, milliseconds(0), kHour);
   s.m_quarantine = reader->Millis("quarantine_ms", s.m_quarantine,
--- a/testsuite/sched_state/sched_state_test.cpp
+++ b/testsuite/sched_state/sched_state_test.cpp
@@ -71,6 +71,39 @@
   EXPECT_EQ(world.Starts(), 4U);
 }
 
+TEST_F(Quiet, TasksRunThroughAnOutageOfElevenMinutes) {
+  WorldSettings settings;
+  settings.m_outage_limit = std::chrono::minutes(15);
+  SchedWorld world(settings);
+  world.Advance(std::chrono::seconds(3));
+  // One that ends during the outage, and one that outlasts it.
+  world.Submit(3, 1000, std::chrono::minutes(3));
+  world.Submit(3, 1000, std::chrono::minutes(30));
+  world.Advance(std::chrono::seconds(3));
+  const std::uint64_t before = world.Starts();
+  world.SetLogDown(true);
+  world.Advance(std::chrono::minutes(11));
+  EXPECT_EQ(world.Starts(), before);
+  world.SetLogDown(false);
+  world.Advance(std::chrono::minutes(90));
+  EXPECT_EQ(world.CheckEnded(), std::vector<std::string>());
+  EXPECT_EQ(world.Starts(), 6U);
+}
+
+TEST_F(Quiet, ABurstOfCancellationsHasOneWinnerForEachTask) {
+  SchedWorld world(WorldSettings{});
+  world.Advance(std::chrono::seconds(3));
+  for (int i = 0; i < 40; ++i) {
+    world.Submit(2, 800, milliseconds(300 + 100 * i));
+  }
+  world.Advance(std::chrono::seconds(2));
+  for (int i = 0; i < 20; ++i) {
+    world.CancelOldest();
+  }
+  world.Advance(std::chrono::seconds(90));
+  EXPECT_EQ(world.CheckEnded(), std::vector<std::string>());
+}
+
 TEST_F(Quiet, WorkLeavesADomainThatIsTakenOut) {
   SchedWorld world(WorldSettings{});
   world.Advance(std::chrono::seconds(3));
--- a/testsuite/sched_state/sched_world.cpp
+++ b/testsuite/sched_state/sched_world.cpp
@@ -84,7 +84,7 @@
   SchedSettings settings;
   settings.m_name = process.m_name;
   settings.m_failure_domain = process.m_failure_domain;
-  settings.m_outage_limit = std::chrono::seconds(20);
+  settings.m_outage_limit = m_settings.m_outage_limit;
   settings.m_snapshot_records = m_settings.m_retention / 4;
   settings.m_quarantine = std::chrono::seconds(5);
   settings.m_retry_max = std::chrono::seconds(4);
--- a/testsuite/sched_state/sched_world.h
+++ b/testsuite/sched_state/sched_world.h
@@ -25,6 +25,7 @@
   int m_domains = 2;
   int m_workers = 3;  ///< In each failure domain.
   std::size_t m_retention = 400;
+  milliseconds m_outage_limit{20000};
   bool m_trace = false;  ///< Prints the log's verdicts and the faults.
 };
 
