--- a/testsuite/mutations/run.sh
+++ b/testsuite/mutations/run.sh
@@ -38,16 +38,22 @@
     cp "$root/$file" "$copy/$file"
     continue
   }
-  program=$(find "$copy/build/testsuite" -name "$soak" -type f)
+  program=$(find "$copy/build" -name "$soak" -type f)
   found=0
+  rm -f "$copy"/out.?
   pids=()
   share=$(((cases + 7) / 8))
   for i in 0 1 2 3 4 5 6 7; do
-    "$program" --seed $((1 + i * 1000)) --cases "$share" --steps "$steps" >"$copy/out.$i" 2>&1 &
+    if [[ $soak == *_test ]]; then
+      [ "$i" -eq 0 ] || break
+      "$program" >"$copy/out.$i" 2>&1 &
+    else
+      "$program" --seed $((1 + i * 1000)) --cases "$share" --steps "$steps" >"$copy/out.$i" 2>&1 &
+    fi
     pids+=($!)
   done
   for pid in "${pids[@]}"; do wait "$pid" || found=1; done
-  first=$(cat "$copy"/out.? | grep -m 1 -E '^seed|invariant' | sed 's/.*critical //' || true)
+  first=$(cat "$copy"/out.? | grep -m 1 -E '^seed|invariant|FAILED' | sed 's/.*critical //' || true)
   if [ "$found" -eq 1 ]; then
     echo "| $name | $soak, $cases cases | ${first:-it stopped} |"
   else
