--- a/src/bench/capacity.cpp
+++ b/src/bench/capacity.cpp
@@ -222,7 +222,10 @@
     spec.m_id = SampleCell::kJob;
     spec.m_tasks = static_cast<std::uint32_t>(decisions / 2);
     Apply(&base, 2, Batch{0, 0, 0, {JobAdmit{spec}}});
-    const double copy = MicrosOf(200, [&base] { CellState state = base; });
+    const double copy = MicrosOf(200, [&base] {
+      CellState state = base;
+      state.m_started = true;
+    });
     const double both = MicrosOf(200, [&base, &payload] {
       CellState state = base;
       Batch batch = DecodeBatch(payload).value();
@@ -369,7 +372,7 @@
   for (const int keys : {2000, 4000, 8000}) {
     const double before = HeapBytes();
     ClaimState state;
-    for (int i = 0; i < keys; ++i) {
+    for (Offset i = 0; i < static_cast<Offset>(keys); ++i) {
       const std::string key = "tenant/key-" + std::to_string(1000000 + i);
       ApplyClaim(&state, 2 * i, ClaimTake{key, 1});
       ClaimOutcome outcome;
--- a/src/standin/platform_service.cpp
+++ b/src/standin/platform_service.cpp
@@ -1,5 +1,6 @@
 #include "standin/platform_service.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -154,10 +155,6 @@
 HttpResponse PlatformService::HandleWorker(const std::string& path,
                                            const HttpRequest& request) {
   const std::string name = Segment(path, "/v1/workers/");
-  const Result<WorkerSync> sync = DecodeSync(request.m_body);
-  if (!sync) {
-    return ErrorResponse(400, "malformed", sync.error().m_detail);
-  }
   std::lock_guard<std::mutex> lock(m_mutex);
   const std::map<std::string, WorkerModel>::iterator it = m_workers.find(name);
   if (it == m_workers.end()) {
@@ -166,13 +163,58 @@
   if (m_silent[name]) {
     return ErrorResponse(504, "timeout", "worker silent");
   }
+  if (path == "/v1/workers/" + name + "/usage") {
+    return ReportUsage(name);
+  }
+  return SyncOne(&it->second, request);
+}
+
+HttpResponse PlatformService::SyncOne(WorkerModel* worker,
+                                      const HttpRequest& request) {
+  const Result<WorkerSync> sync = DecodeSync(request.m_body);
+  if (!sync) {
+    return ErrorResponse(400, "malformed", sync.error().m_detail);
+  }
   const TrueWork true_work =
       m_settings.m_spread_work ? SpreadWork : DeclaredWork;
-  const WorkerReport report =
-      SyncWorker(&it->second, sync.value(), true_work, Clock::now());
+  const TimePoint now = Clock::now();
+  const WorkerReport report = SyncWorker(worker, sync.value(), true_work, now);
+  SampleUsage(*worker, now);
   return JsonResponse(200, EncodeReport(report));
 }
 
+void PlatformService::SampleUsage(const WorkerModel& worker, TimePoint now) {
+  std::deque<UsageSample>& samples = m_usage[worker.m_name];
+  const std::size_t running = static_cast<std::size_t>(
+      std::count_if(worker.m_tasks.begin(), worker.m_tasks.end(),
+                    [](const std::pair<const AttemptId, ModelTask>& task) {
+                      return task.second.m_phase == TaskPhase::kRunning;
+                    }));
+  samples.push_back(UsageSample{now, UsedBy(worker), running});
+  while (samples.size() > 1 &&
+         samples[1].m_at <= now - m_settings.m_usage_lag) {
+    samples.pop_front();
+  }
+}
+
+HttpResponse PlatformService::ReportUsage(const std::string& worker) {
+  const TimePoint now = Clock::now();
+  UsageSample shown;
+  shown.m_at = now;
+  for (const UsageSample& sample : m_usage[worker]) {
+    if (sample.m_at <= now - m_settings.m_usage_lag) {
+      shown = sample;
+    }
+  }
+  return JsonResponse(
+      200, nlohmann::json{{"age_ms", ToMillis(now - shown.m_at)},
+                          {"cpu_milli", shown.m_used.m_cpu_milli},
+                          {"memory_mib", shown.m_used.m_memory_mib},
+                          {"accelerators", shown.m_used.m_accelerators},
+                          {"tasks", shown.m_tasks}}
+               .dump());
+}
+
 HttpResponse PlatformService::ListVms() {
   const TimePoint shown = Clock::now() - m_settings.m_vm_list_lag;
   std::lock_guard<std::mutex> lock(m_mutex);
--- a/src/standin/platform_service.h
+++ b/src/standin/platform_service.h
@@ -35,12 +35,22 @@
     std::vector<Vm> m_vms;
   };
 
+  /// What a worker used at some time.
+  struct UsageSample {
+    TimePoint m_at;
+    Resources m_used;
+    std::size_t m_tasks = 0;
+  };
+
   void Handle(HttpRequest request, HttpReply reply);
   void HandleStream(const std::string& path,
                     HttpRequest request,
                     HttpReply reply);
   HttpResponse HandleWorker(const std::string& path,
                             const HttpRequest& request);
+  HttpResponse SyncOne(WorkerModel* worker, const HttpRequest& request);
+  HttpResponse ReportUsage(const std::string& worker);
+  void SampleUsage(const WorkerModel& worker, TimePoint now);
   HttpResponse HandleFaults(const HttpRequest& request);
   HttpResponse ListVms();
   HttpResponse Check();
@@ -54,6 +64,7 @@
   LogService m_log;
   std::mutex m_mutex;
   std::map<std::string, WorkerModel> m_workers;
+  std::map<std::string, std::deque<UsageSample>> m_usage;
   std::map<std::string, bool> m_silent;  ///< Workers that don't answer.
   std::vector<std::unique_ptr<EndpointServer>> m_endpoints;
   std::deque<ListVersion> m_lists;
--- a/src/standin/standin_settings.cpp
+++ b/src/standin/standin_settings.cpp
@@ -16,6 +16,8 @@
                                     milliseconds(0), milliseconds(10000));
   s.m_vm_list_lag = reader->Millis("vm_list_lag_ms", milliseconds(1000),
                                    milliseconds(0), milliseconds(60000));
+  s.m_usage_lag = reader->Millis("usage_lag_ms", milliseconds(5000),
+                                 milliseconds(0), milliseconds(600000));
   s.m_seed = reader->Int("seed", 1, 0, 1LL << 40);
   s.m_spread_work = reader->Bool("spread_work", true);
   SettingsReader worker = reader->Table("worker");
--- a/src/standin/standin_settings.h
+++ b/src/standin/standin_settings.h
@@ -36,6 +36,7 @@
   std::int64_t m_retention = 100000;
   milliseconds m_append_delay{2};
   milliseconds m_vm_list_lag{1000};
+  milliseconds m_usage_lag{5000};
   std::int64_t m_seed = 1;
   bool m_spread_work = true;
   std::vector<DomainSettings> m_domains;
--- a/src/standin/worker_model.cpp
+++ b/src/standin/worker_model.cpp
@@ -49,16 +49,6 @@
                    kWholeProgress);
 }
 
-Resources Used(const WorkerModel& worker) {
-  Resources used;
-  for (const std::pair<const AttemptId, ModelTask>& entry : worker.m_tasks) {
-    if (entry.second.m_phase == TaskPhase::kRunning) {
-      used += entry.second.m_size;
-    }
-  }
-  return used;
-}
-
 void Start(WorkerModel* worker,
            const StartCommand& start,
            TrueWork true_work,
@@ -66,7 +56,7 @@
   if (worker->m_tasks.count(start.m_id) > 0) {
     return;
   }
-  if (!Fits(Used(*worker) + start.m_size, worker->m_capacity)) {
+  if (!Fits(UsedBy(*worker) + start.m_size, worker->m_capacity)) {
     worker->m_violations.push_back("overcommitted " + worker->m_name + " by " +
                                    TaskName(start.m_id.m_task));
   }
@@ -126,6 +116,16 @@
 
 }  // namespace
 
+Resources UsedBy(const WorkerModel& worker) {
+  Resources used;
+  for (const std::pair<const AttemptId, ModelTask>& entry : worker.m_tasks) {
+    if (entry.second.m_phase == TaskPhase::kRunning) {
+      used += entry.second.m_size;
+    }
+  }
+  return used;
+}
+
 milliseconds DeclaredWork(const StartCommand& start) {
   return start.m_work;
 }
--- a/src/standin/worker_model.h
+++ b/src/standin/worker_model.h
@@ -51,6 +51,9 @@
 /// The worker's clock at our time \p now.
 WorkerTime ModelTime(const WorkerModel& worker, TimePoint now);
 
+/// What the running tasks hold.
+Resources UsedBy(const WorkerModel& worker);
+
 /// Runs tasks up to \p now, stopping those whose lease lapses.
 void AdvanceWorker(WorkerModel* worker, TimePoint now);
 
--- a/testsuite/processes/whole_path.sh
+++ b/testsuite/processes/whole_path.sh
@@ -9,6 +9,7 @@
 site_ctl config | grep -q "montevideo out of service"
 site_ctl restore montevideo
 finish_load
+curl -fsS "http://$site_platform/v1/workers/w-canelones-0/usage" | grep -q '"age_ms"'
 need_all_batch 40
 need_none_wrong
 site_check
