--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -1,6 +1,7 @@
 #include "load/report.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <filesystem>
 #include <map>
@@ -53,6 +54,24 @@
   return text;
 }
 
+/// Upper bounds of the printed histogram, in milliseconds.
+constexpr std::array<int, 11> kBounds = {1,   2,   5,   10,   20,   50,
+                                         100, 200, 500, 1000, 10000};
+
+/// One line of the histogram: how many answers took at most each bound, and
+/// longer than the one before.
+std::string RenderHistogram(const TrafficFigures& figures) {
+  std::string line = figures.m_tenant + " " + figures.m_class + ":";
+  std::vector<Duration>::const_iterator from = figures.m_sorted.begin();
+  for (const int bound : kBounds) {
+    const std::vector<Duration>::const_iterator to = std::upper_bound(
+        from, figures.m_sorted.end(), Duration(milliseconds(bound)));
+    line += " " + std::to_string(bound) + "ms=" + std::to_string(to - from);
+    from = to;
+  }
+  return line + "\n";
+}
+
 std::string History(const std::vector<CallRecord>& calls) {
   std::string text;
   for (const CallRecord& call : calls) {
@@ -133,6 +152,9 @@
         "%-14s %-14s %6zu %8zu %7zu %7zu %8zu %5zu %5zu %8.2f %8.2f %8.2f\n",
         figures);
   }
+  for (const TrafficFigures& figures : traffic) {
+    out << "histogram " << RenderHistogram(figures);
+  }
   std::map<std::string, std::size_t> by_gate;
   for (const CallRecord& call : calls) {
     by_gate[call.m_gate] += call.m_outcome == "answered" ? 1 : 0;
