Drop parameters and fields that nothing uses

Cause: reading the change as a newcomer: four functions took a time or settings that they ignored, and a worker's view kept a flag that nobody read. Ruled out: nothing. Change: those are gone.

--- a/src/include/hyssopspar/cell_owner.h
+++ b/src/include/hyssopspar/cell_owner.h
@@ -126,7 +126,7 @@
                   TimePoint now);
 
 /// Takes note that reading the stream failed.
-void NoteCellReadFailed(CellOwner* owner, TimePoint now);
+void NoteCellReadFailed(CellOwner* owner);
 
 /// Takes the answer of the last append.
 void NoteCellAppend(CellOwner* owner,
@@ -141,11 +141,7 @@
                       TimePoint now);
 
 /// Takes the answer of a transfer's append.
-void NoteTransfer(CellOwner* owner,
-                  const TransferOrder& order,
-                  const SchedSettings& settings,
-                  bool succeeded,
-                  TimePoint now);
+void NoteTransfer(CellOwner* owner, const TransferOrder& order, bool succeeded);
 
 /// Decides what to do at \p now.
 CellOutput TickCell(CellOwner* owner,
--- a/src/include/hyssopspar/scheduler.h
+++ b/src/include/hyssopspar/scheduler.h
@@ -65,8 +65,7 @@
 
   void OnTransfer(const std::string& cell,
                   const TransferOrder& order,
-                  bool succeeded,
-                  TimePoint now);
+                  bool succeeded);
 
   void OnVms(const std::vector<Vm>& vms);
 
@@ -100,7 +99,7 @@
                 const Result<LogSlice>& slice,
                 TimePoint sent,
                 TimePoint now);
-  void FollowCells(TimePoint now);
+  void FollowCells();
   void Beat(TimePoint now, SchedulerOutput* output);
   void SnapshotConfig(TimePoint now, SchedulerOutput* output);
 
--- a/src/include/hyssopspar/worker_view.h
+++ b/src/include/hyssopspar/worker_view.h
@@ -42,7 +42,6 @@
 
   std::uint32_t m_failures = 0;  ///< Failed attempts in a row.
   std::set<JobId> m_failed_jobs;
-  bool m_succeeded = false;
   TimePoint m_quarantined_until;
 };
 
--- a/src/libhyssopspar/cell_claim.cpp
+++ b/src/libhyssopspar/cell_claim.cpp
@@ -157,7 +157,7 @@
       owner->m_replay.Next() >= slice.m_end && owner->m_replay.IsReady();
 }
 
-void NoteCellReadFailed(CellOwner* owner, TimePoint /*now*/) {
+void NoteCellReadFailed(CellOwner* owner) {
   owner->m_reading = false;
 }
 
--- a/src/libhyssopspar/cell_plan.cpp
+++ b/src/libhyssopspar/cell_plan.cpp
@@ -112,7 +112,6 @@
 void JudgeSuccess(WorkerView* view) {
   view->m_failures = 0;
   view->m_failed_jobs.clear();
-  view->m_succeeded = true;
 }
 
 Duration RetryDelay(const SchedSettings& settings, std::uint32_t failures) {
--- a/src/libhyssopspar/cell_tick.cpp
+++ b/src/libhyssopspar/cell_tick.cpp
@@ -208,9 +208,7 @@
 
 void NoteTransfer(CellOwner* owner,
                   const TransferOrder& order,
-                  const SchedSettings& /*settings*/,
-                  bool succeeded,
-                  TimePoint /*now*/) {
+                  bool succeeded) {
   if (succeeded && owner->m_owned) {
     owner->m_delivered.push_back(order);
   }
--- a/src/libhyssopspar/scheduler.cpp
+++ b/src/libhyssopspar/scheduler.cpp
@@ -94,7 +94,7 @@
     return;
   }
   if (!slice) {
-    NoteCellReadFailed(&it->second, now);
+    NoteCellReadFailed(&it->second);
     return;
   }
   NoteCellRead(&it->second, Context(), slice.value(), sent, now);
@@ -122,11 +122,10 @@
 
 void Scheduler::OnTransfer(const std::string& cell,
                            const TransferOrder& order,
-                           bool succeeded,
-                           TimePoint now) {
+                           bool succeeded) {
   const std::map<std::string, CellOwner>::iterator it = m_cells.find(cell);
   if (it != m_cells.end()) {
-    NoteTransfer(&it->second, order, m_settings, succeeded, now);
+    NoteTransfer(&it->second, order, succeeded);
   }
 }
 
@@ -156,7 +155,7 @@
   return streams;
 }
 
-void Scheduler::FollowCells(TimePoint /*now*/) {
+void Scheduler::FollowCells() {
   if (!m_config.IsReady() || !m_members_ready) {
     return;
   }
@@ -219,7 +218,7 @@
   SchedulerOutput output;
   Beat(now, &output);
   SnapshotConfig(now, &output);
-  FollowCells(now);
+  FollowCells();
   const CellContext context = Context();
   for (std::pair<const std::string, CellOwner>& entry : m_cells) {
     CellOutput cell = TickCell(&entry.second, context, now);
--- a/src/sched/sched_process.cpp
+++ b/src/sched/sched_process.cpp
@@ -119,8 +119,7 @@
 }
 
 void SchedProcess::Handle(const TransferEvent& event) {
-  m_scheduler.OnTransfer(event.m_cell, event.m_order, event.m_succeeded,
-                         Clock::now());
+  m_scheduler.OnTransfer(event.m_cell, event.m_order, event.m_succeeded);
 }
 
 void SchedProcess::Handle(const VmsEvent& event) {
--- a/testsuite/sched_state/sched_world.cpp
+++ b/testsuite/sched_state/sched_world.cpp
@@ -303,9 +303,9 @@
   for (const SchedulerOutput::Transfer& transfer : output.m_transfers) {
     Append(index, CellStream(transfer.m_order.m_target),
            transfer.m_order.m_payload,
-           [transfer](Scheduler* scheduler, bool succeeded, TimePoint at) {
-             scheduler->OnTransfer(transfer.m_cell, transfer.m_order, succeeded,
-                                   at);
+           [transfer](Scheduler* scheduler, bool succeeded, TimePoint) {
+             scheduler->OnTransfer(transfer.m_cell, transfer.m_order,
+                                   succeeded);
            });
   }
   for (const SchedulerOutput::Sync& sync : output.m_syncs) {
@@ -313,7 +313,7 @@
   }
 }
 
-void SchedWorld::ListVms(TimePoint /*now*/) {
+void SchedWorld::ListVms() {
   for (int i = 0; i < Schedulers(); ++i) {
     if (!m_processes[i].m_alive) {
       continue;
@@ -328,7 +328,7 @@
   m_now += kStep;
   RunPending();
   if (m_now.time_since_epoch() % milliseconds(500) == Duration::zero()) {
-    ListVms(m_now);
+    ListVms();
   }
   for (int i = 0; i < Schedulers(); ++i) {
     const Process& process = m_processes[i];
--- a/testsuite/sched_state/sched_world.h
+++ b/testsuite/sched_state/sched_world.h
@@ -128,7 +128,7 @@
   void NoteDecision(const Decision& decision);
   SchedSettings MakeSettings(const Process& process) const;
   Duration Jitter(Duration least, Duration most);
-  void ListVms(TimePoint now);
+  void ListVms();
   std::vector<standin::AttemptRun> Runs();
   void CheckFinishes(const std::vector<standin::AttemptRun>& runs,
                      std::vector<std::string>* violations) const;
