Let handlers that never run not keep their server or pool alive

Cause: the address sanitizer's leak check (ARefusedConnectionIsCertainlyNotSent): a handler posted after the stop held the object that owns its queue. Ruled out: the client's exchange (freed in the same run). Change: handlers hold a plain pointer; the queue cannot outlive its owner.

--- a/src/libhyssopspar/http_server.cpp
+++ b/src/libhyssopspar/http_server.cpp
@@ -241,7 +241,9 @@
 
 void HttpServer::StopAccepting() {
   m_impl->m_shared->m_accepting.store(false);
-  asio::post(m_impl->m_io, [impl = m_impl] {
+  // A handler that is never run must not keep the server alive.
+  Impl* const impl = m_impl.get();
+  asio::post(impl->m_io, [impl] {
     beast::error_code ignored;
     impl->m_acceptor.close(ignored);
   });
--- a/src/libhyssopspar/upstream_pool.cpp
+++ b/src/libhyssopspar/upstream_pool.cpp
@@ -89,10 +89,12 @@
                         HttpRequest request,
                         TimePoint deadline,
                         Callback done) {
-  const Connection connection = m_impl->Take(address);
+  // Handlers that are never run must not keep the pool alive.
+  Impl* const impl = m_impl.get();
+  const Connection connection = impl->Take(address);
   asio::post(connection.m_executor,
-             [impl = m_impl, connection, address, request = std::move(request),
-              deadline, done = std::move(done)]() mutable {
+             [impl, connection, address, request = std::move(request), deadline,
+              done = std::move(done)]() mutable {
                connection.m_exchange->Send(
                    request, deadline,
                    [impl, connection, address,
