State once when a failed append may have taken effect

Cause: reading the change again: the same rule on two error codes stood in the gate, the scheduler and the operators' tool. Ruled out: putting it with the HTTP client, whose other callers treat an unavailable peer differently. Change: MayHaveTakenEffect in log_store.h, called by all three. Behaviour is unchanged.

--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -54,8 +54,7 @@
   const std::string payload = EncodeConfig(record);
   const Result<Offset> sent =
       log->Append(kConfigStream, payload, Clock::now() + kCallTimeout);
-  const bool maybe = !sent && sent.error().m_code != ErrorCode::kNotSent &&
-                     sent.error().m_code != ErrorCode::kUnavailable;
+  const bool maybe = !sent && MayHaveTakenEffect(sent.error());
   if (!sent && !maybe) {
     return Fate::kNotAppended;
   }
--- a/src/gate/gate_process.cpp
+++ b/src/gate/gate_process.cpp
@@ -281,9 +281,7 @@
         } while (!sent && !take && Clock::now() < limit &&
                  !m_stop.WaitUntil(Clock::now() + kClaimRetryPause));
         if (take) {
-          const bool maybe = !sent &&
-                             sent.error().m_code != ErrorCode::kNotSent &&
-                             sent.error().m_code != ErrorCode::kUnavailable;
+          const bool maybe = !sent && MayHaveTakenEffect(sent.error());
           m_events.Push(
               ClaimAppendEvent{action.m_request, sent.has_value(), maybe});
         } else if (!sent) {
--- a/src/include/hyssopspar/log_store.h
+++ b/src/include/hyssopspar/log_store.h
@@ -25,6 +25,13 @@
   std::vector<LogRecord> m_records;
 };
 
+/// True when an append that failed with \p error may be in the log all the
+/// same.
+inline bool MayHaveTakenEffect(const Error& error) {
+  return error.m_code != ErrorCode::kNotSent &&
+         error.m_code != ErrorCode::kUnavailable;
+}
+
 /// Named streams of records. Each call may fail after taking effect.
 class LogStore {
  public:
--- a/src/sched/sched_process.cpp
+++ b/src/sched/sched_process.cpp
@@ -235,9 +235,7 @@
             reply(append.m_done);
             return;
           }
-          const ErrorCode code = sent.error().m_code;
-          maybe = maybe || (code != ErrorCode::kNotSent &&
-                            code != ErrorCode::kUnavailable);
+          maybe = maybe || MayHaveTakenEffect(sent.error());
           m_stop.WaitUntil(Clock::now() + kApiRetryPause);
         }
         reply(maybe ? ErrorResponse(504, "unknown",
