--- /dev/null
+++ b/src/include/hyssopspar/jobs/placement.h
@@ -0,0 +1,42 @@
+/// \file
+/// Choice of a worker for a task.
+
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "hyssopspar/jobs/job_plan.h"
+#include "hyssopspar/jobs/worker.h"
+#include "hyssopspar/time.h"
+
+namespace hyssopspar::jobs {
+
+/// What a task asks of its worker beyond its step's plan.
+struct PlacementQuery {
+  const StepPlan* m_step = nullptr;
+  const std::string* m_service = nullptr;
+  const std::set<std::string>* m_domains_out = nullptr;
+  /// Workers on which a run of this task has failed.
+  const std::vector<int>* m_failed_on = nullptr;
+  /// Tasks of the step on each worker.
+  const std::vector<std::uint32_t>* m_step_tasks = nullptr;
+  std::string m_rack;  ///< Preferred, of a gang that is best on one rack.
+  TimePoint m_now;
+};
+
+/// True when the worker may take the task now.
+bool IsEligible(const Worker& worker,
+                std::uint32_t step_tasks,
+                const PlacementQuery& query);
+
+/// Higher is better. In thousandths of a processor, roughly.
+double PlacementScore(const Worker& worker, const PlacementQuery& query);
+
+/// Index of the best eligible worker, or kNoWorker.
+int ChooseWorker(const std::vector<Worker>& workers,
+                 const PlacementQuery& query);
+
+}  // namespace hyssopspar::jobs
--- /dev/null
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -0,0 +1,73 @@
+/// \file
+/// One worker, as its cell's owner sees it.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include "hyssopspar/jobs/worker_port.h"
+#include "hyssopspar/resources.h"
+#include "hyssopspar/time.h"
+
+namespace hyssopspar::jobs {
+
+/// Names a task of a job within the cell.
+struct TaskRef {
+  std::string m_job;
+  std::size_t m_index = 0;
+
+  friend bool operator<(const TaskRef& a, const TaskRef& b) {
+    return std::tie(a.m_job, a.m_index) < std::tie(b.m_job, b.m_index);
+  }
+};
+
+struct Worker {
+  WorkerEntry m_entry;
+  bool m_listed = false;  ///< In the platform's list now.
+
+  std::set<TaskRef> m_tasks;  ///< Placed here, in any state with room.
+  Resources m_used;           ///< By m_tasks, idle-filling processor left out.
+  std::int64_t m_fill_cpu_milli = 0;  ///< Wanted by idle-filling tasks.
+  Resources m_foreign;          ///< Of listed runs that are not among m_tasks.
+  bool m_unknown_runs = false;  ///< Listed runs of unknown size.
+
+  bool m_fenced = false;            ///< It has answered a hold of our epoch.
+  bool m_reachable = false;         ///< The last hold was answered.
+  std::int64_t m_born_unix_ms = 0;  ///< Life that our beliefs are about.
+  WorkerTime m_clock;  ///< Its clock, read no later than m_clock_at.
+  TimePoint m_clock_at;
+  /// By then all leases granted, by us or earlier owners, have lapsed.
+  TimePoint m_lease_deadline;
+
+  bool m_hold_in_flight = false;
+  TimePoint m_hold_sent;
+  TimePoint m_next_hold;
+  std::uint32_t m_hold_errors = 0;  ///< In a row.
+
+  std::uint64_t m_seen_end = 0;   ///< Highest end that was entered.
+  std::uint64_t m_acked_end = 0;  ///< Highest end that is stored.
+  std::uint32_t m_orders = 0;     ///< In flight.
+
+  std::set<std::string>
+      m_failed_jobs;  ///< Since the last task that ended well.
+  TimePoint m_quarantined_until;
+  TimePoint m_backoff_until;  ///< It refused a start.
+
+  int m_pace = 100;  ///< Percent granted to idle-filling tasks.
+  TimePoint m_paced_at;
+  double m_tail_ratio = 0;  ///< Worst served tail over its target.
+};
+
+/// True when the worker has tasks with a tail target beside idle-filling ones.
+struct WorkerMix {
+  bool m_serves = false;
+  bool m_fills = false;
+};
+
+/// Its clock at \p at, by our reckoning.
+WorkerTime WorkerTimeAt(const Worker& worker, TimePoint at);
+
+}  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/logging.h
+++ b/src/include/hyssopspar/logging.h
@@ -14,6 +14,11 @@
 /// call from any thread.
 std::shared_ptr<spdlog::logger> Log(const std::string& part);
 
+/// Sends the lines of loggers created from now on to standard output, through
+/// a bounded queue that drops the oldest lines when its reader falls behind.
+/// Call it once, before the first logger is created.
+void UseBufferedStdout();
+
 /// Sets the least level printed by all loggers: "debug", "info", "warn",
 /// "error" or "off".
 void SetLogLevel(const std::string& level);
--- a/src/libhyssopspar/error.cpp
+++ b/src/libhyssopspar/error.cpp
@@ -24,6 +24,8 @@
       return "queue-full";
     case ErrorCode::kTooLarge:
       return "too-large";
+    case ErrorCode::kFenced:
+      return "fenced";
     case ErrorCode::kInvariant:
       return "invariant";
   }
--- /dev/null
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -0,0 +1,289 @@
+#include "hyssopspar/jobs/cell.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "hyssopspar/logging.h"
+#include "jobs/cell_log.h"
+
+namespace hyssopspar::jobs {
+
+namespace {
+
+/// Lower goes first: priority, then age.
+std::tuple<std::int64_t, std::int64_t, const std::string&> OrderKey(
+    const Job& job) {
+  return {job.m_submission.m_queue.m_priority,
+          job.m_submission.m_accepted_unix_ms, job.m_submission.m_id};
+}
+
+}  // namespace
+
+Cell::Cell(const CellSettings& settings, TimePoint now)
+    : m_settings(settings), m_taken_over(now), m_next_flush(now) {}
+
+Job* Cell::Find(const std::string& job_id) {
+  const auto it = m_jobs.find(job_id);
+  return it == m_jobs.end() ? nullptr : it->second.get();
+}
+
+const Job* Cell::FindJob(const std::string& job_id) const {
+  const auto it = m_jobs.find(job_id);
+  return it == m_jobs.end() ? nullptr : it->second.get();
+}
+
+int Cell::WorkerIndex(const std::string& id) {
+  const auto it = m_worker_index.find(id);
+  if (it != m_worker_index.end()) {
+    return it->second;
+  }
+  const int index = static_cast<int>(m_workers.size());
+  Worker worker;
+  worker.m_entry.m_id = id;
+  worker.m_lease_deadline = m_taken_over + m_settings.m_inherited_lease;
+  m_workers.push_back(std::move(worker));
+  m_worker_names.push_back(id);
+  m_worker_index[id] = index;
+  return index;
+}
+
+WorkerTarget Cell::TargetOf(int worker) const {
+  const WorkerEntry& entry =
+      m_workers[static_cast<std::size_t>(worker)].m_entry;
+  return {entry.m_id, entry.m_address};
+}
+
+void Cell::OnJob(const Submission& submission, TimePoint now) {
+  if (m_jobs.count(submission.m_id) > 0) {
+    return;
+  }
+  auto job = std::make_unique<Job>(MakeJob(submission));
+  Job* const added = job.get();
+  m_jobs[submission.m_id] = std::move(job);
+  const auto place = std::lower_bound(
+      m_open.begin(), m_open.end(), added,
+      [](const Job* a, const Job* b) { return OrderKey(*a) < OrderKey(*b); });
+  m_open.insert(place, added);
+  m_schedule_needed = true;
+  if (m_active) {
+    CellLog()->info("job id={} queue={} tasks={}", submission.m_id,
+                    submission.m_queue.m_name, added->m_tasks.size());
+  }
+  if (m_cancelled.erase(submission.m_id) > 0) {
+    OnCancel(submission.m_id, now);
+  }
+}
+
+void Cell::OnCancel(const std::string& job_id, TimePoint now) {
+  Job* const job = Find(job_id);
+  if (job == nullptr) {
+    m_cancelled.insert(job_id);
+    return;
+  }
+  if (job->m_cancelled || IsTerminal(job->m_state)) {
+    return;
+  }
+  job->m_cancelled = true;
+  if (m_active) {
+    EndJob(job, JobState::kCancelled, now);
+  }
+}
+
+Result<void> Cell::OnProgress(const std::string& job_id,
+                              const JobProgress& progress) {
+  Job* const job = Find(job_id);
+  if (job == nullptr) {
+    return Fail(ErrorCode::kNotFound, "progress of unknown job " + job_id);
+  }
+  return RestoreProgress(job, progress, [this](const std::string& worker) {
+    return WorkerIndex(worker);
+  });
+}
+
+void Cell::Activate(TimePoint now) {
+  m_active = true;
+  std::size_t inherited = 0;
+  for (const auto& entry : m_jobs) {
+    Job* const job = entry.second.get();
+    for (std::size_t i = 0; i < job->m_tasks.size(); ++i) {
+      if (IsPlaced(job->m_tasks[i])) {
+        Occupy({entry.first, i}, job, job->m_tasks[i].m_worker);
+        ++inherited;
+      }
+    }
+  }
+  for (const auto& entry : m_jobs) {
+    Job* const job = entry.second.get();
+    if (job->m_cancelled && !IsTerminal(job->m_state)) {
+      EndJob(job, JobState::kCancelled, now);
+    } else if (IsTerminal(job->m_state)) {
+      EndJob(job, job->m_state, now);
+    } else {
+      UpdateJobState(job, now);
+    }
+  }
+  m_schedule_needed = true;
+  CellLog()->info("active epoch={} jobs={} placed={} workers={}",
+                  m_settings.m_epoch, m_jobs.size(), inherited,
+                  m_workers.size());
+}
+
+void Cell::SetDomainOut(const std::string& failure_domain, bool out) {
+  const bool changed = out ? m_domains_out.insert(failure_domain).second
+                           : m_domains_out.erase(failure_domain) > 0;
+  if (changed) {
+    CellLog()->info("failure-domain name={} out={}", failure_domain, out);
+    m_schedule_needed = true;
+  }
+}
+
+void Cell::SetWorker(const WorkerEntry& entry, TimePoint now) {
+  const int index = WorkerIndex(entry.m_id);
+  Worker& worker = m_workers[static_cast<std::size_t>(index)];
+  const bool news = !worker.m_listed ||
+                    worker.m_entry.m_leaving != entry.m_leaving ||
+                    worker.m_entry.m_born_unix_ms != entry.m_born_unix_ms;
+  const bool moved = worker.m_entry.m_address != entry.m_address;
+  worker.m_entry = entry;
+  worker.m_listed = true;
+  if (news) {
+    CellLog()->info("worker id={} address={} leaving={} born={}", entry.m_id,
+                    entry.m_address, entry.m_leaving, entry.m_born_unix_ms);
+    m_schedule_needed = true;
+  }
+  if (moved || news) {
+    worker.m_next_hold = now;
+  }
+}
+
+void Cell::RemoveWorker(const std::string& id, TimePoint /*now*/) {
+  const auto it = m_worker_index.find(id);
+  if (it == m_worker_index.end()) {
+    return;
+  }
+  Worker& worker = m_workers[static_cast<std::size_t>(it->second)];
+  if (worker.m_listed) {
+    worker.m_listed = false;
+    CellLog()->info("worker-unlisted id={} tasks={}", id,
+                    worker.m_tasks.size());
+  }
+}
+
+void Cell::SetViewTimes(TimePoint operators, TimePoint workers) {
+  m_operators_verified = operators;
+  m_workers_verified = workers;
+}
+
+void Cell::SetUnixTime(milliseconds unix_time, TimePoint now) {
+  m_unix_offset = unix_time - std::chrono::duration_cast<milliseconds>(
+                                  now.time_since_epoch());
+}
+
+void Cell::SetAuthority(TimePoint until) {
+  m_authority = until;
+}
+
+void Cell::MarkDirty(Job* job) {
+  m_dirty.insert(job->m_submission.m_id);
+}
+
+void Cell::UpdateJobState(Job* job, TimePoint now) {
+  if (IsTerminal(job->m_state)) {
+    return;
+  }
+  bool failed = false;
+  bool done = true;
+  for (const Task& task : job->m_tasks) {
+    failed = failed || task.m_state == TaskState::kFailed;
+    done = done && task.m_state == TaskState::kDone;
+  }
+  if (failed) {
+    EndJob(job, JobState::kFailed, now);
+  } else if (done) {
+    EndJob(job, JobState::kCompleted, now);
+  } else if (job->m_begun) {
+    job->m_state = JobState::kRunning;
+  }
+}
+
+void Cell::EndJob(Job* job, JobState state, TimePoint now) {
+  job->m_state = state;
+  job->m_terminal_since = now;
+  m_open.erase(std::remove(m_open.begin(), m_open.end(), job), m_open.end());
+  CellLog()->info("job-ended id={} state={}", job->m_submission.m_id,
+                  ToString(state));
+  if (job->m_stored_state != state) {
+    MarkDirty(job);
+  }
+  for (std::size_t i = 0; i < job->m_tasks.size(); ++i) {
+    const Task& task = job->m_tasks[i];
+    const TaskRef ref{job->m_submission.m_id, i};
+    if (task.m_state == TaskState::kRecording) {
+      Release(ref, job, "job-ended", now);
+    } else if (task.m_state == TaskState::kStarting ||
+               task.m_state == TaskState::kRunning) {
+      SendStop(ref, job, "job-ended", now);
+    }
+  }
+}
+
+std::optional<JobState> Cell::StateOf(const std::string& job_id) const {
+  const Job* const job = FindJob(job_id);
+  if (job == nullptr) {
+    return std::nullopt;
+  }
+  const bool unstored_end = IsTerminal(job->m_state) &&
+                            job->m_state != JobState::kCancelled &&
+                            job->m_stored_state != job->m_state;
+  return unstored_end ? JobState::kRunning : job->m_state;
+}
+
+std::size_t Cell::PendingOf(const std::string& queue) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_open.begin(), m_open.end(), [&](const Job* job) {
+        return !job->m_begun && job->m_submission.m_queue.m_name == queue;
+      }));
+}
+
+bool Cell::HasUnstored() const {
+  return !m_dirty.empty() || m_batch.has_value();
+}
+
+std::vector<Action> Cell::TakeActions() {
+  return std::exchange(m_actions, {});
+}
+
+void Cell::Tick(TimePoint now) {
+  if (!m_active || m_is_fenced) {
+    return;
+  }
+  LapseRuns(now);
+  if (m_schedule_needed || now >= m_next_schedule) {
+    Schedule(now);
+  }
+  Flush(now);
+  SendHolds(now);
+  ForgetJobs(now);
+}
+
+TimePoint Cell::NextDeadline() const {
+  if (!m_active || m_is_fenced) {
+    return TimePoint::max();
+  }
+  TimePoint next = m_next_schedule;
+  if (m_batch) {
+    next = std::min(next, m_batch_retry);
+  } else if (!m_dirty.empty()) {
+    next = std::min(next, m_next_flush);
+  }
+  for (const Worker& worker : m_workers) {
+    const bool wanted = worker.m_listed || !worker.m_tasks.empty();
+    if (wanted && !worker.m_hold_in_flight) {
+      next = std::min(next, worker.m_next_hold);
+    }
+  }
+  return next;
+}
+
+}  // namespace hyssopspar::jobs
--- /dev/null
+++ b/src/libhyssopspar/jobs/cell_log.cpp
@@ -0,0 +1,50 @@
+#include "jobs/cell_log.h"
+
+namespace hyssopspar::jobs {
+
+std::shared_ptr<spdlog::logger> CellLog() {
+  static const std::shared_ptr<spdlog::logger> logger = Log("cell");
+  return logger;
+}
+
+const char* CauseWord(EndCause cause) {
+  switch (cause) {
+    case EndCause::kDone:
+      return "done";
+    case EndCause::kFailed:
+      return "failed";
+    case EndCause::kStopped:
+      return "stopped";
+    case EndCause::kLapsed:
+      return "lapsed";
+    case EndCause::kBroken:
+      return "gang-broken";
+    case EndCause::kAlone:
+      return "gang-incomplete";
+  }
+  return "unknown";
+}
+
+const char* AnswerWord(StartAnswer answer) {
+  switch (answer) {
+    case StartAnswer::kStarted:
+      return "started";
+    case StartAnswer::kFenced:
+      return "fenced";
+    case StartAnswer::kOldRun:
+      return "old-run";
+    case StartAnswer::kLate:
+      return "late";
+    case StartAnswer::kNoRoom:
+      return "no-room";
+    case StartAnswer::kRejected:
+      return "rejected";
+    case StartAnswer::kUnhealthy:
+      return "unhealthy";
+    case StartAnswer::kOtherLife:
+      return "other-life";
+  }
+  return "unknown";
+}
+
+}  // namespace hyssopspar::jobs
--- /dev/null
+++ b/src/libhyssopspar/jobs/cell_store.cpp
@@ -0,0 +1,155 @@
+// What is stored, and what may happen once it is.
+
+#include <algorithm>
+
+#include "hyssopspar/jobs/cell.h"
+#include "hyssopspar/jobs/records.h"
+#include "jobs/cell_log.h"
+
+namespace hyssopspar::jobs {
+
+namespace {
+
+/// Jobs in one batch, so that an append stays well below the store's limit.
+constexpr std::size_t kBatchJobs = 300;
+/// Pause before a batch that was not acknowledged is sent again.
+constexpr milliseconds kBatchRetry{100};
+
+}  // namespace
+
+void Cell::Flush(TimePoint now) {
+  if (m_batch) {
+    if (now >= m_batch_retry) {
+      m_batch_retry = TimePoint::max();
+      m_actions.emplace_back(
+          StoreAction{m_batch->m_number, m_batch->m_records});
+    }
+    return;
+  }
+  AckStoredEnds(now);
+  if (m_dirty.empty() || now < m_next_flush) {
+    return;
+  }
+  PendingBatch batch;
+  batch.m_number = ++m_batches;
+  const bool whole = m_dirty.size() <= kBatchJobs;
+  for (std::size_t n = 0; n < kBatchJobs && !m_dirty.empty(); ++n) {
+    Job* const job = Find(*m_dirty.begin());
+    const std::string& id = job->m_submission.m_id;
+    for (std::size_t i = 0; i < job->m_tasks.size(); ++i) {
+      Task& task = job->m_tasks[i];
+      if (task.m_state == TaskState::kRecording && task.m_batch == 0) {
+        task.m_batch = batch.m_number;
+        batch.m_placements.push_back({id, i});
+      }
+    }
+    batch.m_records.push_back(
+        {id, EncodeProgress(ProgressOf(*job, m_worker_names))});
+    batch.m_states.emplace_back(id, job->m_state);
+    m_dirty.erase(m_dirty.begin());
+  }
+  for (std::size_t i = 0; whole && i < m_workers.size(); ++i) {
+    if (m_workers[i].m_seen_end > m_workers[i].m_acked_end) {
+      batch.m_ends[static_cast<int>(i)] = m_workers[i].m_seen_end;
+    }
+  }
+  m_actions.emplace_back(StoreAction{batch.m_number, batch.m_records});
+  m_batch = std::move(batch);
+  m_batch_retry = TimePoint::max();
+}
+
+/// Ends that changed nothing need no batch.
+void Cell::AckStoredEnds(TimePoint now) {
+  if (!m_dirty.empty()) {
+    return;
+  }
+  for (Worker& worker : m_workers) {
+    if (worker.m_acked_end < worker.m_seen_end) {
+      worker.m_acked_end = worker.m_seen_end;
+      worker.m_next_hold = now;
+    }
+  }
+}
+
+void Cell::OnStored(std::uint64_t batch,
+                    const Result<Offset>& result,
+                    TimePoint now) {
+  if (!m_batch || m_batch->m_number != batch) {
+    return;
+  }
+  if (!result) {
+    CellLog()->warn("store-failed batch={} jobs={} error={}", batch,
+                    m_batch->m_records.size(), ToString(result.error()));
+    if (result.error().m_code == ErrorCode::kFenced) {
+      m_is_fenced = true;
+      return;
+    }
+    m_batch_retry = now + kBatchRetry;
+    return;
+  }
+  const PendingBatch stored = std::move(*m_batch);
+  m_batch.reset();
+  m_next_flush = now + m_settings.m_flush_interval;
+  for (const auto& entry : stored.m_ends) {
+    Worker& worker = m_workers[static_cast<std::size_t>(entry.first)];
+    // A life that began meanwhile numbers its ends anew.
+    if (entry.second <= worker.m_seen_end) {
+      worker.m_acked_end = std::max(worker.m_acked_end, entry.second);
+      worker.m_next_hold = now;
+    }
+  }
+  for (const auto& entry : stored.m_states) {
+    Job* const job = Find(entry.first);
+    if (job != nullptr) {
+      job->m_stored_state = entry.second;
+    }
+  }
+  SendPlacements(stored, now);
+}
+
+void Cell::SendPlacements(const PendingBatch& batch, TimePoint now) {
+  for (const TaskRef& ref : batch.m_placements) {
+    Job* const job = Find(ref.m_job);
+    if (job == nullptr) {
+      continue;
+    }
+    const Task& task = job->m_tasks[ref.m_index];
+    if (task.m_state != TaskState::kRecording ||
+        task.m_batch != batch.m_number) {
+      continue;
+    }
+    if (MayStart(*job, task, now)) {
+      SendStart(ref, job, now);
+    } else {
+      Release(ref, job, "no-longer-allowed", now);
+    }
+  }
+}
+
+void Cell::ForgetJobs(TimePoint now) {
+  if (now < m_next_forget) {
+    return;
+  }
+  m_next_forget = now + m_settings.m_retention / 10;
+  ForgetAction action;
+  for (const auto& entry : m_jobs) {
+    const Job& job = *entry.second;
+    const bool placed = std::any_of(job.m_tasks.begin(), job.m_tasks.end(),
+                                    [](const Task& t) { return IsPlaced(t); });
+    if (IsTerminal(job.m_state) && job.m_stored_state == job.m_state &&
+        !placed && m_dirty.count(entry.first) == 0 &&
+        now - job.m_terminal_since > m_settings.m_retention) {
+      action.m_jobs.push_back(entry.first);
+    }
+  }
+  if (action.m_jobs.empty()) {
+    return;
+  }
+  for (const std::string& id : action.m_jobs) {
+    m_jobs.erase(id);
+  }
+  CellLog()->info("jobs-forgotten count={}", action.m_jobs.size());
+  m_actions.emplace_back(std::move(action));
+}
+
+}  // namespace hyssopspar::jobs
--- /dev/null
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -0,0 +1,290 @@
+// Runs of tasks: room, starts, stops and ends.
+
+#include <algorithm>
+
+#include "hyssopspar/invariant.h"
+#include "hyssopspar/jobs/cell.h"
+#include "jobs/cell_log.h"
+
+namespace hyssopspar::jobs {
+
+namespace {
+
+/// Jobs that fail on a worker, without a success between, before it is set
+/// aside.
+constexpr std::size_t kFailuresToQuarantine = 2;
+/// At most this share of the workers is set aside at once.
+constexpr std::size_t kQuarantineShare = 3;
+/// Pause before a worker that refused a start gets another.
+constexpr milliseconds kRefusalBackoff{500};
+/// Pause before a task that a worker called malformed is tried again.
+constexpr milliseconds kRejectionBackoff{2000};
+
+}  // namespace
+
+void Cell::Occupy(const TaskRef& ref, Job* job, int worker) {
+  Worker& w = m_workers[static_cast<std::size_t>(worker)];
+  if (!w.m_tasks.insert(ref).second) {
+    return;
+  }
+  const StepPlan& step = StepOf(*job, ref.m_index);
+  if (step.m_fills_idle) {
+    w.m_fill_cpu_milli += step.m_size.m_cpu_milli;
+  }
+  w.m_used += RoomOf(step);
+  job->m_tasks[ref.m_index].m_worker = worker;
+}
+
+void Cell::Vacate(const TaskRef& ref, Job* job) {
+  Task& task = job->m_tasks[ref.m_index];
+  Worker& w = m_workers[static_cast<std::size_t>(task.m_worker)];
+  task.m_worker = kNoWorker;
+  task.m_doubt = StartDoubt::kNone;
+  task.m_batch = 0;
+  if (w.m_tasks.erase(ref) == 0) {
+    return;
+  }
+  const StepPlan& step = StepOf(*job, ref.m_index);
+  if (step.m_fills_idle) {
+    w.m_fill_cpu_milli -= step.m_size.m_cpu_milli;
+  }
+  w.m_used -= RoomOf(step);
+  HYSSOPSPAR_INVARIANT(IsNonNegative(w.m_used));
+  m_schedule_needed = true;
+}
+
+void Cell::Release(const TaskRef& ref,
+                   Job* job,
+                   const char* reason,
+                   TimePoint now) {
+  const Task& task = job->m_tasks[ref.m_index];
+  CellLog()->info("run-released task={}.{} run={} worker={} reason={}",
+                  ref.m_job, ref.m_index, task.m_run,
+                  m_worker_names[static_cast<std::size_t>(task.m_worker)],
+                  reason);
+  Vacate(ref, job);
+  SetTaskState(job, ref.m_index, TaskState::kPending);
+  MarkDirty(job);
+  UpdateJobState(job, now);
+}
+
+void Cell::EndRun(const TaskRef& ref,
+                  Job* job,
+                  EndCause cause,
+                  const std::string& checkpoint,
+                  TimePoint now) {
+  Task& task = job->m_tasks[ref.m_index];
+  const int worker = task.m_worker;
+  const StepPlan& step = StepOf(*job, ref.m_index);
+  CellLog()->info("run-ended task={}.{} run={} worker={} cause={}", ref.m_job,
+                  ref.m_index, task.m_run,
+                  worker == kNoWorker
+                      ? "-"
+                      : m_worker_names[static_cast<std::size_t>(worker)],
+                  CauseWord(cause));
+  if (cause == EndCause::kFailed) {
+    CountFailure(ref, job, now);
+  }
+  if (worker != kNoWorker) {
+    if (cause == EndCause::kDone) {
+      m_workers[static_cast<std::size_t>(worker)].m_failed_jobs.clear();
+    }
+    Vacate(ref, job);
+  }
+  if (!checkpoint.empty()) {
+    task.m_checkpoint = checkpoint;
+  }
+  const bool exhausted =
+      !step.m_long_running &&
+      task.m_failures >= job->m_submission.m_queue.m_max_attempts;
+  if (cause == EndCause::kDone && !step.m_long_running) {
+    SetTaskState(job, ref.m_index, TaskState::kDone);
+    if (step.m_gang) {
+      EndGang(ref, job);
+    }
+  } else {
+    SetTaskState(job, ref.m_index,
+                 exhausted ? TaskState::kFailed : TaskState::kPending);
+  }
+  m_schedule_needed = true;
+  MarkDirty(job);
+  UpdateJobState(job, now);
+}
+
+void Cell::CountFailure(const TaskRef& ref, Job* job, TimePoint now) {
+  Task& task = job->m_tasks[ref.m_index];
+  ++task.m_failures;
+  if (task.m_worker == kNoWorker) {
+    return;
+  }
+  task.m_failed_on.push_back(task.m_worker);
+  Worker& worker = m_workers[static_cast<std::size_t>(task.m_worker)];
+  worker.m_failed_jobs.insert(ref.m_job);
+  const auto quarantined = static_cast<std::size_t>(std::count_if(
+      m_workers.begin(), m_workers.end(),
+      [now](const Worker& w) { return w.m_quarantined_until > now; }));
+  if (worker.m_failed_jobs.size() < kFailuresToQuarantine ||
+      quarantined >= m_workers.size() / kQuarantineShare) {
+    return;
+  }
+  worker.m_quarantined_until = now + m_settings.m_quarantine;
+  CellLog()->warn("worker-quarantined id={} failed_jobs={}",
+                  worker.m_entry.m_id, worker.m_failed_jobs.size());
+}
+
+/// One member's success is that of the whole gang.
+void Cell::EndGang(const TaskRef& ref, Job* job) {
+  const TaskName name = NameOfTask(*job, ref.m_index);
+  const std::uint32_t tasks =
+      job->m_submission.m_plan.m_steps[name.m_step].m_tasks;
+  const std::size_t first = ref.m_index - name.m_index;
+  for (std::size_t i = first; i < first + tasks; ++i) {
+    if (IsPlaced(job->m_tasks[i])) {
+      Vacate({ref.m_job, i}, job);
+    }
+    SetTaskState(job, i, TaskState::kDone);
+  }
+}
+
+bool Cell::MayStart(const Job& job, const Task& task, TimePoint now) const {
+  if (IsTerminal(job.m_state) || now > m_authority) {
+    return false;
+  }
+  const TimePoint oldest = now - m_settings.m_view_limit;
+  if (m_operators_verified < oldest || m_workers_verified < oldest) {
+    return false;
+  }
+  const Worker& worker = m_workers[static_cast<std::size_t>(task.m_worker)];
+  return worker.m_listed && worker.m_fenced && worker.m_reachable &&
+         !worker.m_entry.m_leaving &&
+         m_domains_out.count(worker.m_entry.m_failure_domain) == 0;
+}
+
+void Cell::SendStart(const TaskRef& ref, Job* job, TimePoint now) {
+  Task& task = job->m_tasks[ref.m_index];
+  Worker& worker = m_workers[static_cast<std::size_t>(task.m_worker)];
+  StartAction action;
+  action.m_worker = task.m_worker;
+  action.m_task = ref;
+  action.m_target = TargetOf(task.m_worker);
+  action.m_order.m_task = NameOfTask(*job, ref.m_index);
+  action.m_order.m_run = task.m_run;
+  action.m_order.m_payload = job->m_submission.m_plan.m_payload;
+  action.m_order.m_checkpoint = task.m_checkpoint;
+  action.m_order.m_not_after =
+      WorkerTimeAt(worker, now) + m_settings.m_start_validity;
+  action.m_order.m_epoch = m_settings.m_epoch;
+  ExtendLeaseDeadline(&worker, action.m_order.m_not_after);
+  SetTaskState(job, ref.m_index, TaskState::kStarting);
+  task.m_doubt = StartDoubt::kNone;
+  job->m_begun = true;
+  UpdateJobState(job, now);
+  CellLog()->info(
+      "start task={} run={} worker={} view_age_ms={}",
+      ToString(action.m_order.m_task), task.m_run, worker.m_entry.m_id,
+      ToMillis(now - std::min(m_operators_verified, m_workers_verified)));
+  m_actions.emplace_back(std::move(action));
+}
+
+void Cell::SendStop(const TaskRef& ref,
+                    Job* job,
+                    const char* reason,
+                    TimePoint now) {
+  Task& task = job->m_tasks[ref.m_index];
+  StopAction action;
+  action.m_worker = task.m_worker;
+  action.m_task = ref;
+  action.m_target = TargetOf(task.m_worker);
+  action.m_order.m_task = NameOfTask(*job, ref.m_index);
+  action.m_order.m_run = task.m_run;
+  action.m_order.m_epoch = m_settings.m_epoch;
+  SetTaskState(job, ref.m_index, TaskState::kStopping);
+  task.m_doubt = StartDoubt::kStopSent;
+  task.m_stop_sent = now;
+  CellLog()->info("stop task={} run={} worker={} reason={}",
+                  ToString(action.m_order.m_task), task.m_run,
+                  action.m_target.m_id, reason);
+  m_actions.emplace_back(std::move(action));
+}
+
+void Cell::OnStartAnswer(const StartAction& action,
+                         const Result<StartAnswer>& answer,
+                         TimePoint now) {
+  Job* const job = Find(action.m_task.m_job);
+  if (job == nullptr) {
+    return;
+  }
+  Task& task = job->m_tasks[action.m_task.m_index];
+  const bool current = task.m_worker == action.m_worker &&
+                       task.m_run == action.m_order.m_run &&
+                       task.m_state == TaskState::kStarting;
+  if (!current) {
+    return;
+  }
+  if (!answer && answer.error().m_code == ErrorCode::kNotSent) {
+    m_workers[static_cast<std::size_t>(action.m_worker)].m_backoff_until =
+        now + kRefusalBackoff;
+    Release(action.m_task, job, "not-sent", now);
+  } else if (!answer) {
+    CellLog()->warn("start-unanswered task={} run={} worker={} error={}",
+                    ToString(action.m_order.m_task), task.m_run,
+                    action.m_target.m_id, ToString(answer.error()));
+    task.m_doubt = StartDoubt::kUnanswered;
+    task.m_doubt_since = now;
+    m_workers[static_cast<std::size_t>(action.m_worker)].m_next_hold = now;
+  } else if (answer.value() == StartAnswer::kStarted) {
+    SetTaskState(job, action.m_task.m_index, TaskState::kRunning);
+    task.m_confirmed = now;
+  } else {
+    HandleRefusal(action, job, answer.value(), now);
+  }
+}
+
+void Cell::HandleRefusal(const StartAction& action,
+                         Job* job,
+                         StartAnswer answer,
+                         TimePoint now) {
+  CellLog()->warn("start-refused task={} run={} worker={} answer={}",
+                  ToString(action.m_order.m_task), action.m_order.m_run,
+                  action.m_target.m_id, AnswerWord(answer));
+  if (answer == StartAnswer::kFenced) {
+    m_is_fenced = true;
+    return;
+  }
+  Task& task = job->m_tasks[action.m_task.m_index];
+  if (answer == StartAnswer::kRejected) {
+    task.m_not_before = now + kRejectionBackoff;
+  } else if (answer != StartAnswer::kLate && answer != StartAnswer::kOldRun) {
+    m_workers[static_cast<std::size_t>(action.m_worker)].m_backoff_until =
+        now + kRefusalBackoff;
+  }
+  Release(action.m_task, job, AnswerWord(answer), now);
+}
+
+void Cell::OnStopAnswer(const StopAction& action,
+                        const Result<void>& answer,
+                        TimePoint now) {
+  if (!answer && answer.error().m_code == ErrorCode::kFenced) {
+    m_is_fenced = true;
+    return;
+  }
+  Job* const job = Find(action.m_task.m_job);
+  if (job == nullptr) {
+    return;
+  }
+  Task& task = job->m_tasks[action.m_task.m_index];
+  if (task.m_worker != action.m_worker || task.m_run != action.m_order.m_run ||
+      task.m_doubt != StartDoubt::kStopSent) {
+    return;
+  }
+  if (!answer) {
+    CellLog()->warn("stop-unanswered task={} run={} worker={} error={}",
+                    ToString(action.m_order.m_task), task.m_run,
+                    action.m_target.m_id, ToString(answer.error()));
+  }
+  task.m_doubt = answer ? StartDoubt::kStopped : StartDoubt::kUnanswered;
+  task.m_doubt_since = now;
+  m_workers[static_cast<std::size_t>(action.m_worker)].m_next_hold = now;
+}
+
+}  // namespace hyssopspar::jobs
--- /dev/null
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -0,0 +1,340 @@
+// Holds: leases, what workers run, and what has ended there.
+
+#include <algorithm>
+
+#include "hyssopspar/jobs/cell.h"
+#include "hyssopspar/jobs/pacing.h"
+#include "jobs/cell_log.h"
+
+namespace hyssopspar::jobs {
+
+namespace {
+
+/// Rate of the slowest worker clock, of the platform's contract.
+constexpr double kSlowestClock = 0.98;
+/// Reckoning errors that a lapsed lease is given beyond its end.
+constexpr milliseconds kLapseMargin{300};
+/// Pauses after a hold without an answer: doubled from the first to the last.
+constexpr milliseconds kFirstHoldRetry{200};
+constexpr milliseconds kLastHoldRetry{1000};
+/// Longest time between holds while ends wait to be stored.
+constexpr milliseconds kUnstoredHoldPause{500};
+/// Ends that a worker lists at once; with as many, some may not be listed.
+constexpr std::size_t kEndsListed = 500;
+/// A stop without an answer is sent again after this long.
+constexpr milliseconds kStopRetry{500};
+/// Time within which a worker's answers show what pacing changed.
+constexpr milliseconds kPaceSettling{500};
+
+}  // namespace
+
+WorkerTime WorkerTimeAt(const Worker& worker, TimePoint at) {
+  return worker.m_clock +
+         std::chrono::duration_cast<milliseconds>(at - worker.m_clock_at);
+}
+
+WorkerMix Cell::MixOf(const Worker& worker) const {
+  WorkerMix mix;
+  for (const TaskRef& ref : worker.m_tasks) {
+    const Job* const job = FindJob(ref.m_job);
+    const StepPlan& step = StepOf(*job, ref.m_index);
+    mix.m_serves = mix.m_serves || step.m_tail_target > milliseconds(0);
+    mix.m_fills = mix.m_fills || step.m_fills_idle;
+  }
+  return mix;
+}
+
+void Cell::ExtendLeaseDeadline(Worker* worker, WorkerTime until) {
+  const milliseconds span = until - worker->m_clock;
+  const TimePoint lapse =
+      worker->m_clock_at +
+      std::chrono::duration_cast<Duration>(span / kSlowestClock) + kLapseMargin;
+  worker->m_lease_deadline = std::max(worker->m_lease_deadline, lapse);
+}
+
+void Cell::SendHolds(TimePoint now) {
+  if (now > m_authority) {
+    return;
+  }
+  for (std::size_t i = 0; i < m_workers.size(); ++i) {
+    const Worker& worker = m_workers[i];
+    const bool wanted = worker.m_listed || !worker.m_tasks.empty();
+    if (wanted && !worker.m_hold_in_flight && worker.m_next_hold <= now &&
+        !worker.m_entry.m_address.empty()) {
+      SendHold(static_cast<int>(i), now);
+    }
+  }
+}
+
+void Cell::SendHold(int worker, TimePoint now) {
+  Worker& w = m_workers[static_cast<std::size_t>(worker)];
+  HoldAction action;
+  action.m_worker = worker;
+  action.m_target = TargetOf(worker);
+  action.m_sent = now;
+  action.m_order.m_epoch = m_settings.m_epoch;
+  action.m_order.m_acked = w.m_acked_end;
+  const bool has_clock = w.m_fenced;
+  if (has_clock) {
+    action.m_order.m_extend = true;
+    action.m_order.m_lease_until = WorkerTimeAt(w, now) + m_settings.m_lease;
+    ExtendLeaseDeadline(&w, action.m_order.m_lease_until);
+  }
+  if (has_clock && w.m_reachable && w.m_acked_end == w.m_seen_end) {
+    const WorkerMix mix = MixOf(w);
+    action.m_order.m_wait = mix.m_serves && mix.m_fills
+                                ? m_settings.m_watch_hold_wait
+                            : w.m_tasks.empty() ? m_settings.m_idle_hold_wait
+                                                : m_settings.m_hold_wait;
+  }
+  w.m_hold_in_flight = true;
+  m_actions.emplace_back(std::move(action));
+}
+
+void Cell::OnHoldAnswer(const HoldAction& action,
+                        const Result<HoldReport>& answer,
+                        TimePoint now) {
+  Worker& worker = m_workers[static_cast<std::size_t>(action.m_worker)];
+  worker.m_hold_in_flight = false;
+  if (answer) {
+    EnterReport(action.m_worker, action, answer.value(), now);
+    return;
+  }
+  if (answer.error().m_code == ErrorCode::kFenced) {
+    CellLog()->warn("fenced-by-worker id={} epoch={}", worker.m_entry.m_id,
+                    m_settings.m_epoch);
+    m_is_fenced = true;
+    return;
+  }
+  if (worker.m_reachable) {
+    CellLog()->warn("worker-lost id={} tasks={} error={}", worker.m_entry.m_id,
+                    worker.m_tasks.size(), ToString(answer.error()));
+  }
+  worker.m_reachable = false;
+  const milliseconds pause =
+      std::min(kLastHoldRetry,
+               kFirstHoldRetry * (1 << std::min(worker.m_hold_errors, 3U)));
+  ++worker.m_hold_errors;
+  worker.m_next_hold = now + pause;
+}
+
+void Cell::BeginLife(int worker, std::int64_t born, TimePoint now) {
+  Worker& w = m_workers[static_cast<std::size_t>(worker)];
+  CellLog()->info("worker-reborn id={} born={} tasks={}", w.m_entry.m_id, born,
+                  w.m_tasks.size());
+  w.m_born_unix_ms = born;
+  w.m_seen_end = 0;
+  w.m_acked_end = 0;
+  w.m_failed_jobs.clear();
+  const std::set<TaskRef> tasks = w.m_tasks;
+  for (const TaskRef& ref : tasks) {
+    Job* const job = Find(ref.m_job);
+    Task& task = job->m_tasks[ref.m_index];
+    if (task.m_state == TaskState::kRecording) {
+      continue;
+    }
+    // An order without an answer may yet reach the new life.
+    if (task.m_doubt == StartDoubt::kUnanswered) {
+      SendStop(ref, job, "worker-reborn", now);
+      continue;
+    }
+    EndRun(ref, job, EndCause::kLapsed, "", now);
+  }
+}
+
+void Cell::EnterReport(int worker,
+                       const HoldAction& action,
+                       const HoldReport& report,
+                       TimePoint now) {
+  Worker& w = m_workers[static_cast<std::size_t>(worker)];
+  if (report.m_born_unix_ms < w.m_born_unix_ms) {
+    return;
+  }
+  const bool first = !w.m_fenced;
+  if (!first && report.m_born_unix_ms > w.m_born_unix_ms) {
+    BeginLife(worker, report.m_born_unix_ms, now);
+  }
+  w.m_born_unix_ms = report.m_born_unix_ms;
+  w.m_clock = report.m_now;
+  w.m_clock_at = now;
+  if (!w.m_reachable) {
+    CellLog()->info("worker-answers id={} running={} ended={} first={}",
+                    w.m_entry.m_id, report.m_running.size(),
+                    report.m_ended.size(), first);
+    m_schedule_needed = true;
+  }
+  w.m_fenced = true;
+  w.m_reachable = true;
+  w.m_hold_errors = 0;
+
+  std::map<TaskRef, std::uint32_t> listed;
+  EnterRunning(worker, report, &listed, now);
+  EnterEnds(worker, report, now);
+  if (report.m_ended.size() < kEndsListed) {
+    SettleUnlisted(worker, action.m_sent, listed, now);
+  }
+  PaceFills(worker, report, now);
+  w.m_next_hold = w.m_acked_end < w.m_seen_end ? now + kUnstoredHoldPause : now;
+}
+
+void Cell::EnterRunning(int worker,
+                        const HoldReport& report,
+                        std::map<TaskRef, std::uint32_t>* listed,
+                        TimePoint now) {
+  Worker& w = m_workers[static_cast<std::size_t>(worker)];
+  w.m_foreign = Resources();
+  w.m_unknown_runs = false;
+  for (const RunningRow& row : report.m_running) {
+    Job* const job = Find(row.m_task.m_job);
+    const std::int64_t index =
+        job == nullptr ? -1 : TaskIndex(*job, row.m_task);
+    if (index < 0) {
+      w.m_unknown_runs = true;
+      StopForeignRun(worker, row);
+      continue;
+    }
+    Task& task = job->m_tasks[static_cast<std::size_t>(index)];
+    const TaskRef ref{row.m_task.m_job, static_cast<std::size_t>(index)};
+    if (!IsPlaced(task) || task.m_worker != worker || task.m_run != row.m_run) {
+      w.m_foreign += RoomOf(StepOf(*job, ref.m_index));
+      StopForeignRun(worker, row);
+      continue;
+    }
+    (*listed)[ref] = row.m_run;
+    task.m_checkpoint = row.m_checkpoint;
+    if (task.m_state == TaskState::kStarting) {
+      SetTaskState(job, ref.m_index, TaskState::kRunning);
+      task.m_doubt = StartDoubt::kNone;
+      task.m_confirmed = now;
+      job->m_begun = true;
+      if (IsTerminal(job->m_state)) {
+        SendStop(ref, job, "job-ended", now);
+      }
+    } else if (task.m_state == TaskState::kStopping &&
+               task.m_doubt == StartDoubt::kUnanswered &&
+               now - task.m_stop_sent > kStopRetry) {
+      SendStop(ref, job, "repeat", now);
+    }
+  }
+}
+
+void Cell::StopForeignRun(int worker, const RunningRow& row) {
+  StopAction action;
+  action.m_worker = worker;
+  action.m_target = TargetOf(worker);
+  action.m_order.m_task = row.m_task;
+  action.m_order.m_run = row.m_run;
+  action.m_order.m_epoch = m_settings.m_epoch;
+  CellLog()->warn("stop task={} run={} worker={} reason=unexpected",
+                  ToString(row.m_task), row.m_run, action.m_target.m_id);
+  m_actions.emplace_back(std::move(action));
+}
+
+void Cell::EnterEnds(int worker, const HoldReport& report, TimePoint now) {
+  Worker& w = m_workers[static_cast<std::size_t>(worker)];
+  for (const EndedRow& row : report.m_ended) {
+    if (row.m_number <= w.m_seen_end) {
+      continue;
+    }
+    w.m_seen_end = row.m_number;
+    Job* const job = Find(row.m_task.m_job);
+    const std::int64_t index =
+        job == nullptr ? -1 : TaskIndex(*job, row.m_task);
+    if (index < 0) {
+      continue;
+    }
+    const TaskRef ref{row.m_task.m_job, static_cast<std::size_t>(index)};
+    const Task& task = job->m_tasks[ref.m_index];
+    const bool here = IsPlaced(task) && task.m_worker == worker;
+    const bool lapsed_but_done =
+        task.m_state == TaskState::kPending && row.m_cause == EndCause::kDone;
+    if (task.m_run == row.m_run && (here || lapsed_but_done)) {
+      EndRun(ref, job, row.m_cause, row.m_checkpoint, now);
+    }
+  }
+}
+
+void Cell::SettleUnlisted(int worker,
+                          TimePoint sent,
+                          const std::map<TaskRef, std::uint32_t>& listed,
+                          TimePoint now) {
+  const std::set<TaskRef> tasks =
+      m_workers[static_cast<std::size_t>(worker)].m_tasks;
+  for (const TaskRef& ref : tasks) {
+    if (listed.count(ref) > 0) {
+      continue;
+    }
+    Job* const job = Find(ref.m_job);
+    const Task& task = job->m_tasks[ref.m_index];
+    if (task.m_state == TaskState::kRecording) {
+      continue;
+    }
+    const bool later = task.m_doubt_since < sent;
+    if (task.m_doubt == StartDoubt::kInherited) {
+      Release(ref, job, "never-started", now);
+    } else if (task.m_doubt == StartDoubt::kStopped && later) {
+      Release(ref, job, "stopped-before-start", now);
+    } else if (task.m_doubt == StartDoubt::kUnanswered && later) {
+      SendStop(ref, job, "start-unanswered", now);
+    } else if (task.m_state == TaskState::kRunning && task.m_confirmed < sent) {
+      Release(ref, job, "vanished", now);
+    }
+  }
+}
+
+void Cell::PaceFills(int worker, const HoldReport& report, TimePoint now) {
+  Worker& w = m_workers[static_cast<std::size_t>(worker)];
+  w.m_tail_ratio = 0;
+  std::vector<const RunningRow*> fills;
+  for (const RunningRow& row : report.m_running) {
+    const Job* const job = FindJob(row.m_task.m_job);
+    const std::int64_t index =
+        job == nullptr ? -1 : TaskIndex(*job, row.m_task);
+    if (index < 0) {
+      continue;
+    }
+    const StepPlan& step = StepOf(*job, static_cast<std::size_t>(index));
+    if (step.m_tail_target > milliseconds(0)) {
+      w.m_tail_ratio = std::max(
+          w.m_tail_ratio,
+          row.m_usage / static_cast<double>(step.m_tail_target.count()));
+    }
+    if (step.m_fills_idle) {
+      fills.push_back(&row);
+    }
+  }
+  if (now - w.m_paced_at >= kPaceSettling) {
+    const int pace =
+        fills.empty() ? kFullPace : NextPace(w.m_pace, w.m_tail_ratio);
+    if (pace != w.m_pace) {
+      CellLog()->info("pace worker={} percent={} was={} tail_ratio={:.2f}",
+                      w.m_entry.m_id, pace, w.m_pace, w.m_tail_ratio);
+      w.m_paced_at = now;
+    }
+    w.m_pace = pace;
+  }
+  for (const RunningRow* const row : fills) {
+    if (row->m_percent != w.m_pace) {
+      m_actions.emplace_back(
+          PaceAction{TargetOf(worker),
+                     {row->m_task, row->m_run, w.m_pace, m_settings.m_epoch}});
+    }
+  }
+}
+
+void Cell::LapseRuns(TimePoint now) {
+  for (Worker& worker : m_workers) {
+    if (worker.m_tasks.empty() || worker.m_reachable ||
+        now <= worker.m_lease_deadline) {
+      continue;
+    }
+    CellLog()->warn("worker-lapsed id={} tasks={}", worker.m_entry.m_id,
+                    worker.m_tasks.size());
+    const std::set<TaskRef> tasks = worker.m_tasks;
+    for (const TaskRef& ref : tasks) {
+      EndRun(ref, Find(ref.m_job), EndCause::kLapsed, "", now);
+    }
+  }
+}
+
+}  // namespace hyssopspar::jobs
--- /dev/null
+++ b/src/libhyssopspar/jobs/job.cpp
@@ -0,0 +1,167 @@
+#include "hyssopspar/jobs/job.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace hyssopspar::jobs {
+
+Job MakeJob(Submission submission) {
+  Job job;
+  job.m_submission = std::move(submission);
+  for (const StepPlan& step : job.m_submission.m_plan.m_steps) {
+    job.m_step_offset.push_back(job.m_tasks_per_occurrence);
+    job.m_tasks_per_occurrence += step.m_tasks;
+  }
+  const std::size_t occurrences = Occurrences(job);
+  job.m_tasks.resize(occurrences * job.m_tasks_per_occurrence);
+  job.m_step_done.resize(occurrences * job.m_submission.m_plan.m_steps.size());
+  job.m_pending = job.m_tasks.size();
+  return job;
+}
+
+std::uint32_t Occurrences(const Job& job) {
+  return std::max<std::uint32_t>(1, job.m_submission.m_plan.m_occurrences);
+}
+
+std::int64_t TaskIndex(const Job& job, const TaskName& name) {
+  const std::vector<StepPlan>& steps = job.m_submission.m_plan.m_steps;
+  if (name.m_occurrence >= Occurrences(job) || name.m_step >= steps.size() ||
+      name.m_index >= steps[name.m_step].m_tasks) {
+    return -1;
+  }
+  return static_cast<std::int64_t>(name.m_occurrence) *
+             job.m_tasks_per_occurrence +
+         job.m_step_offset[name.m_step] + name.m_index;
+}
+
+TaskName NameOfTask(const Job& job, std::size_t index) {
+  TaskName name;
+  name.m_job = job.m_submission.m_id;
+  name.m_occurrence =
+      static_cast<std::uint32_t>(index / job.m_tasks_per_occurrence);
+  const std::uint32_t within =
+      static_cast<std::uint32_t>(index % job.m_tasks_per_occurrence);
+  const auto after = std::upper_bound(job.m_step_offset.begin(),
+                                      job.m_step_offset.end(), within);
+  name.m_step =
+      static_cast<std::uint32_t>(after - job.m_step_offset.begin() - 1);
+  name.m_index = within - job.m_step_offset[name.m_step];
+  return name;
+}
+
+std::string ToString(const TaskName& name) {
+  return name.m_job + "." + std::to_string(name.m_occurrence) + "." +
+         std::to_string(name.m_step) + "." + std::to_string(name.m_index);
+}
+
+const StepPlan& StepOf(const Job& job, std::size_t index) {
+  return job.m_submission.m_plan.m_steps[NameOfTask(job, index).m_step];
+}
+
+bool IsStepReady(const Job& job, std::uint32_t occurrence, std::uint32_t step) {
+  const std::vector<StepPlan>& steps = job.m_submission.m_plan.m_steps;
+  const std::vector<std::uint32_t>& after = steps[step].m_after;
+  return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+    return job.m_step_done[occurrence * steps.size() + earlier] ==
+           steps[earlier].m_tasks;
+  });
+}
+
+void SetTaskState(Job* job, std::size_t index, TaskState state) {
+  Task& task = job->m_tasks[index];
+  const TaskName name = NameOfTask(*job, index);
+  std::uint32_t& done =
+      job->m_step_done[name.m_occurrence *
+                           job->m_submission.m_plan.m_steps.size() +
+                       name.m_step];
+  job->m_pending -= task.m_state == TaskState::kPending ? 1 : 0;
+  done -= task.m_state == TaskState::kDone ? 1 : 0;
+  task.m_state = state;
+  job->m_pending += state == TaskState::kPending ? 1 : 0;
+  done += state == TaskState::kDone ? 1 : 0;
+}
+
+bool IsTerminal(JobState state) {
+  return state == JobState::kCompleted || state == JobState::kFailed ||
+         state == JobState::kCancelled;
+}
+
+JobProgress ProgressOf(const Job& job,
+                       const std::vector<std::string>& worker_names) {
+  JobProgress progress;
+  progress.m_state = job.m_state;
+  if (IsTerminal(job.m_state) && job.m_state != JobState::kCancelled) {
+    return progress;
+  }
+  std::map<int, std::uint32_t> places;
+  bool checkpoints = false;
+  for (const Task& task : job.m_tasks) {
+    progress.m_tasks.push_back(task.m_state);
+    progress.m_runs.push_back(task.m_run);
+    progress.m_failures.push_back(task.m_failures);
+    std::uint32_t place = 0;
+    if (IsPlaced(task)) {
+      const auto inserted =
+          places.emplace(task.m_worker, progress.m_workers.size() + 1);
+      if (inserted.second) {
+        progress.m_workers.push_back(
+            worker_names[static_cast<std::size_t>(task.m_worker)]);
+      }
+      place = inserted.first->second;
+    }
+    progress.m_placed.push_back(place);
+    checkpoints = checkpoints || !task.m_checkpoint.empty();
+  }
+  if (checkpoints) {
+    for (const Task& task : job.m_tasks) {
+      progress.m_checkpoints.push_back(task.m_checkpoint);
+    }
+  }
+  return progress;
+}
+
+Result<void> RestoreProgress(
+    Job* job,
+    const JobProgress& progress,
+    const std::function<int(const std::string&)>& worker_index) {
+  job->m_state = progress.m_state;
+  job->m_stored_state = progress.m_state;
+  const bool whole =
+      IsTerminal(progress.m_state) && progress.m_state != JobState::kCancelled;
+  if (whole) {
+    job->m_begun = true;
+    return Ok();
+  }
+  const std::size_t tasks = job->m_tasks.size();
+  const bool fits = progress.m_tasks.size() == tasks &&
+                    progress.m_runs.size() == tasks &&
+                    progress.m_failures.size() == tasks &&
+                    progress.m_placed.size() == tasks &&
+                    (progress.m_checkpoints.empty() ||
+                     progress.m_checkpoints.size() == tasks);
+  if (!fits) {
+    return Fail(ErrorCode::kMalformed, "progress does not fit its job");
+  }
+  for (std::size_t i = 0; i < tasks; ++i) {
+    Task& task = job->m_tasks[i];
+    task.m_run = progress.m_runs[i];
+    task.m_failures = progress.m_failures[i];
+    if (!progress.m_checkpoints.empty()) {
+      task.m_checkpoint = progress.m_checkpoints[i];
+    }
+    job->m_begun = job->m_begun || task.m_run > 0;
+    const std::uint32_t place = progress.m_placed[i];
+    const TaskState stored = progress.m_tasks[i];
+    if (stored == TaskState::kDone || stored == TaskState::kFailed) {
+      SetTaskState(job, i, stored);
+    } else if (place > 0 && place <= progress.m_workers.size()) {
+      task.m_worker = worker_index(progress.m_workers[place - 1]);
+      task.m_doubt = StartDoubt::kInherited;
+      SetTaskState(job, i, TaskState::kStarting);
+    }
+  }
+  return Ok();
+}
+
+}  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/logging.cpp
+++ b/src/libhyssopspar/logging.cpp
@@ -1,5 +1,6 @@
 #include "hyssopspar/logging.h"
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -10,12 +11,32 @@
 
 namespace hyssopspar {
 
+namespace {
+
+/// Lines that may wait for standard output.
+constexpr std::size_t kQueuedLines = 4096;
+
+bool g_buffered = false;
+
+std::shared_ptr<spdlog::logger> MakeLogger(const std::string& part) {
+  return g_buffered
+             ? spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>(part)
+             : spdlog::stderr_logger_mt(part);
+}
+
+}  // namespace
+
+void UseBufferedStdout() {
+  spdlog::init_thread_pool(kQueuedLines, 1);
+  g_buffered = true;
+}
+
 std::shared_ptr<spdlog::logger> Log(const std::string& part) {
   static std::mutex mutex;
   std::lock_guard<std::mutex> lock(mutex);
   std::shared_ptr<spdlog::logger> logger = spdlog::get(part);
   if (logger == nullptr) {
-    logger = spdlog::stderr_logger_mt(part);
+    logger = MakeLogger(part);
     logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e%z %l [%n] %v");
     logger->set_level(spdlog::get_level());
     logger->flush_on(spdlog::level::info);
--- /dev/null
+++ b/src/node/cell_host.cpp
@@ -0,0 +1,579 @@
+#include "node/cell_host.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "hyssopspar/logging.h"
+
+namespace hyssopspar::node {
+
+namespace {
+
+constexpr const char* kLogPart = "owner";
+constexpr const char* kOwnerKey = "owner";
+constexpr const char* kWriterName = "owner";
+/// Limits of one call to the store and of one order to a worker.
+constexpr milliseconds kStoreLimit{1500};
+constexpr milliseconds kOrderLimit{1000};
+constexpr milliseconds kRetryPause{150};
+/// Time the store waits for owner and job records before it answers.
+constexpr milliseconds kOwnerReadWait{1500};
+constexpr milliseconds kJobReadWait{1000};
+/// Between looks at the platform's list of workers.
+constexpr milliseconds kWorkerReadPause{400};
+constexpr milliseconds kJobViewLimit{2500};
+
+}  // namespace
+
+CellHost::CellHost(const NodeSettings& settings,
+                   int cell,
+                   jobs::PlatformAdapter* platform,
+                   DecisionLoop* loop,
+                   const OperatorView* operators)
+    : m_settings(settings),
+      m_number(cell),
+      m_platform(platform),
+      m_loop(loop),
+      m_operators(operators) {}
+
+CellHost::~CellHost() = default;
+
+Partition CellHost::PartitionOf(const char* stream) const {
+  return {stream, m_number};
+}
+
+template <class T, class Handler>
+std::function<void(T)> CellHost::OnLoop(Handler handler) {
+  return [this, loop = m_loop, generation = m_generation,
+          handler = std::move(handler)](T answer) {
+    loop->Post([this, generation, handler, answer = std::move(answer)] {
+      if (!m_stopped && generation == m_generation) {
+        handler(answer);
+      }
+    });
+  };
+}
+
+void CellHost::Start() {
+  FollowerSink sink;
+  sink.m_snapshot = [this](const std::vector<KeyedRecord>& records) {
+    if (records.empty() && !m_owner.m_record) {
+      m_owner.m_changed = Clock::now();
+    }
+    OnOwnerRecords(records);
+  };
+  sink.m_records = [this](const std::vector<KeyedRecord>& records) {
+    OnOwnerRecords(records);
+  };
+  m_owner_stream = std::make_shared<StreamFollower>(
+      &m_platform->Log(), m_loop, PartitionOf(jobs::kOwnerStream),
+      FollowerSettings{kOwnerReadWait, milliseconds(0)}, std::move(sink));
+  m_owner_stream->Start();
+}
+
+void CellHost::Stop() {
+  m_stopped = true;
+  m_owner_stream->Stop();
+  StepDown("stopping");
+}
+
+void CellHost::OnOwnerRecords(const std::vector<KeyedRecord>& records) {
+  const TimePoint now = Clock::now();
+  m_owner_end = std::max(m_owner_end, m_owner_stream->Next());
+  for (const KeyedRecord& record : records) {
+    const Result<jobs::OwnerRecord> owner =
+        jobs::DecodeOwner(record.m_value.value_or(""));
+    if (record.m_key != kOwnerKey || !owner) {
+      Log(kLogPart)->warn("record-ignored key={}", record.m_key);
+      continue;
+    }
+    const bool news = !m_owner.m_record ||
+                      owner.value().m_epoch != m_owner.m_record->m_epoch ||
+                      owner.value().m_released != m_owner.m_record->m_released;
+    jobs::NoteOwner(&m_owner, owner.value(), now);
+    if (news) {
+      Log(kLogPart)->info("owner cell={} epoch={} node={} released={}",
+                          m_number, owner.value().m_epoch, owner.value().m_node,
+                          owner.value().m_released);
+    }
+  }
+  Review();
+}
+
+void CellHost::SuspectOwner(std::uint64_t epoch) {
+  if (m_owner.m_record && m_owner.m_record->m_epoch == epoch &&
+      !m_owner.m_unreachable) {
+    Log(kLogPart)->warn("owner-refuses cell={} epoch={} node={}", m_number,
+                        epoch, m_owner.m_record->m_node);
+    m_owner.m_unreachable = true;
+    Review();
+  }
+}
+
+/// Decides what the owner's records ask of this node.
+void CellHost::Review() {
+  if (m_stopped || m_releasing || !m_owner_stream->IsLoaded()) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  const bool ours = jobs::OwnsCell(m_owner, m_settings.m_ownership) &&
+                    m_owner.m_record->m_epoch == m_claim.m_epoch;
+  switch (m_phase) {
+    case Phase::kFollowing: {
+      const TimePoint at = jobs::ClaimTime(m_owner, m_settings.m_ownership);
+      if (m_operators->HasConfig() && now >= at &&
+          m_owner_stream->Verified() >= at) {
+        Claim();
+      }
+      break;
+    }
+    case Phase::kClaiming:
+      if (ours) {
+        Fence();
+      } else if (m_owner.m_record &&
+                 m_owner.m_record->m_epoch >= m_claim.m_epoch) {
+        StepDown("claim-lost");
+      } else if (now - m_claim_sent > kStoreLimit + kStoreLimit) {
+        StepDown("claim-unanswered");
+      }
+      break;
+    default:
+      if (!ours) {
+        StepDown("replaced");
+      } else if (m_phase == Phase::kOwning && now >= m_renew_at) {
+        Renew();
+      }
+      break;
+  }
+  ArmReview();
+}
+
+void CellHost::ArmReview() {
+  const TimePoint now = Clock::now();
+  TimePoint at = now + kOwnerReadWait;
+  if (m_phase == Phase::kOwning) {
+    at = m_renewing ? at : m_renew_at;
+  } else if (m_phase == Phase::kFollowing) {
+    at = jobs::ClaimTime(m_owner, m_settings.m_ownership);
+  }
+  at = std::max(at, now + milliseconds(20));
+  if (m_review_at > now && m_review_at <= at) {
+    return;
+  }
+  m_review_at = at;
+  m_loop->PostAt(at, [this, at] {
+    if (m_review_at == at) {
+      m_review_at = TimePoint::max();
+      Review();
+    }
+  });
+}
+
+void CellHost::Claim() {
+  m_phase = Phase::kClaiming;
+  ++m_generation;
+  m_claim = jobs::MakeClaim(m_owner, m_settings.m_ownership);
+  m_claim_sent = Clock::now();
+  Log(kLogPart)->info("claim cell={} epoch={} silence_ms={} refused={}",
+                      m_number, m_claim.m_epoch,
+                      ToMillis(m_claim_sent - m_owner.m_changed),
+                      m_owner.m_unreachable);
+  AppendGuard guard;
+  guard.m_expected_end = m_owner_end;
+  m_platform->Log().Append(
+      PartitionOf(jobs::kOwnerStream),
+      {{kOwnerKey, jobs::EncodeOwner(m_claim)}}, guard,
+      m_claim_sent + kStoreLimit,
+      OnLoop<Result<Offset>>(
+          [this](const Result<Offset>& end) { OnClaimed(end); }));
+}
+
+void CellHost::OnClaimed(const Result<Offset>& result) {
+  if (m_phase != Phase::kClaiming) {
+    return;
+  }
+  if (result) {
+    m_owner_end = std::max(m_owner_end, result.value());
+    jobs::NoteOwner(&m_owner, m_claim, Clock::now());
+    Fence();
+    return;
+  }
+  Log(kLogPart)->info("claim-failed cell={} epoch={} error={}", m_number,
+                      m_claim.m_epoch, ToString(result.error()));
+  const ErrorCode code = result.error().m_code;
+  if (code == ErrorCode::kConflict || code == ErrorCode::kNotSent ||
+      code == ErrorCode::kUnavailable) {
+    StepDown("claim-refused");
+  }
+}
+
+/// Shuts out writes of earlier owners that are still on their way.
+void CellHost::Fence() {
+  m_phase = Phase::kFencing;
+  AppendGuard guard;
+  guard.m_writer = kWriterName;
+  guard.m_epoch = m_claim.m_epoch;
+  m_platform->Log().Append(
+      PartitionOf(jobs::kProgressStream), {}, guard, Clock::now() + kStoreLimit,
+      OnLoop<Result<Offset>>([this](const Result<Offset>& end) {
+        if (end) {
+          LoadJobs();
+          return;
+        }
+        Log(kLogPart)->warn("fence-failed cell={} epoch={} error={}", m_number,
+                            m_claim.m_epoch, ToString(end.error()));
+        if (end.error().m_code == ErrorCode::kFenced) {
+          StepDown("fenced");
+          return;
+        }
+        m_loop->PostAt(Clock::now() + kRetryPause,
+                       [this, generation = m_generation] {
+                         if (generation == m_generation) {
+                           Fence();
+                         }
+                       });
+      }));
+}
+
+void CellHost::LoadJobs() {
+  m_phase = Phase::kLoading;
+  jobs::CellSettings settings = m_settings.m_cell;
+  settings.m_epoch = m_claim.m_epoch;
+  m_cell = std::make_unique<jobs::Cell>(settings, Clock::now());
+  m_domains_told.clear();
+  FollowerSink workers;
+  workers.m_snapshot = [this](const std::vector<KeyedRecord>& records) {
+    ReplaceWorkers(records);
+  };
+  workers.m_records = [this](const std::vector<KeyedRecord>& records) {
+    EnterWorkers(records);
+  };
+  m_worker_stream = std::make_shared<StreamFollower>(
+      &m_platform->Log(), m_loop, m_platform->WorkerRecords(),
+      FollowerSettings{milliseconds(0), kWorkerReadPause}, std::move(workers));
+  m_worker_stream->Start();
+  FollowerSink job_sink;
+  job_sink.m_snapshot = [this](const std::vector<KeyedRecord>& records) {
+    EnterJobs(records);
+    if (m_phase == Phase::kLoading) {
+      LoadProgress("");
+    }
+  };
+  job_sink.m_records = [this](const std::vector<KeyedRecord>& records) {
+    EnterJobs(records);
+  };
+  m_job_stream = std::make_shared<StreamFollower>(
+      &m_platform->Log(), m_loop, PartitionOf(jobs::kJobStream),
+      FollowerSettings{kJobReadWait, milliseconds(0)}, std::move(job_sink));
+  m_job_stream->Start();
+}
+
+void CellHost::LoadProgress(const std::string& after_key) {
+  m_platform->Log().Newest(
+      PartitionOf(jobs::kProgressStream), after_key, Clock::now() + kStoreLimit,
+      OnLoop<Result<KeyedPage>>(
+          [this](const Result<KeyedPage>& page) { OnProgressPage(page); }));
+}
+
+void CellHost::OnProgressPage(const Result<KeyedPage>& page) {
+  if (!page) {
+    Log(kLogPart)->warn("load-failed cell={} epoch={} error={}", m_number,
+                        m_claim.m_epoch, ToString(page.error()));
+    m_loop->PostAt(Clock::now() + kRetryPause,
+                   [this, generation = m_generation] {
+                     if (generation == m_generation) {
+                       LoadProgress("");
+                     }
+                   });
+    return;
+  }
+  for (const KeyedRecord& record : page.value().m_records) {
+    const Result<jobs::JobProgress> progress =
+        jobs::DecodeProgress(record.m_value.value_or(""));
+    const Result<void> entered =
+        progress ? m_cell->OnProgress(record.m_key, progress.value())
+                 : Result<void>(progress.error());
+    if (!entered) {
+      Log(kLogPart)->warn("progress-ignored job={} error={}", record.m_key,
+                          ToString(entered.error()));
+    }
+  }
+  if (page.value().m_more && !page.value().m_records.empty()) {
+    LoadProgress(page.value().m_records.back().m_key);
+    return;
+  }
+  Own();
+}
+
+void CellHost::Own() {
+  m_phase = Phase::kOwning;
+  const TimePoint now = Clock::now();
+  Log(kLogPart)->info("owning cell={} epoch={} after_ms={}", m_number,
+                      m_claim.m_epoch, ToMillis(now - m_claim_sent));
+  m_renew_at = now;
+  m_cell->SetAuthority(m_claim_sent + m_settings.m_authority);
+  m_cell->Activate(now);
+  OnOperators();
+  Review();
+}
+
+void CellHost::Renew() {
+  if (m_renewing) {
+    return;
+  }
+  m_renewing = true;
+  jobs::OwnerRecord renewed = m_claim;
+  renewed.m_renewals = m_owner.m_record->m_renewals + 1;
+  const TimePoint sent = Clock::now();
+  m_renew_at = sent + m_settings.m_ownership.m_renewal;
+  AppendGuard guard;
+  guard.m_expected_end = m_owner_end;
+  m_platform->Log().Append(
+      PartitionOf(jobs::kOwnerStream),
+      {{kOwnerKey, jobs::EncodeOwner(renewed)}}, guard, sent + kStoreLimit,
+      OnLoop<Result<Offset>>([this, sent, renewed](const Result<Offset>& end) {
+        m_renewing = false;
+        if (end) {
+          m_owner_end = std::max(m_owner_end, end.value());
+          jobs::NoteOwner(&m_owner, renewed, Clock::now());
+          m_cell->SetAuthority(sent + m_settings.m_authority);
+        } else {
+          Log(kLogPart)->warn("renewal-failed cell={} epoch={} error={}",
+                              m_number, m_claim.m_epoch, ToString(end.error()));
+          m_renew_at = Clock::now() + kRetryPause;
+        }
+        Review();
+        Pump();
+      }));
+}
+
+void CellHost::Release(std::function<void()> done) {
+  m_releasing = true;
+  if (m_phase != Phase::kOwning) {
+    StepDown("stopping");
+    done();
+    return;
+  }
+  StepDown("stopping");
+  jobs::OwnerRecord released = m_claim;
+  released.m_released = true;
+  AppendGuard guard;
+  guard.m_expected_end = m_owner_end;
+  m_platform->Log().Append(
+      PartitionOf(jobs::kOwnerStream),
+      {{kOwnerKey, jobs::EncodeOwner(released)}}, guard,
+      Clock::now() + kStoreLimit,
+      OnLoop<Result<Offset>>([this, done](const Result<Offset>& end) {
+        Log(kLogPart)->info("released cell={} epoch={} stored={}", m_number,
+                            m_claim.m_epoch, end.has_value());
+        done();
+      }));
+}
+
+void CellHost::StepDown(const char* reason) {
+  if (m_phase != Phase::kFollowing) {
+    Log(kLogPart)->info("step-down cell={} epoch={} reason={}", m_number,
+                        m_claim.m_epoch, reason);
+  }
+  ++m_generation;
+  m_phase = Phase::kFollowing;
+  m_renewing = false;
+  if (m_job_stream != nullptr) {
+    m_job_stream->Stop();
+  }
+  if (m_worker_stream != nullptr) {
+    m_worker_stream->Stop();
+  }
+  m_loop->SetDeadline(TimePoint::max(), nullptr);
+  // A report of one of the streams may be on the stack.
+  m_loop->Post([job_stream = std::exchange(m_job_stream, nullptr),
+                worker_stream = std::exchange(m_worker_stream, nullptr),
+                cell = std::shared_ptr<jobs::Cell>(std::move(m_cell))] {});
+}
+
+void CellHost::OnOperators() {
+  if (m_cell == nullptr) {
+    Review();
+    return;
+  }
+  std::set<std::string> domains = m_operators->DomainsOut();
+  for (const std::string& domain : m_domains_told) {
+    if (domains.count(domain) == 0) {
+      m_cell->SetDomainOut(domain, false);
+    }
+  }
+  for (const std::string& domain : domains) {
+    m_cell->SetDomainOut(domain, true);
+  }
+  m_domains_told = std::move(domains);
+  Pump();
+}
+
+const jobs::Cell* CellHost::OwnedCell() const {
+  return m_phase == Phase::kOwning ? m_cell.get() : nullptr;
+}
+
+bool CellHost::KnowsRecentJobs() const {
+  return m_phase == Phase::kOwning &&
+         Clock::now() - m_job_stream->Verified() < kJobViewLimit;
+}
+
+void CellHost::EnterJobs(const std::vector<KeyedRecord>& records) {
+  const TimePoint now = Clock::now();
+  for (const KeyedRecord& record : records) {
+    const std::string cancelled = jobs::CancelledJob(record.m_key);
+    if (!cancelled.empty()) {
+      if (record.m_value) {
+        m_cell->OnCancel(cancelled, now);
+      }
+      continue;
+    }
+    if (!record.m_value) {
+      continue;
+    }
+    const Result<jobs::Submission> job =
+        jobs::DecodeSubmission(*record.m_value);
+    if (!job) {
+      Log(kLogPart)->warn("job-ignored key={} error={}", record.m_key,
+                          ToString(job.error()));
+      continue;
+    }
+    m_cell->OnJob(job.value(), now);
+  }
+  Pump();
+}
+
+void CellHost::EnterWorkers(const std::vector<KeyedRecord>& records) {
+  const TimePoint now = Clock::now();
+  for (const KeyedRecord& record : records) {
+    const Result<jobs::WorkerEntry> entry = m_platform->DecodeWorker(record);
+    if (entry) {
+      m_cell->SetWorker(entry.value(), now);
+      continue;
+    }
+    if (record.m_value) {
+      Log(kLogPart)->warn("worker-ignored key={} error={}", record.m_key,
+                          ToString(entry.error()));
+    }
+    m_cell->RemoveWorker(record.m_key, now);
+  }
+  Pump();
+}
+
+void CellHost::ReplaceWorkers(const std::vector<KeyedRecord>& records) {
+  std::set<std::string> present;
+  for (const KeyedRecord& record : records) {
+    present.insert(record.m_key);
+  }
+  const TimePoint now = Clock::now();
+  for (const jobs::Worker& worker : m_cell->Workers()) {
+    if (present.count(worker.m_entry.m_id) == 0) {
+      m_cell->RemoveWorker(worker.m_entry.m_id, now);
+    }
+  }
+  EnterWorkers(records);
+}
+
+void CellHost::Pump() {
+  if (m_phase != Phase::kOwning) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  m_cell->SetViewTimes(m_operators->Verified(), m_worker_stream->Verified());
+  m_cell->SetUnixTime(std::chrono::duration_cast<milliseconds>(
+                          std::chrono::system_clock::now().time_since_epoch()),
+                      now);
+  m_cell->Tick(now);
+  for (jobs::Action& action : m_cell->TakeActions()) {
+    std::visit([this](auto& a) { Perform(std::move(a)); }, action);
+  }
+  if (m_cell->IsFenced()) {
+    StepDown("fenced");
+    ArmReview();
+    return;
+  }
+  m_loop->SetDeadline(m_cell->NextDeadline(), [this] { Pump(); });
+}
+
+void CellHost::Perform(jobs::StartAction action) {
+  const TimePoint deadline = Clock::now() + kOrderLimit;
+  const jobs::WorkerTarget target = action.m_target;
+  const jobs::StartOrder order = action.m_order;
+  m_platform->Workers().Start(target, order, deadline,
+                              OnLoop<Result<jobs::StartAnswer>>(
+                                  [this, action = std::move(action)](
+                                      const Result<jobs::StartAnswer>& answer) {
+                                    m_cell->OnStartAnswer(action, answer,
+                                                          Clock::now());
+                                    Pump();
+                                  }));
+}
+
+void CellHost::Perform(jobs::StopAction action) {
+  const jobs::WorkerTarget target = action.m_target;
+  const jobs::StopOrder order = action.m_order;
+  m_platform->Workers().Stop(
+      target, order, Clock::now() + kOrderLimit,
+      OnLoop<Result<void>>(
+          [this, action = std::move(action)](const Result<void>& answer) {
+            m_cell->OnStopAnswer(action, answer, Clock::now());
+            Pump();
+          }));
+}
+
+void CellHost::Perform(const jobs::PaceAction& action) {
+  m_platform->Workers().Pace(
+      action.m_target, action.m_order, Clock::now() + kOrderLimit,
+      [id = action.m_target.m_id](const Result<void>& answer) {
+        if (!answer) {
+          Log(kLogPart)->warn("pace-failed worker={} error={}", id,
+                              ToString(answer.error()));
+        }
+      });
+}
+
+void CellHost::Perform(jobs::HoldAction action) {
+  const TimePoint deadline = Clock::now() + kOrderLimit + action.m_order.m_wait;
+  const jobs::WorkerTarget target = action.m_target;
+  const jobs::HoldOrder order = action.m_order;
+  m_platform->Workers().Hold(
+      target, order, deadline,
+      OnLoop<Result<jobs::HoldReport>>(
+          [this,
+           action = std::move(action)](const Result<jobs::HoldReport>& answer) {
+            m_cell->OnHoldAnswer(action, answer, Clock::now());
+            Pump();
+          }));
+}
+
+void CellHost::Perform(const jobs::StoreAction& action) {
+  AppendGuard guard;
+  guard.m_writer = kWriterName;
+  guard.m_epoch = m_claim.m_epoch;
+  guard.m_sequence = action.m_batch;
+  m_platform->Log().Append(
+      PartitionOf(jobs::kProgressStream), action.m_records, guard,
+      Clock::now() + kStoreLimit,
+      OnLoop<Result<Offset>>(
+          [this, batch = action.m_batch](const Result<Offset>& end) {
+            m_cell->OnStored(batch, end, Clock::now());
+            Pump();
+          }));
+}
+
+void CellHost::Perform(const jobs::ForgetAction& action) {
+  std::vector<KeyedRecord> drops;
+  for (const std::string& id : action.m_jobs) {
+    drops.push_back({id, std::nullopt});
+    drops.push_back({jobs::CancelKey(id), std::nullopt});
+  }
+  m_platform->Log().Append(
+      PartitionOf(jobs::kJobStream), drops, AppendGuard(),
+      Clock::now() + kStoreLimit, [](const Result<Offset>& end) {
+        if (!end) {
+          Log(kLogPart)->warn("forget-failed error={}", ToString(end.error()));
+        }
+      });
+}
+
+}  // namespace hyssopspar::node
--- /dev/null
+++ b/src/node/cell_host.h
@@ -0,0 +1,109 @@
+/// \file
+/// Claims a cell, and acts for it while it is owned here.
+
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "hyssopspar/decision_loop.h"
+#include "hyssopspar/jobs/cell.h"
+#include "hyssopspar/jobs/ownership.h"
+#include "hyssopspar/jobs/platform_adapter.h"
+#include "hyssopspar/jobs/records.h"
+#include "hyssopspar/store/stream_follower.h"
+#include "node/node_settings.h"
+#include "node/operator_view.h"
+
+namespace hyssopspar::node {
+
+/// All calls on the loop's thread.
+class CellHost {
+ public:
+  CellHost(const NodeSettings& settings,
+           int cell,
+           jobs::PlatformAdapter* platform,
+           DecisionLoop* loop,
+           const OperatorView* operators);
+  ~CellHost();
+
+  void Start();
+  /// Gives the cell up, so that another node takes it at once.
+  void Release(std::function<void()> done);
+  void Stop();
+
+  /// Passes a change of the operators' view on to the cell.
+  void OnOperators();
+
+  /// Owner as last read, if there is a live one.
+  const jobs::OwnerView& Owner() const { return m_owner; }
+  /// Notes that the owner of \p epoch refuses connections.
+  void SuspectOwner(std::uint64_t epoch);
+
+  /// The cell, when it is owned here and has been loaded.
+  const jobs::Cell* OwnedCell() const;
+  /// True when every job accepted up to a second ago is in OwnedCell.
+  bool KnowsRecentJobs() const;
+
+ private:
+  enum class Phase { kFollowing, kClaiming, kFencing, kLoading, kOwning };
+
+  void OnOwnerRecords(const std::vector<KeyedRecord>& records);
+  void Review();
+  void Claim();
+  void OnClaimed(const Result<Offset>& result);
+  void Fence();
+  void LoadJobs();
+  void LoadProgress(const std::string& after_key);
+  void OnProgressPage(const Result<KeyedPage>& page);
+  void Own();
+  void Renew();
+  void StepDown(const char* reason);
+  void ArmReview();
+
+  void EnterJobs(const std::vector<KeyedRecord>& records);
+  void EnterWorkers(const std::vector<KeyedRecord>& records);
+  void ReplaceWorkers(const std::vector<KeyedRecord>& records);
+  void Pump();
+  void Perform(jobs::StartAction action);
+  void Perform(jobs::StopAction action);
+  void Perform(const jobs::PaceAction& action);
+  void Perform(jobs::HoldAction action);
+  void Perform(const jobs::StoreAction& action);
+  void Perform(const jobs::ForgetAction& action);
+  Partition PartitionOf(const char* stream) const;
+
+  /// Runs \p handler on the loop unless ownership has changed since.
+  template <class T, class Handler>
+  std::function<void(T)> OnLoop(Handler handler);
+
+  NodeSettings m_settings;
+  int m_number;
+  jobs::PlatformAdapter* m_platform;
+  DecisionLoop* m_loop;
+  const OperatorView* m_operators;
+
+  Phase m_phase = Phase::kFollowing;
+  std::uint64_t m_generation = 0;  ///< Changes with each claim and step down.
+  jobs::OwnerView m_owner;
+  jobs::OwnerRecord m_claim;
+  Offset m_owner_end = 0;
+  TimePoint m_claim_sent;
+  TimePoint m_renew_at;
+  bool m_renewing = false;
+  bool m_stopped = false;
+  bool m_releasing = false;
+  TimePoint m_review_at = TimePoint::max();
+  std::shared_ptr<StreamFollower> m_owner_stream;
+  std::shared_ptr<StreamFollower> m_job_stream;
+  std::shared_ptr<StreamFollower> m_worker_stream;
+  std::unique_ptr<jobs::Cell> m_cell;
+  std::set<std::string> m_domains_told;
+};
+
+}  // namespace hyssopspar::node
--- /dev/null
+++ b/src/node/front.cpp
@@ -0,0 +1,216 @@
+#include "node/front.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <utility>
+
+#include "hyssopspar/jobs/records.h"
+#include "hyssopspar/logging.h"
+
+namespace hyssopspar::node {
+
+namespace {
+
+constexpr const char* kLogPart = "front";
+constexpr std::size_t kJobIdDigits = 16;
+/// One try to store a request, and how often it is tried.
+constexpr milliseconds kStoreLimit{700};
+constexpr int kStoreTries = 3;
+constexpr milliseconds kStoreRetryPause{60};
+/// A caller without a deadline of its own waits this long.
+constexpr milliseconds kDefaultPatience{3000};
+/// Time left to answer when everything else has taken its time.
+constexpr milliseconds kAnswerMargin{100};
+constexpr milliseconds kOwnerLimit{1000};
+/// When a caller that was refused may come back, in seconds.
+constexpr const char* kRetryAfter = "1";
+
+bool IsJobId(const std::string& text) {
+  return text.size() == kJobIdDigits &&
+         std::all_of(text.begin(), text.end(),
+                     [](unsigned char c) { return std::isxdigit(c) != 0; });
+}
+
+std::string HostOf(const HttpRequest& request) {
+  const std::string host = HeaderOr(request.m_headers, "host");
+  return host.substr(0, host.find(':'));
+}
+
+TimePoint DeadlineOf(const HttpRequest& request, TimePoint now) {
+  const std::string text = HeaderOr(request.m_headers, "x-deadline-ms");
+  std::int64_t millis = 0;
+  const std::from_chars_result parsed =
+      std::from_chars(text.data(), text.data() + text.size(), millis);
+  const bool given = parsed.ec == std::errc() && millis > 0;
+  const milliseconds patience =
+      given ? std::min(milliseconds(millis), kDefaultPatience)
+            : kDefaultPatience;
+  return now + std::max(patience - kAnswerMargin, kAnswerMargin);
+}
+
+HttpResponse Unavailable(const std::string& detail) {
+  HttpResponse response = ErrorResponse(503, "not-run", detail);
+  response.m_headers["retry-after"] = kRetryAfter;
+  return response;
+}
+
+HttpResponse EmptyObject() {
+  return JsonResponse(200, "{}");
+}
+
+}  // namespace
+
+Front::Front(jobs::PlatformAdapter* platform,
+             DecisionLoop* loop,
+             const OperatorView* operators,
+             OwnerClient* owner)
+    : m_platform(platform),
+      m_loop(loop),
+      m_operators(operators),
+      m_owner(owner) {}
+
+void Front::Handle(const HttpRequest& request, const HttpReply& reply) {
+  if (!m_operators->HasConfig()) {
+    reply(Unavailable("no configuration yet"));
+    return;
+  }
+  const std::string path = PathOf(request.m_target);
+  const jobs::QueueRoute* const queue =
+      jobs::MatchQueue(m_operators->Config(), HostOf(request), path);
+  if (queue == nullptr) {
+    Log(kLogPart)->info("no-queue path={} revision={}", path,
+                        m_operators->Config().m_revision);
+    reply(ErrorResponse(404, "not-found", "no such queue"));
+    return;
+  }
+  const std::string job_id = path.substr(queue->m_path_prefix.size());
+  if (request.m_method == "GET" && job_id.empty()) {
+    AnswerPending(queue->m_policy.m_name, request, reply);
+  } else if (!IsJobId(job_id)) {
+    reply(ErrorResponse(400, "invalid-argument",
+                        "a job's id has 16 hexadecimal digits"));
+  } else if (request.m_method == "POST") {
+    Submit(*queue, job_id, request, reply);
+  } else if (request.m_method == "GET") {
+    AnswerState(job_id, request, reply);
+  } else if (request.m_method == "DELETE") {
+    Cancel(job_id, request, reply);
+  } else {
+    reply(ErrorResponse(405, "invalid-argument", "unknown method"));
+  }
+}
+
+void Front::Submit(const jobs::QueueRoute& queue,
+                   const std::string& job_id,
+                   const HttpRequest& request,
+                   const HttpReply& reply) {
+  if (request.m_body.size() > m_operators->Config().m_max_body_bytes) {
+    reply(ErrorResponse(413, "too-large", "job too large"));
+    return;
+  }
+  Result<jobs::JobPlan> plan = m_platform->DecodeJob(request.m_body);
+  if (!plan) {
+    Log(kLogPart)->info("job-refused id={} error={}", job_id,
+                        ToString(plan.error()));
+    reply(ErrorResponse(400, std::string(ToString(plan.error().m_code)),
+                        plan.error().m_detail));
+    return;
+  }
+  jobs::Submission submission;
+  submission.m_id = job_id;
+  submission.m_accepted_unix_ms =
+      ToMillis(std::chrono::system_clock::now().time_since_epoch());
+  submission.m_queue = queue.m_policy;
+  submission.m_plan = std::move(plan.value());
+  Store({job_id, jobs::EncodeSubmission(submission)}, kStoreTries, false,
+        DeadlineOf(request, Clock::now()), "submit", reply);
+}
+
+void Front::Cancel(const std::string& job_id,
+                   const HttpRequest& request,
+                   const HttpReply& reply) {
+  // Any value will do; a record without one would remove the key.
+  Store({jobs::CancelKey(job_id), "1"}, kStoreTries, false,
+        DeadlineOf(request, Clock::now()), "cancel", reply);
+}
+
+void Front::Store(const KeyedRecord& record,
+                  int tries_left,
+                  bool maybe_stored,
+                  TimePoint deadline,
+                  const std::string& what,
+                  const HttpReply& reply) {
+  const TimePoint now = Clock::now();
+  const TimePoint limit = std::min(deadline, now + kStoreLimit);
+  m_platform->Log().Append(
+      {jobs::kJobStream, 0}, {record}, AppendGuard(), limit,
+      [this, record, tries_left, maybe_stored, deadline, what, reply,
+       now](Result<Offset> end) {
+        m_loop->Post([this, record, tries_left, maybe_stored, deadline, what,
+                      reply, now, end = std::move(end)] {
+          const TimePoint answered = Clock::now();
+          if (end) {
+            Log(kLogPart)->info("stored key={} call={} offset={} took_ms={}",
+                                record.m_key, what, end.value(),
+                                ToMillis(answered - now));
+            reply(EmptyObject());
+            return;
+          }
+          const ErrorCode code = end.error().m_code;
+          const bool maybe = maybe_stored || (code != ErrorCode::kNotSent &&
+                                              code != ErrorCode::kUnavailable);
+          if (tries_left > 1 && answered + kStoreLimit < deadline) {
+            m_loop->PostAt(
+                answered + kStoreRetryPause,
+                [this, record, tries_left, maybe, deadline, what, reply] {
+                  Store(record, tries_left - 1, maybe, deadline, what, reply);
+                });
+            return;
+          }
+          Log(kLogPart)->warn("not-stored key={} call={} known={} error={}",
+                              record.m_key, what, !maybe,
+                              ToString(end.error()));
+          reply(maybe ? ErrorResponse(504, "unknown",
+                                      "the store did not confirm in time")
+                      : Unavailable("the store can't be reached"));
+        });
+      });
+}
+
+void Front::AnswerState(const std::string& job_id,
+                        const HttpRequest& request,
+                        const HttpReply& reply) {
+  const TimePoint now = Clock::now();
+  m_owner->GetState(
+      job_id, std::min(DeadlineOf(request, now), now + kOwnerLimit),
+      [this, job_id, reply](const Result<jobs::JobState>& state) {
+        if (state) {
+          reply(JsonResponse(200, m_platform->EncodeState(state.value())));
+        } else if (state.error().m_code == ErrorCode::kNotFound) {
+          Log(kLogPart)->info("unknown-job id={}", job_id);
+          reply(ErrorResponse(410, "not-found", "no such job"));
+        } else {
+          Log(kLogPart)->info("state-unknown id={} error={}", job_id,
+                              ToString(state.error()));
+          reply(Unavailable("the owner of the job can't be asked"));
+        }
+      });
+}
+
+void Front::AnswerPending(const std::string& queue,
+                          const HttpRequest& request,
+                          const HttpReply& reply) {
+  const TimePoint now = Clock::now();
+  m_owner->GetPending(
+      queue, std::min(DeadlineOf(request, now), now + kOwnerLimit),
+      [this, reply](const Result<std::size_t>& pending) {
+        if (pending) {
+          reply(JsonResponse(200, m_platform->EncodePending(pending.value())));
+        } else {
+          reply(Unavailable("the owner of the queue can't be asked"));
+        }
+      });
+}
+
+}  // namespace hyssopspar::node
--- /dev/null
+++ b/src/node/node_process.cpp
@@ -0,0 +1,137 @@
+#include "node/node_process.h"
+
+#include <future>
+#include <thread>
+#include <utility>
+
+#include "hyssopspar/health.h"
+#include "hyssopspar/logging.h"
+
+namespace hyssopspar::node {
+
+namespace {
+
+constexpr const char* kLogPart = "node";
+constexpr std::size_t kLoopCapacity = 4096;
+/// Only cell of the site, until its size asks for more.
+constexpr int kCell = 0;
+/// The store was heard from within this time, or the node is not ready.
+constexpr milliseconds kContactLimit{2500};
+/// Time for the balancer to notice that the node leaves.
+constexpr milliseconds kLeaveNotice{2500};
+/// Left for the end of the process after the last answer.
+constexpr milliseconds kExitMargin{1000};
+constexpr milliseconds kDrainPause{50};
+
+HttpServerLimits FrontLimits() {
+  HttpServerLimits limits;
+  limits.m_body_bytes = 1 << 20;
+  limits.m_connections = 2000;
+  limits.m_idle_timeout = std::chrono::seconds(60);
+  return limits;
+}
+
+}  // namespace
+
+NodeProcess::NodeProcess(const NodeSettings& settings,
+                         std::unique_ptr<jobs::PlatformAdapter> platform)
+    : m_settings(settings),
+      m_platform(std::move(platform)),
+      m_loop(kLoopCapacity),
+      m_operators(m_platform.get(), &m_loop),
+      m_host(settings, kCell, m_platform.get(), &m_loop, &m_operators),
+      m_owner(&m_host, &m_loop),
+      m_front(m_platform.get(), &m_loop, &m_operators, &m_owner),
+      m_front_server(
+          [this](HttpRequest request, HttpReply reply) {
+            OnFront(std::move(request), std::move(reply));
+          },
+          FrontLimits(),
+          1),
+      m_ready_server(
+          [this](const HttpRequest& request, const HttpReply& reply) {
+            OnReady(request, reply);
+          },
+          HttpServerLimits(),
+          1),
+      m_internal_server(
+          [this](HttpRequest request, HttpReply reply) {
+            OnInternal(std::move(request), std::move(reply));
+          },
+          HttpServerLimits(),
+          1) {}
+
+NodeProcess::~NodeProcess() = default;
+
+Result<void> NodeProcess::Start() {
+  BOOST_OUTCOME_TRY(m_internal_server.Start(m_settings.m_internal_listen));
+  BOOST_OUTCOME_TRY(m_ready_server.Start(m_settings.m_ready_listen));
+  BOOST_OUTCOME_TRY(m_front_server.Start(m_settings.m_front_listen));
+  m_loop.Post([this] {
+    m_operators.Start([this] { m_host.OnOperators(); });
+    m_host.Start();
+  });
+  return Ok();
+}
+
+void NodeProcess::LeaveAndStop() {
+  const TimePoint begun = Clock::now();
+  Log(kLogPart)->info("leaving");
+  m_leaving.store(true);
+  std::promise<void> released;
+  m_loop.Post([this, &released] {
+    m_host.Release([&released] { released.set_value(); });
+  });
+  released.get_future().wait();
+  std::this_thread::sleep_until(begun + kLeaveNotice);
+  m_front_server.StopAccepting();
+  const TimePoint last = begun + m_settings.m_grace - kExitMargin;
+  while (m_front_server.InFlight() > 0 && Clock::now() < last) {
+    std::this_thread::sleep_for(kDrainPause);
+  }
+  Log(kLogPart)->info("stopped in_flight={}", m_front_server.InFlight());
+  m_front_server.Stop();
+  m_ready_server.Stop();
+  m_internal_server.Stop();
+  m_platform->Stop();
+  m_owner.Stop();
+  m_loop.Stop();
+}
+
+bool NodeProcess::IsReady() const {
+  return !m_leaving.load() && m_operators.HasConfig() &&
+         Clock::now() - m_operators.Verified() < kContactLimit;
+}
+
+void NodeProcess::OnFront(HttpRequest request, HttpReply reply) {
+  const HttpReply refuse = reply;
+  const bool queued = m_loop.TryPost(
+      [this, request = std::move(request), reply = std::move(reply)] {
+        m_front.Handle(request, reply);
+      });
+  if (!queued) {
+    refuse(ErrorResponse(503, "not-run", "too many requests waiting"));
+  }
+}
+
+void NodeProcess::OnReady(const HttpRequest& /*request*/,
+                          const HttpReply& reply) {
+  m_loop.Post([this, reply] {
+    reply(IsReady() ? JsonResponse(200, "{}")
+                    : ErrorResponse(503, "unavailable", "not ready"));
+  });
+}
+
+void NodeProcess::OnInternal(HttpRequest request, HttpReply reply) {
+  const std::optional<HttpResponse> health =
+      AnswerHealth(request, m_metrics, !m_leaving.load());
+  if (health) {
+    reply(*health);
+    return;
+  }
+  m_loop.Post([this, request = std::move(request), reply = std::move(reply)] {
+    reply(m_owner.AnswerPeer(request));
+  });
+}
+
+}  // namespace hyssopspar::node
--- /dev/null
+++ b/src/node/node_settings.cpp
@@ -0,0 +1,52 @@
+#include "node/node_settings.h"
+
+#include <algorithm>
+
+#include "hyssopspar/ids.h"
+
+namespace hyssopspar::node {
+
+namespace {
+
+/// Leases stay below what the platform allows by this share, for the time that
+/// a message may take and for slow clocks.
+constexpr double kLeaseShare = 0.9;
+/// Rate of the slowest worker clock, of the platform's contract.
+constexpr double kSlowestClock = 0.98;
+constexpr milliseconds kLongestLease{6000};
+constexpr milliseconds kMinute{60000};
+
+}  // namespace
+
+NodeSettings ReadNodeSettings(SettingsReader* reader) {
+  NodeSettings settings;
+  settings.m_name = reader->String("name");
+  settings.m_failure_domain = reader->String("failure_domain");
+  settings.m_log_level = reader->Choice(
+      "log_level", {"debug", "info", "warn", "error", "off"}, "info");
+  settings.m_grace =
+      reader->Millis("grace_ms", settings.m_grace, milliseconds(1000), kMinute);
+  settings.m_authority = reader->Millis("authority_ms", settings.m_authority,
+                                        milliseconds(1000), kMinute);
+  SettingsReader listen = reader->Table("listen");
+  settings.m_front_listen = listen.Address("front");
+  settings.m_ready_listen = listen.Address("ready");
+  settings.m_internal_listen = listen.Address("internal");
+  SettingsReader store = reader->Table("store");
+  settings.m_store_address = store.Address("address");
+  SettingsReader workers = reader->Table("workers");
+  const milliseconds longest = workers.Millis("longest_lease_ms", kLongestLease,
+                                              milliseconds(1000), kMinute);
+  settings.m_cell.m_lease =
+      std::min(kLongestLease,
+               std::chrono::duration_cast<milliseconds>(longest * kLeaseShare));
+  settings.m_cell.m_inherited_lease =
+      settings.m_authority + std::chrono::duration_cast<milliseconds>(
+                                 settings.m_cell.m_lease / kSlowestClock);
+  settings.m_ownership.m_node = settings.m_name;
+  settings.m_ownership.m_process = std::to_string(RandomId());
+  settings.m_ownership.m_address = settings.m_internal_listen;
+  return settings;
+}
+
+}  // namespace hyssopspar::node
--- /dev/null
+++ b/src/node/node_settings.h
@@ -0,0 +1,34 @@
+/// \file
+/// Settings of hyssopspar-node.
+
+#pragma once
+
+#include <string>
+
+#include "hyssopspar/jobs/cell_settings.h"
+#include "hyssopspar/jobs/ownership.h"
+#include "hyssopspar/settings_reader.h"
+#include "hyssopspar/time.h"
+
+namespace hyssopspar::node {
+
+struct NodeSettings {
+  std::string m_name;
+  std::string m_failure_domain;
+  std::string m_store_address;
+  std::string m_front_listen;     ///< Callers.
+  std::string m_ready_listen;     ///< The balancer's checks.
+  std::string m_internal_listen;  ///< Other nodes, and metrics.
+  std::string m_log_level;
+  /// Time between SIGTERM and the end of the process.
+  milliseconds m_grace{6000};
+  /// An owner acts this long on its last renewal.
+  milliseconds m_authority{10000};
+  jobs::CellSettings m_cell;
+  jobs::OwnershipSettings m_ownership;
+};
+
+/// Problems are noted in \p reader.
+NodeSettings ReadNodeSettings(SettingsReader* reader);
+
+}  // namespace hyssopspar::node
--- /dev/null
+++ b/src/node/owner_client.cpp
@@ -0,0 +1,147 @@
+#include "node/owner_client.h"
+
+#include <utility>
+
+namespace hyssopspar::node {
+
+namespace {
+
+constexpr const char* kJobPath = "/v1/jobs/";
+constexpr const char* kPendingPath = "/v1/pending/";
+constexpr std::size_t kIdleConnections = 2;
+
+bool TakePrefix(const std::string& path,
+                const char* prefix,
+                std::string* rest) {
+  const std::string wanted = prefix;
+  if (path.compare(0, wanted.size(), wanted) != 0) {
+    return false;
+  }
+  *rest = path.substr(wanted.size());
+  return true;
+}
+
+HttpResponse TextResponse(std::string text) {
+  HttpResponse response;
+  response.m_headers["content-type"] = "text/plain";
+  response.m_body = std::move(text);
+  return response;
+}
+
+}  // namespace
+
+OwnerClient::OwnerClient(CellHost* host, DecisionLoop* loop)
+    : m_host(host), m_loop(loop), m_pool(1, kIdleConnections) {}
+
+Result<jobs::JobState> OwnerClient::LocalState(
+    const std::string& job_id) const {
+  const std::optional<jobs::JobState> state =
+      m_host->OwnedCell()->StateOf(job_id);
+  if (state) {
+    return *state;
+  }
+  if (!m_host->KnowsRecentJobs()) {
+    return Fail(ErrorCode::kUnavailable, "the view of jobs is old");
+  }
+  return Fail(ErrorCode::kNotFound, "no job " + job_id);
+}
+
+void OwnerClient::GetState(const std::string& job_id,
+                           TimePoint deadline,
+                           std::function<void(Result<jobs::JobState>)> done) {
+  if (m_host->OwnedCell() != nullptr) {
+    done(LocalState(job_id));
+    return;
+  }
+  Ask(kJobPath + job_id, deadline,
+      [done = std::move(done)](const Result<std::string>& text) {
+        if (!text) {
+          done(text.error());
+          return;
+        }
+        const std::optional<jobs::JobState> state =
+            jobs::ParseJobState(text.value());
+        if (state) {
+          done(*state);
+        } else {
+          done(Fail(ErrorCode::kMalformed, "unknown state " + text.value()));
+        }
+      });
+}
+
+void OwnerClient::GetPending(const std::string& queue,
+                             TimePoint deadline,
+                             std::function<void(Result<std::size_t>)> done) {
+  if (m_host->OwnedCell() != nullptr) {
+    done(m_host->OwnedCell()->PendingOf(queue));
+    return;
+  }
+  Ask(kPendingPath + queue, deadline,
+      [done = std::move(done)](const Result<std::string>& text) {
+        if (!text) {
+          done(text.error());
+        } else {
+          done(static_cast<std::size_t>(
+              std::strtoull(text.value().c_str(), nullptr, 10)));
+        }
+      });
+}
+
+void OwnerClient::Ask(const std::string& target,
+                      TimePoint deadline,
+                      std::function<void(Result<std::string>)> done) {
+  const jobs::OwnerView& owner = m_host->Owner();
+  if (!owner.m_record || owner.m_record->m_released) {
+    done(Fail(ErrorCode::kUnavailable, "the cell has no owner"));
+    return;
+  }
+  HttpRequest request;
+  request.m_target = target;
+  m_pool.Send(owner.m_record->m_address, std::move(request), deadline,
+              [this, epoch = owner.m_record->m_epoch,
+               done = std::move(done)](Result<HttpResponse> answer) {
+                m_loop->Post([this, epoch, done, answer = std::move(answer)] {
+                  if (!answer) {
+                    // Refused at once rather than silent: the process is gone.
+                    if (answer.error().m_code == ErrorCode::kNotSent &&
+                        answer.error().m_detail == "Connection refused") {
+                      m_host->SuspectOwner(epoch);
+                    }
+                    done(answer.error());
+                  } else if (answer.value().m_status == 404) {
+                    done(Fail(ErrorCode::kNotFound, "unknown to the owner"));
+                  } else if (answer.value().m_status != 200) {
+                    done(Fail(ErrorCode::kUnavailable, answer.value().m_body));
+                  } else {
+                    done(answer.value().m_body);
+                  }
+                });
+              });
+}
+
+HttpResponse OwnerClient::AnswerPeer(const HttpRequest& request) const {
+  const jobs::Cell* const cell = m_host->OwnedCell();
+  if (cell == nullptr) {
+    return ErrorResponse(503, "not-owner", "this node does not own the cell");
+  }
+  std::string rest;
+  if (TakePrefix(request.m_target, kJobPath, &rest)) {
+    const Result<jobs::JobState> state = LocalState(rest);
+    if (state) {
+      return TextResponse(ToString(state.value()));
+    }
+    const int status = state.error().m_code == ErrorCode::kNotFound ? 404 : 503;
+    return ErrorResponse(status, std::string(ToString(state.error().m_code)),
+                         state.error().m_detail);
+  }
+  if (TakePrefix(request.m_target, kPendingPath, &rest)) {
+    return TextResponse(std::to_string(cell->PendingOf(rest)));
+  }
+  return ErrorResponse(400, "invalid-argument", "unknown path");
+}
+
+void OwnerClient::Stop() {
+  m_pool.Stop();
+}
+
+}  // namespace hyssopspar::node
