Learn how images disturb each other, and pace and place by it

Now slopes per pair of images are learnt, the heaviest presser is slowed first, an order goes out when the wanted pace changes, and tasks that reserve processors are packed so that whole workers stay free.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -15,6 +15,7 @@
 #include "hyssopspar/error.h"
 #include "hyssopspar/jobs/action.h"
 #include "hyssopspar/jobs/cell_settings.h"
+#include "hyssopspar/jobs/interference.h"
 #include "hyssopspar/jobs/job.h"
 #include "hyssopspar/jobs/worker.h"
 
@@ -98,19 +99,17 @@
   void EndJob(Job* job, JobState state, TimePoint now);
 
   // cell_tasks.cpp
-  void Occupy(const TaskRef& ref, Job* job, int worker);
-  void Vacate(const TaskRef& ref, Job* job);
-  void Release(const TaskRef& ref, Job* job, const char* reason, TimePoint now);
+  void Occupy(const TaskRef& ref, int worker);
+  void Vacate(const TaskRef& ref);
+  void Release(const TaskRef& ref, const char* reason, TimePoint now);
   void EndRun(const TaskRef& ref,
-              Job* job,
               EndCause cause,
               const std::string& checkpoint,
               TimePoint now);
-  void CountFailure(const TaskRef& ref, Job* job, TimePoint now);
-  void EndGang(const TaskRef& ref, Job* job);
-  void SendStart(const TaskRef& ref, Job* job, TimePoint now);
+  void CountFailure(const TaskRef& ref, TimePoint now);
+  void EndGang(const TaskRef& ref);
+  void SendStart(const TaskRef& ref, TimePoint now);
   void SendStop(const TaskRef& ref,
-                Job* job,
                 const char* reason,
                 TimePoint now);
   bool MayStart(const Job& job, const Task& task, TimePoint now) const;
@@ -134,8 +133,11 @@
                       TimePoint sent,
                       const std::map<TaskRef, std::uint32_t>& listed,
                       TimePoint now);
+  TaskRef RefOf(const TaskName& name);
   void StopForeignRun(int worker, const RunningRow& row);
+  void EnterTails(int worker, const HoldReport& report, TimePoint now);
   void PaceFills(int worker, const HoldReport& report, TimePoint now);
+  void OrderPace(const TaskRef& ref, int percent, TimePoint now);
   void SendHold(int worker, TimePoint now);
   void SendHolds(TimePoint now);
   void LapseRuns(TimePoint now);
@@ -155,6 +157,8 @@
                     std::uint32_t occurrence,
                     std::uint32_t step,
                     TimePoint now);
+  void AddUnshownPressure(TimePoint now);
+  std::vector<double> ExpectTails(const StepPlan& step) const;
   bool IsDue(const Job& job, std::uint32_t occurrence, TimePoint now);
 
   CellSettings m_settings;
@@ -170,11 +174,14 @@
   std::set<std::string> m_cancelled;  ///< Cancelled before the job was seen.
   std::vector<Job*> m_open;           ///< Not terminal, in scheduling order.
   std::set<std::string> m_domains_out;
+  InterferenceModel m_interference;
   std::vector<Worker> m_workers;
   std::map<std::string, int> m_worker_index;
   std::vector<std::string> m_worker_names;
 
+  std::uint64_t m_job_numbers = 0;
   bool m_schedule_needed = false;
+  TimePoint m_last_schedule;
   TimePoint m_next_schedule = TimePoint::max();
   std::set<std::string> m_dirty;
   std::optional<PendingBatch> m_batch;
--- a/src/include/hyssopspar/jobs/job.h
+++ b/src/include/hyssopspar/jobs/job.h
@@ -19,6 +19,7 @@
 
 struct Job {
   Submission m_submission;
+  std::uint64_t m_number = 0;  ///< By arrival at this owner.
   JobState m_state = JobState::kQueued;
   JobState m_stored_state = JobState::kQueued;  ///< As the store has it.
   bool m_cancelled = false;
@@ -26,6 +27,7 @@
   bool m_begun = false;       ///< A task has been started.
   std::vector<Task> m_tasks;  ///< By occurrence, step and index.
   std::vector<std::uint32_t> m_step_offset;  ///< Within an occurrence.
+  std::vector<std::uint32_t> m_step_of;      ///< Step of each of its tasks.
   std::uint32_t m_tasks_per_occurrence = 0;
   std::vector<std::uint32_t> m_step_done;  ///< By occurrence and step.
   std::size_t m_pending = 0;               ///< Tasks in kPending.
--- a/src/include/hyssopspar/jobs/pacing.h
+++ b/src/include/hyssopspar/jobs/pacing.h
@@ -3,12 +3,40 @@
 
 #pragma once
 
+#include <string>
+#include <vector>
+
+#include "hyssopspar/jobs/interference.h"
+
 namespace hyssopspar::jobs {
 
 inline constexpr int kFullPace = 100;
 
-/// Next percent for the idle-filling tasks of a worker whose worst served tail
-/// is \p tail_ratio times its target. Falls fast and rises slowly.
-int NextPace(int pace, double tail_ratio);
+/// Worst tail of the tasks of one serving image on a worker.
+struct ServedTail {
+  std::string m_image;
+  double m_ratio = 0;  ///< Over its target.
+};
+
+/// An idle-filling task as the worker reported it.
+struct FillTask {
+  std::string m_image;
+  double m_share = 0;  ///< Of the worker's processors, at full pace.
+  int m_percent = kFullPace;
+  int m_wanted = kFullPace;  ///< Set by ChoosePaces.
+};
+
+/// Sets m_wanted of each task so that no tail is expected above its target.
+/// The tasks that press most are slowed first, and the gentlest sped up first.
+void ChoosePaces(const InterferenceModel& model,
+                 const std::vector<ServedTail>& tails,
+                 std::vector<FillTask>* fills);
+
+/// Highest tail ratio that is expected once a task of image \p filling with
+/// \p share of the worker works beside \p tails.
+double ExpectedTail(const InterferenceModel& model,
+                    const std::vector<ServedTail>& tails,
+                    const std::string& filling,
+                    double share);
 
 }  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/jobs/placement.h
+++ b/src/include/hyssopspar/jobs/placement.h
@@ -23,6 +23,9 @@
   const std::vector<int>* m_failed_on = nullptr;
   /// Tasks of the step on each worker.
   const std::vector<std::uint32_t>* m_step_tasks = nullptr;
+  /// Tail ratio expected on each worker with the task; empty for tasks that do
+  /// not fill.
+  const std::vector<double>* m_expected_tail = nullptr;
   std::string m_rack;  ///< Preferred, of a gang that is best on one rack.
   TimePoint m_now;
 };
@@ -32,8 +35,9 @@
                 std::uint32_t step_tasks,
                 const PlacementQuery& query);
 
-/// Higher is better. In thousandths of a processor, roughly.
-double PlacementScore(const Worker& worker, const PlacementQuery& query);
+/// Processors that idle-filling tasks of the worker may expect to find unused,
+/// in thousandths; negative when they want more than that already.
+double IdleCpu(const Worker& worker);
 
 /// Index of the best eligible worker, or kNoWorker.
 int ChooseWorker(const std::vector<Worker>& workers,
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -7,7 +7,11 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
+#include <vector>
 
+#include "hyssopspar/jobs/job.h"
+#include "hyssopspar/jobs/pacing.h"
 #include "hyssopspar/jobs/worker_port.h"
 #include "hyssopspar/resources.h"
 #include "hyssopspar/time.h"
@@ -16,11 +20,12 @@
 
 /// Names a task of a job within the cell.
 struct TaskRef {
-  std::string m_job;
+  Job* m_job = nullptr;
   std::size_t m_index = 0;
 
   friend bool operator<(const TaskRef& a, const TaskRef& b) {
-    return std::tie(a.m_job, a.m_index) < std::tie(b.m_job, b.m_index);
+    return std::tie(a.m_job->m_number, a.m_index) <
+           std::tie(b.m_job->m_number, b.m_index);
   }
 };
 
@@ -30,7 +35,8 @@
 
   std::set<TaskRef> m_tasks;  ///< Placed here, in any state with room.
   Resources m_used;           ///< By m_tasks, idle-filling processor left out.
-  std::int64_t m_fill_cpu_milli = 0;  ///< Wanted by idle-filling tasks.
+  std::int64_t m_fill_cpu_milli = 0;   ///< Wanted by idle-filling tasks.
+  std::int64_t m_serve_cpu_milli = 0;  ///< Reserved by tasks that serve.
   Resources m_foreign;          ///< Of listed runs that are not among m_tasks.
   bool m_unknown_runs = false;  ///< Listed runs of unknown size.
 
@@ -56,12 +62,13 @@
   TimePoint m_quarantined_until;
   TimePoint m_backoff_until;  ///< It refused a start.
 
-  int m_pace = 100;  ///< Percent granted to idle-filling tasks.
+  std::vector<ServedTail> m_tails;  ///< From the last report.
+  /// With the tasks added that the report did not yet show.
+  std::vector<ServedTail> m_expected_tails;
   TimePoint m_paced_at;
-  double m_tail_ratio = 0;  ///< Worst served tail over its target.
 };
 
-/// True when the worker has tasks with a tail target beside idle-filling ones.
+/// Kinds of tasks on a worker.
 struct WorkerMix {
   bool m_serves = false;
   bool m_fills = false;
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -60,6 +60,7 @@
   }
   auto job = std::make_unique<Job>(MakeJob(submission));
   Job* const added = job.get();
+  added->m_number = ++m_job_numbers;
   m_jobs[submission.m_id] = std::move(job);
   const auto place = std::lower_bound(
       m_open.begin(), m_open.end(), added,
@@ -108,7 +109,7 @@
     Job* const job = entry.second.get();
     for (std::size_t i = 0; i < job->m_tasks.size(); ++i) {
       if (IsPlaced(job->m_tasks[i])) {
-        Occupy({entry.first, i}, job, job->m_tasks[i].m_worker);
+        Occupy({job, i}, job->m_tasks[i].m_worker);
         ++inherited;
       }
     }
@@ -218,12 +219,12 @@
   }
   for (std::size_t i = 0; i < job->m_tasks.size(); ++i) {
     const Task& task = job->m_tasks[i];
-    const TaskRef ref{job->m_submission.m_id, i};
+    const TaskRef ref{job, i};
     if (task.m_state == TaskState::kRecording) {
-      Release(ref, job, "job-ended", now);
+      Release(ref, "job-ended", now);
     } else if (task.m_state == TaskState::kStarting ||
                task.m_state == TaskState::kRunning) {
-      SendStop(ref, job, "job-ended", now);
+      SendStop(ref, "job-ended", now);
     }
   }
 }
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -8,7 +8,41 @@
 
 namespace hyssopspar::jobs {
 
+namespace {
+
+/// Age from which a run is fully seen in its worker's reports.
+constexpr milliseconds kUnshownTime{1000};
+/// Pause before tasks that found no worker are tried again unasked.
+constexpr milliseconds kRetryPause{250};
+/// Between passes, so that one pass serves many events.
+constexpr milliseconds kPassPause{10};
+
+double ShareOf(const StepPlan& step, const Worker& worker) {
+  return static_cast<double>(step.m_size.m_cpu_milli) /
+         static_cast<double>(worker.m_entry.m_capacity.m_cpu_milli);
+}
+
+/// Adds to the worker's expected tails what a task of the step presses.
+void AddPressure(const InterferenceModel& model,
+                 const StepPlan& step,
+                 Worker* worker) {
+  if (!step.m_fills_idle) {
+    return;
+  }
+  for (ServedTail& tail : worker->m_expected_tails) {
+    tail.m_ratio +=
+        model.Slope(tail.m_image, step.m_image) * ShareOf(step, *worker);
+  }
+}
+
+}  // namespace
+
 void Cell::Schedule(TimePoint now) {
+  if (now < m_last_schedule + kPassPause) {
+    m_next_schedule = m_last_schedule + kPassPause;
+    return;
+  }
+  m_last_schedule = now;
   m_schedule_needed = false;
   m_next_schedule = TimePoint::max();
   const TimePoint oldest = now - m_settings.m_view_limit;
@@ -16,6 +50,7 @@
       m_workers_verified < oldest) {
     return;
   }
+  AddUnshownPressure(now);
   for (Job* const job : m_open) {
     if (job->m_pending > 0) {
       ScheduleJob(job, now);
@@ -65,6 +100,33 @@
   }
 }
 
+/// Reports do not yet show the tasks that were placed lately; adds what they
+/// press to the tails of their workers.
+void Cell::AddUnshownPressure(TimePoint now) {
+  for (Worker& worker : m_workers) {
+    worker.m_expected_tails = worker.m_tails;
+    for (const TaskRef& ref : worker.m_tasks) {
+      const Task& task = ref.m_job->m_tasks[ref.m_index];
+      const bool shown = task.m_state == TaskState::kRunning &&
+                         now - task.m_confirmed > kUnshownTime;
+      if (!shown) {
+        AddPressure(m_interference, StepOf(*ref.m_job, ref.m_index), &worker);
+      }
+    }
+  }
+}
+
+/// Tail ratio expected on each worker with one more task of the step.
+std::vector<double> Cell::ExpectTails(const StepPlan& step) const {
+  std::vector<double> expected;
+  expected.reserve(m_workers.size());
+  for (const Worker& worker : m_workers) {
+    expected.push_back(ExpectedTail(m_interference, worker.m_expected_tails,
+                                    step.m_image, ShareOf(step, worker)));
+  }
+  return expected;
+}
+
 void Cell::ScheduleStep(Job* job,
                         std::uint32_t occurrence,
                         std::uint32_t step,
@@ -99,12 +161,17 @@
   std::vector<std::size_t> placed;
   for (const std::size_t i : pending) {
     query.m_failed_on = &job->m_tasks[i].m_failed_on;
+    const std::vector<double> expected_tail =
+        plan.m_fills_idle ? ExpectTails(plan) : std::vector<double>();
+    query.m_expected_tail = &expected_tail;
     const int worker = ChooseWorker(m_workers, query);
     if (worker == kNoWorker) {
+      m_next_schedule = std::min(m_next_schedule, now + kRetryPause);
       break;
     }
-    const TaskRef ref{job->m_submission.m_id, i};
-    Occupy(ref, job, worker);
+    Occupy({job, i}, worker);
+    AddPressure(m_interference, plan,
+                &m_workers[static_cast<std::size_t>(worker)]);
     ++step_tasks[static_cast<std::size_t>(worker)];
     if (plan.m_same_rack && query.m_rack.empty()) {
       query.m_rack = m_workers[static_cast<std::size_t>(worker)].m_entry.m_rack;
@@ -115,7 +182,7 @@
   for (const std::size_t i : placed) {
     Task& task = job->m_tasks[i];
     if (plan.m_gang && !whole) {
-      Vacate({job->m_submission.m_id, i}, job);
+      Vacate({job, i});
       continue;
     }
     // Members of a gang share a run number.
--- a/src/libhyssopspar/jobs/cell_store.cpp
+++ b/src/libhyssopspar/jobs/cell_store.cpp
@@ -40,7 +40,7 @@
       Task& task = job->m_tasks[i];
       if (task.m_state == TaskState::kRecording && task.m_batch == 0) {
         task.m_batch = batch.m_number;
-        batch.m_placements.push_back({id, i});
+        batch.m_placements.push_back({job, i});
       }
     }
     batch.m_records.push_back(
@@ -109,19 +109,15 @@
 
 void Cell::SendPlacements(const PendingBatch& batch, TimePoint now) {
   for (const TaskRef& ref : batch.m_placements) {
-    Job* const job = Find(ref.m_job);
-    if (job == nullptr) {
-      continue;
-    }
-    const Task& task = job->m_tasks[ref.m_index];
+    const Task& task = ref.m_job->m_tasks[ref.m_index];
     if (task.m_state != TaskState::kRecording ||
         task.m_batch != batch.m_number) {
       continue;
     }
-    if (MayStart(*job, task, now)) {
-      SendStart(ref, job, now);
+    if (MayStart(*ref.m_job, task, now)) {
+      SendStart(ref, now);
     } else {
-      Release(ref, job, "no-longer-allowed", now);
+      Release(ref, "no-longer-allowed", now);
     }
   }
 }
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -20,9 +20,14 @@
 /// Pause before a task that a worker called malformed is tried again.
 constexpr milliseconds kRejectionBackoff{2000};
 
+const std::string& JobId(const TaskRef& ref) {
+  return ref.m_job->m_submission.m_id;
+}
+
 }  // namespace
 
-void Cell::Occupy(const TaskRef& ref, Job* job, int worker) {
+void Cell::Occupy(const TaskRef& ref, int worker) {
+  Job* const job = ref.m_job;
   Worker& w = m_workers[static_cast<std::size_t>(worker)];
   if (!w.m_tasks.insert(ref).second) {
     return;
@@ -30,12 +35,15 @@
   const StepPlan& step = StepOf(*job, ref.m_index);
   if (step.m_fills_idle) {
     w.m_fill_cpu_milli += step.m_size.m_cpu_milli;
+  } else if (step.m_tail_target > milliseconds(0)) {
+    w.m_serve_cpu_milli += step.m_size.m_cpu_milli;
   }
   w.m_used += RoomOf(step);
   job->m_tasks[ref.m_index].m_worker = worker;
 }
 
-void Cell::Vacate(const TaskRef& ref, Job* job) {
+void Cell::Vacate(const TaskRef& ref) {
+  Job* const job = ref.m_job;
   Task& task = job->m_tasks[ref.m_index];
   Worker& w = m_workers[static_cast<std::size_t>(task.m_worker)];
   task.m_worker = kNoWorker;
@@ -47,6 +55,8 @@
   const StepPlan& step = StepOf(*job, ref.m_index);
   if (step.m_fills_idle) {
     w.m_fill_cpu_milli -= step.m_size.m_cpu_milli;
+  } else if (step.m_tail_target > milliseconds(0)) {
+    w.m_serve_cpu_milli -= step.m_size.m_cpu_milli;
   }
   w.m_used -= RoomOf(step);
   HYSSOPSPAR_INVARIANT(IsNonNegative(w.m_used));
@@ -54,42 +64,42 @@
 }
 
 void Cell::Release(const TaskRef& ref,
-                   Job* job,
                    const char* reason,
                    TimePoint now) {
+  Job* const job = ref.m_job;
   const Task& task = job->m_tasks[ref.m_index];
   CellLog()->info("run-released task={}.{} run={} worker={} reason={}",
-                  ref.m_job, ref.m_index, task.m_run,
+                  JobId(ref), ref.m_index, task.m_run,
                   m_worker_names[static_cast<std::size_t>(task.m_worker)],
                   reason);
-  Vacate(ref, job);
+  Vacate(ref);
   SetTaskState(job, ref.m_index, TaskState::kPending);
   MarkDirty(job);
   UpdateJobState(job, now);
 }
 
 void Cell::EndRun(const TaskRef& ref,
-                  Job* job,
                   EndCause cause,
                   const std::string& checkpoint,
                   TimePoint now) {
+  Job* const job = ref.m_job;
   Task& task = job->m_tasks[ref.m_index];
   const int worker = task.m_worker;
   const StepPlan& step = StepOf(*job, ref.m_index);
-  CellLog()->info("run-ended task={}.{} run={} worker={} cause={}", ref.m_job,
+  CellLog()->info("run-ended task={}.{} run={} worker={} cause={}", JobId(ref),
                   ref.m_index, task.m_run,
                   worker == kNoWorker
                       ? "-"
                       : m_worker_names[static_cast<std::size_t>(worker)],
                   CauseWord(cause));
   if (cause == EndCause::kFailed) {
-    CountFailure(ref, job, now);
+    CountFailure(ref, now);
   }
   if (worker != kNoWorker) {
     if (cause == EndCause::kDone) {
       m_workers[static_cast<std::size_t>(worker)].m_failed_jobs.clear();
     }
-    Vacate(ref, job);
+    Vacate(ref);
   }
   if (!checkpoint.empty()) {
     task.m_checkpoint = checkpoint;
@@ -100,7 +110,7 @@
   if (cause == EndCause::kDone && !step.m_long_running) {
     SetTaskState(job, ref.m_index, TaskState::kDone);
     if (step.m_gang) {
-      EndGang(ref, job);
+      EndGang(ref);
     }
   } else {
     SetTaskState(job, ref.m_index,
@@ -111,7 +121,8 @@
   UpdateJobState(job, now);
 }
 
-void Cell::CountFailure(const TaskRef& ref, Job* job, TimePoint now) {
+void Cell::CountFailure(const TaskRef& ref, TimePoint now) {
+  Job* const job = ref.m_job;
   Task& task = job->m_tasks[ref.m_index];
   ++task.m_failures;
   if (task.m_worker == kNoWorker) {
@@ -119,7 +130,7 @@
   }
   task.m_failed_on.push_back(task.m_worker);
   Worker& worker = m_workers[static_cast<std::size_t>(task.m_worker)];
-  worker.m_failed_jobs.insert(ref.m_job);
+  worker.m_failed_jobs.insert(JobId(ref));
   const auto quarantined = static_cast<std::size_t>(std::count_if(
       m_workers.begin(), m_workers.end(),
       [now](const Worker& w) { return w.m_quarantined_until > now; }));
@@ -133,14 +144,15 @@
 }
 
 /// One member's success is that of the whole gang.
-void Cell::EndGang(const TaskRef& ref, Job* job) {
+void Cell::EndGang(const TaskRef& ref) {
+  Job* const job = ref.m_job;
   const TaskName name = NameOfTask(*job, ref.m_index);
   const std::uint32_t tasks =
       job->m_submission.m_plan.m_steps[name.m_step].m_tasks;
   const std::size_t first = ref.m_index - name.m_index;
   for (std::size_t i = first; i < first + tasks; ++i) {
     if (IsPlaced(job->m_tasks[i])) {
-      Vacate({ref.m_job, i}, job);
+      Vacate({job, i});
     }
     SetTaskState(job, i, TaskState::kDone);
   }
@@ -160,7 +172,8 @@
          m_domains_out.count(worker.m_entry.m_failure_domain) == 0;
 }
 
-void Cell::SendStart(const TaskRef& ref, Job* job, TimePoint now) {
+void Cell::SendStart(const TaskRef& ref, TimePoint now) {
+  Job* const job = ref.m_job;
   Task& task = job->m_tasks[ref.m_index];
   Worker& worker = m_workers[static_cast<std::size_t>(task.m_worker)];
   StartAction action;
@@ -177,6 +190,8 @@
   ExtendLeaseDeadline(&worker, action.m_order.m_not_after);
   SetTaskState(job, ref.m_index, TaskState::kStarting);
   task.m_doubt = StartDoubt::kNone;
+  task.m_pace = kFullPace;
+  task.m_paused_since = TimePoint();
   job->m_begun = true;
   UpdateJobState(job, now);
   CellLog()->info(
@@ -187,9 +202,9 @@
 }
 
 void Cell::SendStop(const TaskRef& ref,
-                    Job* job,
                     const char* reason,
                     TimePoint now) {
+  Job* const job = ref.m_job;
   Task& task = job->m_tasks[ref.m_index];
   StopAction action;
   action.m_worker = task.m_worker;
@@ -210,7 +225,7 @@
 void Cell::OnStartAnswer(const StartAction& action,
                          const Result<StartAnswer>& answer,
                          TimePoint now) {
-  Job* const job = Find(action.m_task.m_job);
+  Job* const job = action.m_task.m_job;
   if (job == nullptr) {
     return;
   }
@@ -224,7 +239,7 @@
   if (!answer && answer.error().m_code == ErrorCode::kNotSent) {
     m_workers[static_cast<std::size_t>(action.m_worker)].m_backoff_until =
         now + kRefusalBackoff;
-    Release(action.m_task, job, "not-sent", now);
+    Release(action.m_task, "not-sent", now);
   } else if (!answer) {
     CellLog()->warn("start-unanswered task={} run={} worker={} error={}",
                     ToString(action.m_order.m_task), task.m_run,
@@ -258,7 +273,7 @@
     m_workers[static_cast<std::size_t>(action.m_worker)].m_backoff_until =
         now + kRefusalBackoff;
   }
-  Release(action.m_task, job, AnswerWord(answer), now);
+  Release(action.m_task, AnswerWord(answer), now);
 }
 
 void Cell::OnStopAnswer(const StopAction& action,
@@ -268,7 +283,7 @@
     m_is_fenced = true;
     return;
   }
-  Job* const job = Find(action.m_task.m_job);
+  Job* const job = action.m_task.m_job;
   if (job == nullptr) {
     return;
   }
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -23,8 +23,14 @@
 constexpr std::size_t kEndsListed = 500;
 /// A stop without an answer is sent again after this long.
 constexpr milliseconds kStopRetry{500};
-/// Time within which a worker's answers show what pacing changed.
-constexpr milliseconds kPaceSettling{500};
+/// Workers report tails and usage over this time.
+constexpr milliseconds kTailWindow{600};
+/// Pause between changes of pace on a worker.
+constexpr milliseconds kPacePause{600};
+/// Tasks that are paused longer are tried elsewhere; sooner those that lose
+/// nothing by it.
+constexpr milliseconds kPauseLimit{1200};
+constexpr milliseconds kLongPauseLimit{5000};
 
 }  // namespace
 
@@ -36,8 +42,7 @@
 WorkerMix Cell::MixOf(const Worker& worker) const {
   WorkerMix mix;
   for (const TaskRef& ref : worker.m_tasks) {
-    const Job* const job = FindJob(ref.m_job);
-    const StepPlan& step = StepOf(*job, ref.m_index);
+    const StepPlan& step = StepOf(*ref.m_job, ref.m_index);
     mix.m_serves = mix.m_serves || step.m_tail_target > milliseconds(0);
     mix.m_fills = mix.m_fills || step.m_fills_idle;
   }
@@ -128,17 +133,16 @@
   w.m_failed_jobs.clear();
   const std::set<TaskRef> tasks = w.m_tasks;
   for (const TaskRef& ref : tasks) {
-    Job* const job = Find(ref.m_job);
-    Task& task = job->m_tasks[ref.m_index];
+    Task& task = ref.m_job->m_tasks[ref.m_index];
     if (task.m_state == TaskState::kRecording) {
       continue;
     }
     // An order without an answer may yet reach the new life.
     if (task.m_doubt == StartDoubt::kUnanswered) {
-      SendStop(ref, job, "worker-reborn", now);
+      SendStop(ref, "worker-reborn", now);
       continue;
     }
-    EndRun(ref, job, EndCause::kLapsed, "", now);
+    EndRun(ref, EndCause::kLapsed, "", now);
   }
 }
 
@@ -173,6 +177,7 @@
   if (report.m_ended.size() < kEndsListed) {
     SettleUnlisted(worker, action.m_sent, listed, now);
   }
+  EnterTails(worker, report, now);
   PaceFills(worker, report, now);
   w.m_next_hold = w.m_acked_end < w.m_seen_end ? now + kUnstoredHoldPause : now;
 }
@@ -185,16 +190,14 @@
   w.m_foreign = Resources();
   w.m_unknown_runs = false;
   for (const RunningRow& row : report.m_running) {
-    Job* const job = Find(row.m_task.m_job);
-    const std::int64_t index =
-        job == nullptr ? -1 : TaskIndex(*job, row.m_task);
-    if (index < 0) {
+    const TaskRef ref = RefOf(row.m_task);
+    Job* const job = ref.m_job;
+    if (job == nullptr) {
       w.m_unknown_runs = true;
       StopForeignRun(worker, row);
       continue;
     }
-    Task& task = job->m_tasks[static_cast<std::size_t>(index)];
-    const TaskRef ref{row.m_task.m_job, static_cast<std::size_t>(index)};
+    Task& task = job->m_tasks[ref.m_index];
     if (!IsPlaced(task) || task.m_worker != worker || task.m_run != row.m_run) {
       w.m_foreign += RoomOf(StepOf(*job, ref.m_index));
       StopForeignRun(worker, row);
@@ -208,16 +211,23 @@
       task.m_confirmed = now;
       job->m_begun = true;
       if (IsTerminal(job->m_state)) {
-        SendStop(ref, job, "job-ended", now);
+        SendStop(ref, "job-ended", now);
       }
     } else if (task.m_state == TaskState::kStopping &&
                task.m_doubt == StartDoubt::kUnanswered &&
                now - task.m_stop_sent > kStopRetry) {
-      SendStop(ref, job, "repeat", now);
+      SendStop(ref, "repeat", now);
     }
   }
 }
 
+TaskRef Cell::RefOf(const TaskName& name) {
+  Job* const job = Find(name.m_job);
+  const std::int64_t index = job == nullptr ? -1 : TaskIndex(*job, name);
+  return index < 0 ? TaskRef{}
+                   : TaskRef{job, static_cast<std::size_t>(index)};
+}
+
 void Cell::StopForeignRun(int worker, const RunningRow& row) {
   StopAction action;
   action.m_worker = worker;
@@ -237,19 +247,17 @@
       continue;
     }
     w.m_seen_end = row.m_number;
-    Job* const job = Find(row.m_task.m_job);
-    const std::int64_t index =
-        job == nullptr ? -1 : TaskIndex(*job, row.m_task);
-    if (index < 0) {
+    const TaskRef ref = RefOf(row.m_task);
+    Job* const job = ref.m_job;
+    if (job == nullptr) {
       continue;
     }
-    const TaskRef ref{row.m_task.m_job, static_cast<std::size_t>(index)};
     const Task& task = job->m_tasks[ref.m_index];
     const bool here = IsPlaced(task) && task.m_worker == worker;
     const bool lapsed_but_done =
         task.m_state == TaskState::kPending && row.m_cause == EndCause::kDone;
     if (task.m_run == row.m_run && (here || lapsed_but_done)) {
-      EndRun(ref, job, row.m_cause, row.m_checkpoint, now);
+      EndRun(ref, row.m_cause, row.m_checkpoint, now);
     }
   }
 }
@@ -264,62 +272,110 @@
     if (listed.count(ref) > 0) {
       continue;
     }
-    Job* const job = Find(ref.m_job);
-    const Task& task = job->m_tasks[ref.m_index];
+    const Task& task = ref.m_job->m_tasks[ref.m_index];
     if (task.m_state == TaskState::kRecording) {
       continue;
     }
     const bool later = task.m_doubt_since < sent;
     if (task.m_doubt == StartDoubt::kInherited) {
-      Release(ref, job, "never-started", now);
+      Release(ref, "never-started", now);
     } else if (task.m_doubt == StartDoubt::kStopped && later) {
-      Release(ref, job, "stopped-before-start", now);
+      Release(ref, "stopped-before-start", now);
     } else if (task.m_doubt == StartDoubt::kUnanswered && later) {
-      SendStop(ref, job, "start-unanswered", now);
+      SendStop(ref, "start-unanswered", now);
     } else if (task.m_state == TaskState::kRunning && task.m_confirmed < sent) {
-      Release(ref, job, "vanished", now);
+      Release(ref, "vanished", now);
     }
   }
 }
 
-void Cell::PaceFills(int worker, const HoldReport& report, TimePoint now) {
+void Cell::EnterTails(int worker, const HoldReport& report, TimePoint now) {
   Worker& w = m_workers[static_cast<std::size_t>(worker)];
-  w.m_tail_ratio = 0;
-  std::vector<const RunningRow*> fills;
+  w.m_tails.clear();
+  std::vector<Pressure> beside;
+  bool settled = true;
+  const double cpu = static_cast<double>(w.m_entry.m_capacity.m_cpu_milli);
   for (const RunningRow& row : report.m_running) {
-    const Job* const job = FindJob(row.m_task.m_job);
-    const std::int64_t index =
-        job == nullptr ? -1 : TaskIndex(*job, row.m_task);
-    if (index < 0) {
+    const TaskRef ref = RefOf(row.m_task);
+    if (ref.m_job == nullptr) {
       continue;
     }
-    const StepPlan& step = StepOf(*job, static_cast<std::size_t>(index));
-    if (step.m_tail_target > milliseconds(0)) {
-      w.m_tail_ratio = std::max(
-          w.m_tail_ratio,
-          row.m_usage / static_cast<double>(step.m_tail_target.count()));
-    }
+    const StepPlan& step = StepOf(*ref.m_job, ref.m_index);
+    const Task& task = ref.m_job->m_tasks[ref.m_index];
     if (step.m_fills_idle) {
-      fills.push_back(&row);
+      const double share = static_cast<double>(step.m_size.m_cpu_milli) / cpu;
+      beside.push_back({step.m_image, share * row.m_percent / kFullPace});
+      settled = settled && now - task.m_confirmed > kTailWindow &&
+                now - task.m_paced_at > kTailWindow;
+    } else if (step.m_tail_target > milliseconds(0) &&
+               now - task.m_confirmed > kTailWindow) {
+      w.m_tails.push_back(
+          {step.m_image,
+           row.m_usage / static_cast<double>(step.m_tail_target.count())});
+    }
+  }
+  if (settled) {
+    for (const ServedTail& tail : w.m_tails) {
+      m_interference.Observe(tail.m_image, tail.m_ratio, beside);
     }
   }
-  if (now - w.m_paced_at >= kPaceSettling) {
-    const int pace =
-        fills.empty() ? kFullPace : NextPace(w.m_pace, w.m_tail_ratio);
-    if (pace != w.m_pace) {
-      CellLog()->info("pace worker={} percent={} was={} tail_ratio={:.2f}",
-                      w.m_entry.m_id, pace, w.m_pace, w.m_tail_ratio);
-      w.m_paced_at = now;
+}
+
+void Cell::PaceFills(int worker, const HoldReport& report, TimePoint now) {
+  Worker& w = m_workers[static_cast<std::size_t>(worker)];
+  if (now - w.m_paced_at < kPacePause) {
+    return;
+  }
+  w.m_paced_at = now;
+  std::vector<FillTask> fills;
+  std::vector<TaskRef> refs;
+  const double cpu = static_cast<double>(w.m_entry.m_capacity.m_cpu_milli);
+  for (const RunningRow& row : report.m_running) {
+    const TaskRef ref = RefOf(row.m_task);
+    Job* const job = ref.m_job;
+    if (job == nullptr) {
+      continue;
+    }
+    const StepPlan& step = StepOf(*job, ref.m_index);
+    const Task& task = job->m_tasks[ref.m_index];
+    if (step.m_fills_idle && task.m_state == TaskState::kRunning &&
+        task.m_worker == worker && task.m_run == row.m_run) {
+      fills.push_back({step.m_image,
+                       static_cast<double>(step.m_size.m_cpu_milli) / cpu,
+                       task.m_pace, task.m_pace});
+      refs.push_back(ref);
     }
-    w.m_pace = pace;
   }
-  for (const RunningRow* const row : fills) {
-    if (row->m_percent != w.m_pace) {
-      m_actions.emplace_back(
-          PaceAction{TargetOf(worker),
-                     {row->m_task, row->m_run, w.m_pace, m_settings.m_epoch}});
+  ChoosePaces(m_interference, w.m_tails, &fills);
+  for (std::size_t i = 0; i < fills.size(); ++i) {
+    OrderPace(refs[i], fills[i].m_wanted, now);
+  }
+}
+
+void Cell::OrderPace(const TaskRef& ref, int percent, TimePoint now) {
+  Job* const job = ref.m_job;
+  Task& task = job->m_tasks[ref.m_index];
+  if (percent == 0 && task.m_pace == 0) {
+    const bool kept = StepOf(*job, ref.m_index).m_checkpoints;
+    if (now - task.m_paused_since > (kept ? kPauseLimit : kLongPauseLimit)) {
+      SendStop(ref, "paused-too-long", now);
     }
+    return;
+  }
+  if (percent == task.m_pace) {
+    return;
+  }
+  if (percent == 0) {
+    task.m_paused_since = now;
   }
+  CellLog()->debug("pace task={}.{} worker={} percent={} was={}",
+                   job->m_submission.m_id,
+                   ref.m_index, task.m_worker, percent, task.m_pace);
+  task.m_pace = percent;
+  task.m_paced_at = now;
+  m_actions.emplace_back(PaceAction{
+      TargetOf(task.m_worker), {NameOfTask(*job, ref.m_index), task.m_run,
+                                percent, m_settings.m_epoch}});
 }
 
 void Cell::LapseRuns(TimePoint now) {
@@ -332,7 +388,7 @@
                     worker.m_tasks.size());
     const std::set<TaskRef> tasks = worker.m_tasks;
     for (const TaskRef& ref : tasks) {
-      EndRun(ref, Find(ref.m_job), EndCause::kLapsed, "", now);
+      EndRun(ref, EndCause::kLapsed, "", now);
     }
   }
 }
--- a/src/libhyssopspar/jobs/job.cpp
+++ b/src/libhyssopspar/jobs/job.cpp
@@ -10,6 +10,8 @@
   Job job;
   job.m_submission = std::move(submission);
   for (const StepPlan& step : job.m_submission.m_plan.m_steps) {
+    job.m_step_of.insert(job.m_step_of.end(), step.m_tasks,
+                         static_cast<std::uint32_t>(job.m_step_offset.size()));
     job.m_step_offset.push_back(job.m_tasks_per_occurrence);
     job.m_tasks_per_occurrence += step.m_tasks;
   }
@@ -42,10 +44,7 @@
       static_cast<std::uint32_t>(index / job.m_tasks_per_occurrence);
   const std::uint32_t within =
       static_cast<std::uint32_t>(index % job.m_tasks_per_occurrence);
-  const auto after = std::upper_bound(job.m_step_offset.begin(),
-                                      job.m_step_offset.end(), within);
-  name.m_step =
-      static_cast<std::uint32_t>(after - job.m_step_offset.begin() - 1);
+  name.m_step = job.m_step_of[within];
   name.m_index = within - job.m_step_offset[name.m_step];
   return name;
 }
@@ -56,7 +55,8 @@
 }
 
 const StepPlan& StepOf(const Job& job, std::size_t index) {
-  return job.m_submission.m_plan.m_steps[NameOfTask(job, index).m_step];
+  return job.m_submission.m_plan
+      .m_steps[job.m_step_of[index % job.m_tasks_per_occurrence]];
 }
 
 bool IsStepReady(const Job& job, std::uint32_t occurrence, std::uint32_t step) {
@@ -70,11 +70,12 @@
 
 void SetTaskState(Job* job, std::size_t index, TaskState state) {
   Task& task = job->m_tasks[index];
-  const TaskName name = NameOfTask(*job, index);
+  const std::size_t occurrence = index / job->m_tasks_per_occurrence;
+  const std::uint32_t step =
+      job->m_step_of[index % job->m_tasks_per_occurrence];
   std::uint32_t& done =
-      job->m_step_done[name.m_occurrence *
-                           job->m_submission.m_plan.m_steps.size() +
-                       name.m_step];
+      job->m_step_done[occurrence * job->m_submission.m_plan.m_steps.size() +
+                       step];
   job->m_pending -= task.m_state == TaskState::kPending ? 1 : 0;
   done -= task.m_state == TaskState::kDone ? 1 : 0;
   task.m_state = state;
--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -12,12 +12,14 @@
 /// the task has failed: more than any difference in free processors.
 constexpr double kRackBonus = 1e6;
 constexpr double kFailurePenalty = 1e5;
-/// Share of the processor that filling tasks want which counts as taken for
-/// others.
-constexpr double kFillShare = 0.5;
-/// Tail over target beside which no more filling work is put.
-constexpr double kFillTailLimit = 0.7;
-constexpr double kTailPenalty = 1e5;
+/// Part of their reserved processors that serving tasks use.
+constexpr double kServingLoad = 0.6;
+/// Part of its processors that a filling task has to find idle.
+constexpr double kLeastIdle = 0.6;
+/// Expected tail over target beyond which no filling task is added.
+constexpr double kExpectedTailLimit = 0.82;
+/// Worth of a tail ratio of one, in thousandths of a processor.
+constexpr double kTailWeight = 8000;
 
 bool HasLabel(const WorkerEntry& entry, const std::string& label) {
   return label.empty() ||
@@ -48,24 +50,53 @@
               worker.m_entry.m_capacity);
 }
 
-double PlacementScore(const Worker& worker, const PlacementQuery& query) {
+double IdleCpu(const Worker& worker) {
+  const double capacity =
+      static_cast<double>(worker.m_entry.m_capacity.m_cpu_milli);
+  const double serving = static_cast<double>(worker.m_serve_cpu_milli);
+  const double working =
+      static_cast<double>(worker.m_used.m_cpu_milli) - serving;
+  return capacity - working - kServingLoad * serving -
+         static_cast<double>(worker.m_fill_cpu_milli);
+}
+
+namespace {
+
+/// Higher is better. Tasks that reserve processors are packed, so that whole
+/// workers stay free for large tasks and for those that disturb others; tasks
+/// that fill go where most is idle.
+double Score(const Worker& worker, std::size_t index,
+             const PlacementQuery& query) {
   const StepPlan& step = *query.m_step;
-  const double idle = static_cast<double>(
-      worker.m_entry.m_capacity.m_cpu_milli - worker.m_used.m_cpu_milli);
-  const double fill = static_cast<double>(worker.m_fill_cpu_milli);
   double score = 0;
   if (step.m_fills_idle) {
-    score = idle * worker.m_pace / 100.0 - fill;
-    score -= worker.m_tail_ratio > kFillTailLimit ? kTailPenalty : 0;
+    score = IdleCpu(worker) -
+            kTailWeight * (*query.m_expected_tail)[index];
   } else {
-    score = idle - kFillShare * fill;
+    score = static_cast<double>(worker.m_used.m_cpu_milli -
+                                worker.m_entry.m_capacity.m_cpu_milli);
   }
   const std::string& rack = worker.m_entry.m_rack;
-  const bool near =
-      !rack.empty() && (rack == step.m_data_rack || rack == query.m_rack);
-  return score + (near ? kRackBonus : 0);
+  const bool near = !rack.empty() &&
+                    (rack == step.m_data_rack || rack == query.m_rack);
+  const bool failed_here =
+      std::find(query.m_failed_on->begin(), query.m_failed_on->end(),
+                static_cast<int>(index)) != query.m_failed_on->end();
+  return score + (near ? kRackBonus : 0) - (failed_here ? kFailurePenalty : 0);
+}
+
+/// False for a worker on which a filling task would find nothing idle, or
+/// would raise a served tail too far.
+bool MayFill(const Worker& worker, std::size_t index,
+             const PlacementQuery& query) {
+  return IdleCpu(worker) >=
+             kLeastIdle * static_cast<double>(
+                              query.m_step->m_size.m_cpu_milli) &&
+         (*query.m_expected_tail)[index] <= kExpectedTailLimit;
 }
 
+}  // namespace
+
 int ChooseWorker(const std::vector<Worker>& workers,
                  const PlacementQuery& query) {
   int best = kNoWorker;
@@ -74,11 +105,10 @@
     if (!IsEligible(workers[i], (*query.m_step_tasks)[i], query)) {
       continue;
     }
-    const bool failed_here =
-        std::find(query.m_failed_on->begin(), query.m_failed_on->end(),
-                  static_cast<int>(i)) != query.m_failed_on->end();
-    const double score =
-        PlacementScore(workers[i], query) - (failed_here ? kFailurePenalty : 0);
+    if (query.m_step->m_fills_idle && !MayFill(workers[i], i, query)) {
+      continue;
+    }
+    const double score = Score(workers[i], i, query);
     if (best == kNoWorker || score > best_score) {
       best = static_cast<int>(i);
       best_score = score;
