Estimate interference in logarithms of what filling tasks use

Cause: a worker's row reports progress, not pace, in the column that was taken for pace; and tails rise by a factor, not by a sum. Ruled out: the serving tasks' own reserve (no effect).

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -109,9 +109,7 @@
   void CountFailure(const TaskRef& ref, TimePoint now);
   void EndGang(const TaskRef& ref);
   void SendStart(const TaskRef& ref, TimePoint now);
-  void SendStop(const TaskRef& ref,
-                const char* reason,
-                TimePoint now);
+  void SendStop(const TaskRef& ref, const char* reason, TimePoint now);
   bool MayStart(const Job& job, const Task& task, TimePoint now) const;
   void HandleRefusal(const StartAction& action,
                      Job* job,
--- a/src/include/hyssopspar/jobs/interference.h
+++ b/src/include/hyssopspar/jobs/interference.h
@@ -15,9 +15,10 @@
   double m_share = 0;
 };
 
-/// Estimates a served tail, as a multiple of its target, from the idle-filling
-/// tasks beside it: a base for each serving image plus a slope for each pair of
-/// images. Normalized least mean squares over what workers report.
+/// Estimates the logarithm of a served tail, as a multiple of its target, from
+/// the idle-filling tasks beside it: a base for each serving image plus a slope
+/// for each pair of images. Normalized least mean squares over what workers
+/// report.
 class InterferenceModel {
  public:
   /// Enters one observation of the serving image \p serving.
@@ -25,15 +26,12 @@
                double tail_ratio,
                const std::vector<Pressure>& beside);
 
-  /// Rise of the tail ratio for each whole worker that \p filling takes.
+  /// Rise of the logarithm for a whole worker that \p filling takes.
   double Slope(const std::string& serving, const std::string& filling) const;
 
-  /// Tail ratio with nothing beside.
-  double Base(const std::string& serving) const;
-
  private:
   struct ServingImage {
-    double m_base;
+    double m_base;  ///< Logarithm of the tail ratio with nothing beside.
     std::map<std::string, double> m_slopes;
   };
 
--- a/src/include/hyssopspar/jobs/pacing.h
+++ b/src/include/hyssopspar/jobs/pacing.h
@@ -27,9 +27,11 @@
 };
 
 /// Sets m_wanted of each task so that no tail is expected above its target.
-/// The tasks that press most are slowed first, and the gentlest sped up first.
+/// The tasks that press most are slowed first, and the gentlest sped up first;
+/// with \p pause_all none works.
 void ChoosePaces(const InterferenceModel& model,
                  const std::vector<ServedTail>& tails,
+                 bool pause_all,
                  std::vector<FillTask>* fills);
 
 /// Highest tail ratio that is expected once a task of image \p filling with
--- a/src/include/hyssopspar/jobs/task.h
+++ b/src/include/hyssopspar/jobs/task.h
@@ -35,9 +35,9 @@
   TimePoint m_confirmed;   ///< When the worker was first known to run it.
   TimePoint m_not_before;  ///< No start earlier than this.
   TimePoint m_stop_sent;
-  int m_pace = 100;        ///< Percent last ordered of the present run.
+  int m_pace = 100;  ///< Percent last ordered of the present run.
   TimePoint m_paced_at;
-  TimePoint m_paused_since;  ///< Start of the present pause.
+  TimePoint m_paused_since;      ///< Start of the present pause.
   std::vector<int> m_failed_on;  ///< Workers on which a run failed.
 };
 
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -66,6 +66,10 @@
   /// With the tasks added that the report did not yet show.
   std::vector<ServedTail> m_expected_tails;
   TimePoint m_paced_at;
+  /// Since when some tail has been above its target without a break.
+  TimePoint m_over_since = TimePoint::max();
+  /// Tasks of each image with a tail target.
+  std::map<std::string, std::uint32_t> m_serving_images;
 };
 
 /// Kinds of tasks on a worker.
--- a/src/include/hyssopspar/jobs/worker_port.h
+++ b/src/include/hyssopspar/jobs/worker_port.h
@@ -95,7 +95,7 @@
   TaskName m_task;
   std::uint32_t m_run = 0;
   std::string m_checkpoint;
-  int m_percent = 100;
+  int m_progress = 0;  ///< Percent of the work that is done.
   /// Served tail in milliseconds for tasks with a tail target, else thousandths
   /// of a processor in use; over the last half second.
   double m_usage = 0;
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -37,6 +37,7 @@
     w.m_fill_cpu_milli += step.m_size.m_cpu_milli;
   } else if (step.m_tail_target > milliseconds(0)) {
     w.m_serve_cpu_milli += step.m_size.m_cpu_milli;
+    ++w.m_serving_images[step.m_image];
   }
   w.m_used += RoomOf(step);
   job->m_tasks[ref.m_index].m_worker = worker;
@@ -57,15 +58,16 @@
     w.m_fill_cpu_milli -= step.m_size.m_cpu_milli;
   } else if (step.m_tail_target > milliseconds(0)) {
     w.m_serve_cpu_milli -= step.m_size.m_cpu_milli;
+    if (--w.m_serving_images[step.m_image] == 0) {
+      w.m_serving_images.erase(step.m_image);
+    }
   }
   w.m_used -= RoomOf(step);
   HYSSOPSPAR_INVARIANT(IsNonNegative(w.m_used));
   m_schedule_needed = true;
 }
 
-void Cell::Release(const TaskRef& ref,
-                   const char* reason,
-                   TimePoint now) {
+void Cell::Release(const TaskRef& ref, const char* reason, TimePoint now) {
   Job* const job = ref.m_job;
   const Task& task = job->m_tasks[ref.m_index];
   CellLog()->info("run-released task={}.{} run={} worker={} reason={}",
@@ -201,9 +203,7 @@
   m_actions.emplace_back(std::move(action));
 }
 
-void Cell::SendStop(const TaskRef& ref,
-                    const char* reason,
-                    TimePoint now) {
+void Cell::SendStop(const TaskRef& ref, const char* reason, TimePoint now) {
   Job* const job = ref.m_job;
   Task& task = job->m_tasks[ref.m_index];
   StopAction action;
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds kStopRetry{500};
 /// Workers report tails and usage over this time.
 constexpr milliseconds kTailWindow{600};
+/// A tail that stays above its target longer pauses all that might press it.
+constexpr milliseconds kOverLimit{1800};
 /// Pause between changes of pace on a worker.
 constexpr milliseconds kPacePause{600};
 /// Tasks that are paused longer are tried elsewhere; sooner those that lose
@@ -224,8 +226,7 @@
 TaskRef Cell::RefOf(const TaskName& name) {
   Job* const job = Find(name.m_job);
   const std::int64_t index = job == nullptr ? -1 : TaskIndex(*job, name);
-  return index < 0 ? TaskRef{}
-                   : TaskRef{job, static_cast<std::size_t>(index)};
+  return index < 0 ? TaskRef{} : TaskRef{job, static_cast<std::size_t>(index)};
 }
 
 void Cell::StopForeignRun(int worker, const RunningRow& row) {
@@ -303,8 +304,9 @@
     const StepPlan& step = StepOf(*ref.m_job, ref.m_index);
     const Task& task = ref.m_job->m_tasks[ref.m_index];
     if (step.m_fills_idle) {
-      const double share = static_cast<double>(step.m_size.m_cpu_milli) / cpu;
-      beside.push_back({step.m_image, share * row.m_percent / kFullPace});
+      if (row.m_usage > 0) {
+        beside.push_back({step.m_image, row.m_usage / cpu});
+      }
       settled = settled && now - task.m_confirmed > kTailWindow &&
                 now - task.m_paced_at > kTailWindow;
     } else if (step.m_tail_target > milliseconds(0) &&
@@ -314,6 +316,10 @@
            row.m_usage / static_cast<double>(step.m_tail_target.count())});
     }
   }
+  const bool over =
+      std::any_of(w.m_tails.begin(), w.m_tails.end(),
+                  [](const ServedTail& tail) { return tail.m_ratio > 1; });
+  w.m_over_since = over ? std::min(w.m_over_since, now) : TimePoint::max();
   if (settled) {
     for (const ServedTail& tail : w.m_tails) {
       m_interference.Observe(tail.m_image, tail.m_ratio, beside);
@@ -346,7 +352,9 @@
       refs.push_back(ref);
     }
   }
-  ChoosePaces(m_interference, w.m_tails, &fills);
+  const bool pause_all =
+      w.m_over_since < now && now - w.m_over_since > kOverLimit;
+  ChoosePaces(m_interference, w.m_tails, pause_all, &fills);
   for (std::size_t i = 0; i < fills.size(); ++i) {
     OrderPace(refs[i], fills[i].m_wanted, now);
   }
@@ -369,13 +377,13 @@
     task.m_paused_since = now;
   }
   CellLog()->debug("pace task={}.{} worker={} percent={} was={}",
-                   job->m_submission.m_id,
-                   ref.m_index, task.m_worker, percent, task.m_pace);
+                   job->m_submission.m_id, ref.m_index, task.m_worker, percent,
+                   task.m_pace);
   task.m_pace = percent;
   task.m_paced_at = now;
-  m_actions.emplace_back(PaceAction{
-      TargetOf(task.m_worker), {NameOfTask(*job, ref.m_index), task.m_run,
-                                percent, m_settings.m_epoch}});
+  m_actions.emplace_back(PaceAction{TargetOf(task.m_worker),
+                                    {NameOfTask(*job, ref.m_index), task.m_run,
+                                     percent, m_settings.m_epoch}});
 }
 
 void Cell::LapseRuns(TimePoint now) {
--- a/src/libhyssopspar/jobs/interference.cpp
+++ b/src/libhyssopspar/jobs/interference.cpp
@@ -1,22 +1,26 @@
 #include "hyssopspar/jobs/interference.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hyssopspar::jobs {
 
 namespace {
 
 /// Assumed of images that have not been seen together.
-constexpr double kUnknownSlope = 2.0;
-constexpr double kUnknownBase = 0.55;
-/// Part of an observation's error that is corrected at once.
-constexpr double kLearningRate = 0.25;
-/// The base moves slower: loads swing around it.
-constexpr double kBaseRate = 0.05;
-/// Weight of the constant beside the shares, and floor of their sum.
-constexpr double kConstantWeight = 0.02;
-/// Errors beyond this are cut: a queue that overflows says little of slopes.
-constexpr double kErrorLimit = 3.0;
+constexpr double kUnknownSlope = 1.5;
+/// Assumed tail ratio of an image that has not been seen alone.
+constexpr double kUnknownBase = 0.5;
+/// Parts of an observation's error that are corrected at once. The base moves
+/// slower: loads swing around it.
+constexpr double kLearningRate = 0.15;
+constexpr double kBaseRate = 0.03;
+/// Added to the squared shares, so that small ones teach little.
+constexpr double kShareFloor = 0.01;
+/// Errors beyond this are cut: an overflowing queue says little of slopes.
+constexpr double kErrorLimit = 1.0;
+/// Least ratio told apart, of tails reported in whole milliseconds.
+constexpr double kLeastRatio = 0.02;
 
 }  // namespace
 
@@ -24,25 +28,26 @@
                                 double tail_ratio,
                                 const std::vector<Pressure>& beside) {
   ServingImage& image =
-      m_images.emplace(serving, ServingImage{kUnknownBase, {}}).first->second;
+      m_images.emplace(serving, ServingImage{std::log(kUnknownBase), {}})
+          .first->second;
   double expected = image.m_base;
-  double norm = kConstantWeight;
+  double norm = kShareFloor;
   for (const Pressure& pressure : beside) {
-    const double slope =
-        image.m_slopes.emplace(pressure.m_image, kUnknownSlope).first->second;
-    expected += slope * pressure.m_share;
+    expected += Slope(serving, pressure.m_image) * pressure.m_share;
     norm += pressure.m_share * pressure.m_share;
   }
   const double error =
-      std::clamp(tail_ratio - expected, -kErrorLimit, kErrorLimit);
+      std::clamp(std::log(std::max(tail_ratio, kLeastRatio)) - expected,
+                 -kErrorLimit, kErrorLimit);
   if (beside.empty()) {
     image.m_base += kBaseRate * error;
     return;
   }
   for (const Pressure& pressure : beside) {
-    double& slope = image.m_slopes[pressure.m_image];
-    slope = std::max(
-        0.0, slope + kLearningRate * error * pressure.m_share / norm);
+    double& slope =
+        image.m_slopes.emplace(pressure.m_image, kUnknownSlope).first->second;
+    slope =
+        std::max(0.0, slope + kLearningRate * error * pressure.m_share / norm);
   }
 }
 
@@ -56,9 +61,4 @@
   return slope == image->second.m_slopes.end() ? kUnknownSlope : slope->second;
 }
 
-double InterferenceModel::Base(const std::string& serving) const {
-  const auto image = m_images.find(serving);
-  return image == m_images.end() ? kUnknownBase : image->second.m_base;
-}
-
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -17,7 +17,11 @@
 /// Part of its processors that a filling task has to find idle.
 constexpr double kLeastIdle = 0.6;
 /// Expected tail over target beyond which no filling task is added.
-constexpr double kExpectedTailLimit = 0.82;
+constexpr double kExpectedTailLimit = 0.85;
+/// Worth of a worker whose serving tasks are all of the same image, and cost of
+/// one with others; more than any difference in free processors.
+constexpr double kLikeBonus = 2e5;
+constexpr double kMixedPenalty = 2e5;
 /// Worth of a tail ratio of one, in thousandths of a processor.
 constexpr double kTailWeight = 8000;
 
@@ -62,23 +66,35 @@
 
 namespace {
 
+/// Tasks that serve keep to workers with others of their image, so that fewer
+/// images of filling tasks disturb somebody there.
+double ServingScore(const Worker& worker, const std::string& image) {
+  const std::size_t others =
+      worker.m_serving_images.size() - worker.m_serving_images.count(image);
+  return others > 0 ? -kMixedPenalty
+                    : (worker.m_serving_images.empty() ? 0 : kLikeBonus);
+}
+
 /// Higher is better. Tasks that reserve processors are packed, so that whole
 /// workers stay free for large tasks and for those that disturb others; tasks
 /// that fill go where most is idle.
-double Score(const Worker& worker, std::size_t index,
+double Score(const Worker& worker,
+             std::size_t index,
              const PlacementQuery& query) {
   const StepPlan& step = *query.m_step;
   double score = 0;
   if (step.m_fills_idle) {
-    score = IdleCpu(worker) -
-            kTailWeight * (*query.m_expected_tail)[index];
+    score = IdleCpu(worker) - kTailWeight * (*query.m_expected_tail)[index];
   } else {
     score = static_cast<double>(worker.m_used.m_cpu_milli -
                                 worker.m_entry.m_capacity.m_cpu_milli);
+    score += step.m_tail_target > milliseconds(0)
+                 ? ServingScore(worker, step.m_image)
+                 : 0;
   }
   const std::string& rack = worker.m_entry.m_rack;
-  const bool near = !rack.empty() &&
-                    (rack == step.m_data_rack || rack == query.m_rack);
+  const bool near =
+      !rack.empty() && (rack == step.m_data_rack || rack == query.m_rack);
   const bool failed_here =
       std::find(query.m_failed_on->begin(), query.m_failed_on->end(),
                 static_cast<int>(index)) != query.m_failed_on->end();
@@ -87,11 +103,12 @@
 
 /// False for a worker on which a filling task would find nothing idle, or
 /// would raise a served tail too far.
-bool MayFill(const Worker& worker, std::size_t index,
+bool MayFill(const Worker& worker,
+             std::size_t index,
              const PlacementQuery& query) {
   return IdleCpu(worker) >=
-             kLeastIdle * static_cast<double>(
-                              query.m_step->m_size.m_cpu_milli) &&
+             kLeastIdle *
+                 static_cast<double>(query.m_step->m_size.m_cpu_milli) &&
          (*query.m_expected_tail)[index] <= kExpectedTailLimit;
 }
 
