Let a lost worker's runs lapse

Ruled out: the platform's list (it was current). Change: a worker that does not answer is granted no more time; one whose address belongs to another, or that is missing from the list for longer than a living one can be, is taken as gone. A worker known only from stored progress no longer makes the owner's timer spin.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -139,6 +139,7 @@
   void SendHold(int worker, TimePoint now);
   void SendHolds(TimePoint now);
   void LapseRuns(TimePoint now);
+  void EndAllRuns(int worker, const char* reason, TimePoint now);
   WorkerMix MixOf(const Worker& worker) const;
   void ExtendLeaseDeadline(Worker* worker, WorkerTime until);
 
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -32,6 +32,7 @@
 struct Worker {
   WorkerEntry m_entry;
   bool m_listed = false;  ///< In the platform's list now.
+  TimePoint m_unlisted_since;
 
   std::set<TaskRef> m_tasks;  ///< Placed here, in any state with room.
   Resources m_used;           ///< By m_tasks, idle-filling processor left out.
@@ -78,6 +79,9 @@
   bool m_fills = false;
 };
 
+/// True when a hold should go to the worker at m_next_hold.
+bool WantsHold(const Worker& worker);
+
 /// Its clock at \p at, by our reckoning.
 WorkerTime WorkerTimeAt(const Worker& worker, TimePoint at);
 
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -42,6 +42,7 @@
   Worker worker;
   worker.m_entry.m_id = id;
   worker.m_lease_deadline = m_taken_over + m_settings.m_inherited_lease;
+  worker.m_unlisted_since = m_taken_over;
   m_workers.push_back(std::move(worker));
   m_worker_names.push_back(id);
   m_worker_index[id] = index;
@@ -158,7 +159,7 @@
   }
 }
 
-void Cell::RemoveWorker(const std::string& id, TimePoint /*now*/) {
+void Cell::RemoveWorker(const std::string& id, TimePoint now) {
   const auto it = m_worker_index.find(id);
   if (it == m_worker_index.end()) {
     return;
@@ -166,6 +167,7 @@
   Worker& worker = m_workers[static_cast<std::size_t>(it->second)];
   if (worker.m_listed) {
     worker.m_listed = false;
+    worker.m_unlisted_since = now;
     CellLog()->info("worker-unlisted id={} tasks={}", id,
                     worker.m_tasks.size());
   }
@@ -279,8 +281,7 @@
     next = std::min(next, m_next_flush);
   }
   for (const Worker& worker : m_workers) {
-    const bool wanted = worker.m_listed || !worker.m_tasks.empty();
-    if (wanted && !worker.m_hold_in_flight) {
+    if (WantsHold(worker)) {
       next = std::min(next, worker.m_next_hold);
     }
   }
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -19,6 +19,9 @@
 constexpr milliseconds kLastHoldRetry{1000};
 /// Longest time between holds while ends wait to be stored.
 constexpr milliseconds kUnstoredHoldPause{500};
+/// The platform lists a living worker again within two seconds; one that is
+/// missing longer and does not answer is gone.
+constexpr milliseconds kGoneAfter{2300};
 /// Ends that a worker lists at once; with as many, some may not be listed.
 constexpr std::size_t kEndsListed = 500;
 /// A stop without an answer is sent again after this long.
@@ -41,6 +44,11 @@
          std::chrono::duration_cast<milliseconds>(at - worker.m_clock_at);
 }
 
+bool WantsHold(const Worker& worker) {
+  return (worker.m_listed || !worker.m_tasks.empty()) &&
+         !worker.m_hold_in_flight && !worker.m_entry.m_address.empty();
+}
+
 WorkerMix Cell::MixOf(const Worker& worker) const {
   WorkerMix mix;
   for (const TaskRef& ref : worker.m_tasks) {
@@ -64,10 +72,7 @@
     return;
   }
   for (std::size_t i = 0; i < m_workers.size(); ++i) {
-    const Worker& worker = m_workers[i];
-    const bool wanted = worker.m_listed || !worker.m_tasks.empty();
-    if (wanted && !worker.m_hold_in_flight && worker.m_next_hold <= now &&
-        !worker.m_entry.m_address.empty()) {
+    if (WantsHold(m_workers[i]) && m_workers[i].m_next_hold <= now) {
       SendHold(static_cast<int>(i), now);
     }
   }
@@ -81,13 +86,14 @@
   action.m_sent = now;
   action.m_order.m_epoch = m_settings.m_epoch;
   action.m_order.m_acked = w.m_acked_end;
-  const bool has_clock = w.m_fenced;
-  if (has_clock) {
+  // A worker that does not answer gets no more time, so that its runs lapse.
+  const bool extend = w.m_fenced && w.m_reachable;
+  if (extend) {
     action.m_order.m_extend = true;
     action.m_order.m_lease_until = WorkerTimeAt(w, now) + m_settings.m_lease;
     ExtendLeaseDeadline(&w, action.m_order.m_lease_until);
   }
-  if (has_clock && w.m_reachable && w.m_acked_end == w.m_seen_end) {
+  if (extend && w.m_acked_end == w.m_seen_end) {
     const WorkerMix mix = MixOf(w);
     action.m_order.m_wait = mix.m_serves && mix.m_fills
                                 ? m_settings.m_watch_hold_wait
@@ -118,6 +124,9 @@
                     worker.m_tasks.size(), ToString(answer.error()));
   }
   worker.m_reachable = false;
+  if (answer.error().m_code == ErrorCode::kNotFound) {
+    EndAllRuns(action.m_worker, "replaced", now);
+  }
   const milliseconds pause =
       std::min(kLastHoldRetry,
                kFirstHoldRetry * (1 << std::min(worker.m_hold_errors, 3U)));
@@ -387,15 +396,30 @@
 }
 
 void Cell::LapseRuns(TimePoint now) {
-  for (Worker& worker : m_workers) {
-    if (worker.m_tasks.empty() || worker.m_reachable ||
-        now <= worker.m_lease_deadline) {
+  for (std::size_t i = 0; i < m_workers.size(); ++i) {
+    const Worker& worker = m_workers[i];
+    if (worker.m_tasks.empty() || worker.m_reachable) {
       continue;
     }
-    CellLog()->warn("worker-lapsed id={} tasks={}", worker.m_entry.m_id,
-                    worker.m_tasks.size());
-    const std::set<TaskRef> tasks = worker.m_tasks;
-    for (const TaskRef& ref : tasks) {
+    const bool gone = !worker.m_listed &&
+                      m_workers_verified - worker.m_unlisted_since > kGoneAfter;
+    if (gone) {
+      EndAllRuns(static_cast<int>(i), "gone", now);
+    } else if (now > worker.m_lease_deadline) {
+      EndAllRuns(static_cast<int>(i), "lapsed", now);
+    }
+  }
+}
+
+void Cell::EndAllRuns(int worker, const char* reason, TimePoint now) {
+  const Worker& w = m_workers[static_cast<std::size_t>(worker)];
+  CellLog()->warn("worker-ended id={} reason={} tasks={}", w.m_entry.m_id,
+                  reason, w.m_tasks.size());
+  const std::set<TaskRef> tasks = w.m_tasks;
+  for (const TaskRef& ref : tasks) {
+    if (ref.m_job->m_tasks[ref.m_index].m_state == TaskState::kRecording) {
+      Release(ref, "worker-ended", now);
+    } else {
       EndRun(ref, EndCause::kLapsed, "", now);
     }
   }
