--- a/src/include/hyssopspar/jobs/action.h
+++ b/src/include/hyssopspar/jobs/action.h
@@ -45,6 +45,12 @@
   std::vector<KeyedRecord> m_records;
 };
 
+/// Jobs that have ended and of which only the state is still of interest; the
+/// store may replace their records in the job stream by a marker.
+struct RetireAction {
+  std::vector<std::string> m_jobs;
+};
+
 /// Jobs whose records the store may drop.
 struct ForgetAction {
   std::vector<std::string> m_jobs;
@@ -55,6 +61,7 @@
                             PaceAction,
                             HoldAction,
                             StoreAction,
+                            RetireAction,
                             ForgetAction>;
 
 }  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -33,10 +33,17 @@
   void OnJob(const Submission& submission, TimePoint now);
   void OnCancel(const std::string& job_id, TimePoint now);
 
+  /// A job that ended and was retired, before its record in the job stream is
+  /// passed in.
+  void OnEnded(const std::string& job_id, JobState state, TimePoint now);
+
   /// Stored progress, before Activate and after the jobs.
   Result<void> OnProgress(const std::string& job_id,
                           const JobProgress& progress);
 
+  /// The stored interference model, before Activate.
+  Result<void> OnModel(const std::string& bytes);
+
   /// Starts to act, once everything stored has been entered.
   void Activate(TimePoint now);
 
@@ -147,6 +154,8 @@
   void Flush(TimePoint now);
   void AckStoredEnds(TimePoint now);
   void SendPlacements(const PendingBatch& batch, TimePoint now);
+  void RetireJobs(TimePoint now);
+  bool MayRetire(const Job& job, TimePoint now) const;
   void ForgetJobs(TimePoint now);
 
   // cell_schedule.cpp
@@ -170,6 +179,11 @@
   milliseconds m_unix_offset{0};  ///< Unix time less our clock.
 
   std::map<std::string, std::unique_ptr<Job>> m_jobs;
+  struct EndedJob {
+    JobState m_state = JobState::kCompleted;
+    TimePoint m_since;
+  };
+  std::map<std::string, EndedJob> m_ended;
   std::set<std::string> m_cancelled;  ///< Cancelled before the job was seen.
   std::vector<Job*> m_open;           ///< Not terminal, in scheduling order.
   std::set<std::string> m_domains_out;
@@ -186,7 +200,9 @@
   std::optional<PendingBatch> m_batch;
   std::uint64_t m_batches = 0;
   TimePoint m_next_flush;
-  TimePoint m_next_forget;
+  TimePoint m_next_retire;
+  TimePoint m_next_model;
+  std::set<std::string> m_forgotten;  ///< Progress that the store may drop.
   TimePoint m_batch_retry = TimePoint::max();
   std::vector<Action> m_actions;
 };
--- a/src/include/hyssopspar/jobs/cell_settings.h
+++ b/src/include/hyssopspar/jobs/cell_settings.h
@@ -30,7 +30,11 @@
   milliseconds m_start_validity{1500};
   /// No start on a view of operators or workers older than this.
   milliseconds m_view_limit{1500};
-  /// Finished jobs are kept this long for questions about them.
+  /// Between sweeps of ended jobs, and their age from which only the state is
+  /// kept.
+  milliseconds m_retire_interval{1000};
+  milliseconds m_retire_age{3000};
+  /// The states of ended jobs are kept this long for questions about them.
   milliseconds m_retention{150000};
   /// A worker that fails tasks of several jobs in a row gets none this long.
   milliseconds m_quarantine{5000};
--- a/src/include/hyssopspar/jobs/interference.h
+++ b/src/include/hyssopspar/jobs/interference.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hyssopspar::jobs {
@@ -15,12 +16,31 @@
   double m_share = 0;
 };
 
+/// What is known of one serving image.
+struct ServingImage {
+  double m_base = 0;  ///< Logarithm of the tail ratio with nothing beside.
+  std::map<std::string, double> m_slopes;  ///< By filling image.
+};
+
+template <class Archive, class T>
+void VisitFields(Archive& archive, T& image, const ServingImage* /*tag*/) {
+  archive(image.m_base, image.m_slopes);
+}
+
 /// Estimates the logarithm of a served tail, as a multiple of its target, from
 /// the idle-filling tasks beside it: a base for each serving image plus a slope
 /// for each pair of images. Normalized least mean squares over what workers
 /// report.
 class InterferenceModel {
  public:
+  InterferenceModel() = default;
+  explicit InterferenceModel(std::map<std::string, ServingImage> images)
+      : m_images(std::move(images)) {}
+
+  const std::map<std::string, ServingImage>& Images() const {
+    return m_images;
+  }
+
   /// Enters one observation of the serving image \p serving.
   void Observe(const std::string& serving,
                double tail_ratio,
@@ -30,11 +50,6 @@
   double Slope(const std::string& serving, const std::string& filling) const;
 
  private:
-  struct ServingImage {
-    double m_base;  ///< Logarithm of the tail ratio with nothing beside.
-    std::map<std::string, double> m_slopes;
-  };
-
   std::map<std::string, ServingImage> m_images;
 };
 
--- a/src/include/hyssopspar/jobs/ownership.h
+++ b/src/include/hyssopspar/jobs/ownership.h
@@ -17,7 +17,7 @@
   std::string m_process;  ///< Differs for each start of the node.
   std::string m_address;  ///< Of the node's internal interface.
   /// An owner that has not renewed for so long may be replaced.
-  milliseconds m_silence{2600};
+  milliseconds m_silence{2300};
   milliseconds m_renewal{800};
   /// Claims of different nodes are spread over this time.
   milliseconds m_spread{250};
@@ -36,9 +36,16 @@
 /// True when the view names this very process as a live owner.
 bool OwnsCell(const OwnerView& view, const OwnershipSettings& settings);
 
+/// When a node may claim a cell.
+struct ClaimTime {
+  TimePoint m_at;
+  /// The claim rests on silence, which counts only as far as the stream was
+  /// read.
+  bool m_needs_silence = false;
+};
+
 /// When this node may claim the cell, if nothing changes in the stream.
-/// Silence counts only as far as the stream was read.
-TimePoint ClaimTime(const OwnerView& view, const OwnershipSettings& settings);
+ClaimTime NextClaim(const OwnerView& view, const OwnershipSettings& settings);
 
 /// The claim that this node would make now.
 OwnerRecord MakeClaim(const OwnerView& view, const OwnershipSettings& settings);
--- a/src/include/hyssopspar/jobs/records.h
+++ b/src/include/hyssopspar/jobs/records.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "hyssopspar/error.h"
+#include "hyssopspar/jobs/interference.h"
 #include "hyssopspar/jobs/job_plan.h"
 #include "hyssopspar/jobs/job_progress.h"
 
@@ -17,6 +18,12 @@
 inline constexpr const char* kProgressStream = "progress";
 inline constexpr const char* kOwnerStream = "owners";
 
+/// Key of the interference model in the progress stream.
+inline constexpr const char* kModelKey = "model";
+
+/// Value that takes the place of a retired job's submission.
+inline constexpr const char* kRetiredMarker = "-";
+
 /// Key of a job's cancellation in the job stream.
 std::string CancelKey(const std::string& job_id);
 
@@ -37,6 +44,8 @@
 Result<Submission> DecodeSubmission(const std::string& bytes);
 std::string EncodeProgress(const JobProgress& progress);
 Result<JobProgress> DecodeProgress(const std::string& bytes);
+std::string EncodeModel(const InterferenceModel& model);
+Result<InterferenceModel> DecodeModel(const std::string& bytes);
 std::string EncodeOwner(const OwnerRecord& owner);
 Result<OwnerRecord> DecodeOwner(const std::string& bytes);
 
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include "hyssopspar/jobs/records.h"
 #include "hyssopspar/logging.h"
 #include "jobs/cell_log.h"
 
@@ -56,7 +57,8 @@
 }
 
 void Cell::OnJob(const Submission& submission, TimePoint now) {
-  if (m_jobs.count(submission.m_id) > 0) {
+  if (m_jobs.count(submission.m_id) > 0 ||
+      m_ended.count(submission.m_id) > 0) {
     return;
   }
   auto job = std::make_unique<Job>(MakeJob(submission));
@@ -80,7 +82,9 @@
 void Cell::OnCancel(const std::string& job_id, TimePoint now) {
   Job* const job = Find(job_id);
   if (job == nullptr) {
-    m_cancelled.insert(job_id);
+    if (m_ended.count(job_id) == 0) {
+      m_cancelled.insert(job_id);
+    }
     return;
   }
   if (job->m_cancelled || IsTerminal(job->m_state)) {
@@ -92,6 +96,10 @@
   }
 }
 
+void Cell::OnEnded(const std::string& job_id, JobState state, TimePoint now) {
+  m_ended[job_id] = {state, now};
+}
+
 Result<void> Cell::OnProgress(const std::string& job_id,
                               const JobProgress& progress) {
   Job* const job = Find(job_id);
@@ -103,6 +111,15 @@
   });
 }
 
+Result<void> Cell::OnModel(const std::string& bytes) {
+  const Result<InterferenceModel> model = DecodeModel(bytes);
+  if (!model) {
+    return model.error();
+  }
+  m_interference = model.value();
+  return Ok();
+}
+
 void Cell::Activate(TimePoint now) {
   m_active = true;
   std::size_t inherited = 0;
@@ -234,7 +251,10 @@
 std::optional<JobState> Cell::StateOf(const std::string& job_id) const {
   const Job* const job = FindJob(job_id);
   if (job == nullptr) {
-    return std::nullopt;
+    const auto ended = m_ended.find(job_id);
+    return ended == m_ended.end()
+               ? std::nullopt
+               : std::optional<JobState>(ended->second.m_state);
   }
   const bool unstored_end = IsTerminal(job->m_state) &&
                             job->m_state != JobState::kCancelled &&
@@ -267,7 +287,7 @@
   }
   Flush(now);
   SendHolds(now);
-  ForgetJobs(now);
+  RetireJobs(now);
 }
 
 TimePoint Cell::NextDeadline() const {
--- /dev/null
+++ b/src/libhyssopspar/jobs/cell_loader.cpp
@@ -0,0 +1,78 @@
+#include "hyssopspar/jobs/cell_loader.h"
+
+#include <utility>
+
+#include "hyssopspar/jobs/records.h"
+#include "jobs/cell_log.h"
+
+namespace hyssopspar::jobs {
+
+void CellLoader::EnterProgress(const KeyedRecord& record) {
+  if (record.m_key == kModelKey) {
+    m_model = record.m_value.value_or("");
+    return;
+  }
+  const Result<JobProgress> progress =
+      DecodeProgress(record.m_value.value_or(""));
+  if (progress) {
+    m_progress[record.m_key] = progress.value();
+  } else {
+    CellLog()->warn("progress-ignored job={} error={}", record.m_key,
+                    ToString(progress.error()));
+  }
+}
+
+bool CellLoader::HasEnded(const std::string& job_id) const {
+  const auto stored = m_progress.find(job_id);
+  return stored != m_progress.end() && IsTerminal(stored->second.m_state) &&
+         stored->second.m_workers.empty();
+}
+
+void CellLoader::EnterJob(const KeyedRecord& record, Cell* cell,
+                          TimePoint now) {
+  if (!record.m_value) {
+    return;
+  }
+  const std::string cancelled = CancelledJob(record.m_key);
+  if (!cancelled.empty()) {
+    if (!HasEnded(cancelled)) {
+      cell->OnCancel(cancelled, now);
+    }
+    return;
+  }
+  if (*record.m_value == kRetiredMarker || HasEnded(record.m_key)) {
+    return;
+  }
+  const Result<Submission> job = DecodeSubmission(*record.m_value);
+  if (!job) {
+    CellLog()->warn("job-ignored key={} error={}", record.m_key,
+                    ToString(job.error()));
+    return;
+  }
+  cell->OnJob(job.value(), now);
+}
+
+void CellLoader::Finish(Cell* cell, TimePoint now) {
+  for (const auto& entry : m_progress) {
+    if (HasEnded(entry.first)) {
+      cell->OnEnded(entry.first, entry.second.m_state, now);
+      continue;
+    }
+    const Result<void> entered = cell->OnProgress(entry.first, entry.second);
+    if (!entered) {
+      CellLog()->warn("progress-ignored job={} error={}", entry.first,
+                      ToString(entered.error()));
+    }
+  }
+  m_progress.clear();
+  if (m_model.empty()) {
+    return;
+  }
+  const Result<void> entered = cell->OnModel(m_model);
+  if (!entered) {
+    CellLog()->warn("model-ignored error={}", ToString(entered.error()));
+  }
+  m_model.clear();
+}
+
+}  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_store.cpp
+++ b/src/libhyssopspar/jobs/cell_store.cpp
@@ -1,6 +1,7 @@
 // What is stored, and what may happen once it is.
 
 #include <algorithm>
+#include <utility>
 
 #include "hyssopspar/jobs/cell.h"
 #include "hyssopspar/jobs/records.h"
@@ -12,6 +13,8 @@
 
 /// Jobs in one batch, so that an append stays well below the store's limit.
 constexpr std::size_t kBatchJobs = 300;
+/// Between stored states of the interference model; they go with a batch.
+constexpr milliseconds kModelInterval{2000};
 /// Pause before a batch that was not acknowledged is sent again.
 constexpr milliseconds kBatchRetry{100};
 
@@ -48,6 +51,13 @@
     batch.m_states.emplace_back(id, job->m_state);
     m_dirty.erase(m_dirty.begin());
   }
+  if (now >= m_next_model) {
+    m_next_model = now + kModelInterval;
+    batch.m_records.push_back({kModelKey, EncodeModel(m_interference)});
+  }
+  for (const std::string& id : std::exchange(m_forgotten, {})) {
+    batch.m_records.push_back({id, std::nullopt});
+  }
   for (std::size_t i = 0; whole && i < m_workers.size(); ++i) {
     if (m_workers[i].m_seen_end > m_workers[i].m_acked_end) {
       batch.m_ends[static_cast<int>(i)] = m_workers[i].m_seen_end;
@@ -122,30 +132,51 @@
   }
 }
 
-void Cell::ForgetJobs(TimePoint now) {
-  if (now < m_next_forget) {
+bool Cell::MayRetire(const Job& job, TimePoint now) const {
+  return IsTerminal(job.m_state) && job.m_stored_state == job.m_state &&
+         now - job.m_terminal_since > m_settings.m_retire_age &&
+         m_dirty.count(job.m_submission.m_id) == 0 &&
+         std::none_of(job.m_tasks.begin(), job.m_tasks.end(), IsPlaced);
+}
+
+void Cell::RetireJobs(TimePoint now) {
+  if (now < m_next_retire || m_batch) {
     return;
   }
-  m_next_forget = now + m_settings.m_retention / 10;
-  ForgetAction action;
-  for (const auto& entry : m_jobs) {
-    const Job& job = *entry.second;
-    const bool placed = std::any_of(job.m_tasks.begin(), job.m_tasks.end(),
-                                    [](const Task& t) { return IsPlaced(t); });
-    if (IsTerminal(job.m_state) && job.m_stored_state == job.m_state &&
-        !placed && m_dirty.count(entry.first) == 0 &&
-        now - job.m_terminal_since > m_settings.m_retention) {
-      action.m_jobs.push_back(entry.first);
+  m_next_retire = now + m_settings.m_retire_interval;
+  RetireAction retired;
+  for (auto it = m_jobs.begin(); it != m_jobs.end();) {
+    if (MayRetire(*it->second, now)) {
+      m_ended[it->first] = {it->second->m_state, now};
+      retired.m_jobs.push_back(it->first);
+      it = m_jobs.erase(it);
+    } else {
+      ++it;
     }
   }
-  if (action.m_jobs.empty()) {
-    return;
+  if (!retired.m_jobs.empty()) {
+    CellLog()->info("jobs-retired count={} open={}", retired.m_jobs.size(),
+                    m_jobs.size());
+    m_actions.emplace_back(std::move(retired));
+  }
+  ForgetJobs(now);
+}
+
+void Cell::ForgetJobs(TimePoint now) {
+  ForgetAction forgotten;
+  for (auto it = m_ended.begin(); it != m_ended.end();) {
+    if (now - it->second.m_since > m_settings.m_retention) {
+      forgotten.m_jobs.push_back(it->first);
+      m_forgotten.insert(it->first);
+      it = m_ended.erase(it);
+    } else {
+      ++it;
+    }
   }
-  for (const std::string& id : action.m_jobs) {
-    m_jobs.erase(id);
+  if (!forgotten.m_jobs.empty()) {
+    CellLog()->info("jobs-forgotten count={}", forgotten.m_jobs.size());
+    m_actions.emplace_back(std::move(forgotten));
   }
-  CellLog()->info("jobs-forgotten count={}", action.m_jobs.size());
-  m_actions.emplace_back(std::move(action));
 }
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -225,7 +225,7 @@
 void Cell::OnStartAnswer(const StartAction& action,
                          const Result<StartAnswer>& answer,
                          TimePoint now) {
-  Job* const job = action.m_task.m_job;
+  Job* const job = Find(action.m_order.m_task.m_job);
   if (job == nullptr) {
     return;
   }
@@ -283,7 +283,7 @@
     m_is_fenced = true;
     return;
   }
-  Job* const job = action.m_task.m_job;
+  Job* const job = Find(action.m_order.m_task.m_job);
   if (job == nullptr) {
     return;
   }
--- a/src/libhyssopspar/jobs/ownership.cpp
+++ b/src/libhyssopspar/jobs/ownership.cpp
@@ -35,16 +35,16 @@
          !view.m_record->m_released;
 }
 
-TimePoint ClaimTime(const OwnerView& view, const OwnershipSettings& settings) {
+ClaimTime NextClaim(const OwnerView& view, const OwnershipSettings& settings) {
   const TimePoint spread = view.m_changed + SpreadOf(view, settings);
   if (!view.m_record || view.m_record->m_released || view.m_unreachable) {
-    return spread;
+    return {spread, false};
   }
   // The node's own earlier life can't act any more.
   if (view.m_record->m_node == settings.m_node) {
-    return view.m_changed;
+    return {view.m_changed, false};
   }
-  return spread + settings.m_silence;
+  return {spread + settings.m_silence, true};
 }
 
 OwnerRecord MakeClaim(const OwnerView& view,
--- a/src/libhyssopspar/jobs/records.cpp
+++ b/src/libhyssopspar/jobs/records.cpp
@@ -41,6 +41,19 @@
   return pvt::Decode<JobProgress>(bytes);
 }
 
+std::string EncodeModel(const InterferenceModel& model) {
+  return pvt::Encode(model.Images());
+}
+
+Result<InterferenceModel> DecodeModel(const std::string& bytes) {
+  const Result<std::map<std::string, ServingImage>> images =
+      pvt::Decode<std::map<std::string, ServingImage>>(bytes);
+  if (!images) {
+    return images.error();
+  }
+  return InterferenceModel(images.value());
+}
+
 std::string EncodeOwner(const OwnerRecord& owner) {
   return pvt::Encode(owner);
 }
--- a/src/node/cell_host.cpp
+++ b/src/node/cell_host.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds kOrderLimit{1000};
 constexpr milliseconds kRetryPause{150};
 /// Time the store waits for owner and job records before it answers.
-constexpr milliseconds kOwnerReadWait{1500};
+constexpr milliseconds kOwnerReadWait{1000};
 constexpr milliseconds kJobReadWait{1000};
 /// Between looks at the platform's list of workers.
 constexpr milliseconds kWorkerReadPause{400};
@@ -120,9 +120,11 @@
                     m_owner.m_record->m_epoch == m_claim.m_epoch;
   switch (m_phase) {
     case Phase::kFollowing: {
-      const TimePoint at = jobs::ClaimTime(m_owner, m_settings.m_ownership);
-      if (m_operators->HasConfig() && now >= at &&
-          m_owner_stream->Verified() >= at) {
+      const jobs::ClaimTime claim =
+          jobs::NextClaim(m_owner, m_settings.m_ownership);
+      const bool silent =
+          !claim.m_needs_silence || m_owner_stream->Verified() >= claim.m_at;
+      if (m_operators->HasConfig() && now >= claim.m_at && silent) {
         Claim();
       }
       break;
@@ -154,7 +156,7 @@
   if (m_phase == Phase::kOwning) {
     at = m_renewing ? at : m_renew_at;
   } else if (m_phase == Phase::kFollowing) {
-    at = jobs::ClaimTime(m_owner, m_settings.m_ownership);
+    at = jobs::NextClaim(m_owner, m_settings.m_ownership).m_at;
   }
   at = std::max(at, now + milliseconds(20));
   if (m_review_at > now && m_review_at <= at) {
@@ -217,7 +219,9 @@
       PartitionOf(jobs::kProgressStream), {}, guard, Clock::now() + kStoreLimit,
       OnLoop<Result<Offset>>([this](const Result<Offset>& end) {
         if (end) {
-          LoadJobs();
+          m_phase = Phase::kLoading;
+          m_loader = jobs::CellLoader();
+          LoadProgress("");
           return;
         }
         Log(kLogPart)->warn("fence-failed cell={} epoch={} error={}", m_number,
@@ -236,7 +240,6 @@
 }
 
 void CellHost::LoadJobs() {
-  m_phase = Phase::kLoading;
   jobs::CellSettings settings = m_settings.m_cell;
   settings.m_epoch = m_claim.m_epoch;
   m_cell = std::make_unique<jobs::Cell>(settings, Clock::now());
@@ -256,7 +259,8 @@
   job_sink.m_snapshot = [this](const std::vector<KeyedRecord>& records) {
     EnterJobs(records);
     if (m_phase == Phase::kLoading) {
-      LoadProgress("");
+      m_loader.Finish(m_cell.get(), Clock::now());
+      Own();
     }
   };
   job_sink.m_records = [this](const std::vector<KeyedRecord>& records) {
@@ -288,21 +292,13 @@
     return;
   }
   for (const KeyedRecord& record : page.value().m_records) {
-    const Result<jobs::JobProgress> progress =
-        jobs::DecodeProgress(record.m_value.value_or(""));
-    const Result<void> entered =
-        progress ? m_cell->OnProgress(record.m_key, progress.value())
-                 : Result<void>(progress.error());
-    if (!entered) {
-      Log(kLogPart)->warn("progress-ignored job={} error={}", record.m_key,
-                          ToString(entered.error()));
-    }
+    m_loader.EnterProgress(record);
   }
   if (page.value().m_more && !page.value().m_records.empty()) {
     LoadProgress(page.value().m_records.back().m_key);
     return;
   }
-  Own();
+  LoadJobs();
 }
 
 void CellHost::Own() {
@@ -421,24 +417,7 @@
 void CellHost::EnterJobs(const std::vector<KeyedRecord>& records) {
   const TimePoint now = Clock::now();
   for (const KeyedRecord& record : records) {
-    const std::string cancelled = jobs::CancelledJob(record.m_key);
-    if (!cancelled.empty()) {
-      if (record.m_value) {
-        m_cell->OnCancel(cancelled, now);
-      }
-      continue;
-    }
-    if (!record.m_value) {
-      continue;
-    }
-    const Result<jobs::Submission> job =
-        jobs::DecodeSubmission(*record.m_value);
-    if (!job) {
-      Log(kLogPart)->warn("job-ignored key={} error={}", record.m_key,
-                          ToString(job.error()));
-      continue;
-    }
-    m_cell->OnJob(job.value(), now);
+    m_loader.EnterJob(record, m_cell.get(), now);
   }
   Pump();
 }
@@ -561,17 +540,30 @@
           }));
 }
 
+void CellHost::Perform(const jobs::RetireAction& action) {
+  std::vector<KeyedRecord> markers;
+  for (const std::string& id : action.m_jobs) {
+    markers.push_back({id, jobs::kRetiredMarker});
+  }
+  Tidy(markers);
+}
+
 void CellHost::Perform(const jobs::ForgetAction& action) {
   std::vector<KeyedRecord> drops;
   for (const std::string& id : action.m_jobs) {
     drops.push_back({id, std::nullopt});
     drops.push_back({jobs::CancelKey(id), std::nullopt});
   }
+  Tidy(drops);
+}
+
+/// Shortens the job stream. Nothing depends on it but the time to load.
+void CellHost::Tidy(const std::vector<KeyedRecord>& drops) {
   m_platform->Log().Append(
       PartitionOf(jobs::kJobStream), drops, AppendGuard(),
       Clock::now() + kStoreLimit, [](const Result<Offset>& end) {
         if (!end) {
-          Log(kLogPart)->warn("forget-failed error={}", ToString(end.error()));
+          Log(kLogPart)->warn("tidy-failed error={}", ToString(end.error()));
         }
       });
 }
--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -13,6 +13,7 @@
 
 #include "hyssopspar/decision_loop.h"
 #include "hyssopspar/jobs/cell.h"
+#include "hyssopspar/jobs/cell_loader.h"
 #include "hyssopspar/jobs/ownership.h"
 #include "hyssopspar/jobs/platform_adapter.h"
 #include "hyssopspar/jobs/records.h"
@@ -75,7 +76,9 @@
   void Perform(const jobs::PaceAction& action);
   void Perform(jobs::HoldAction action);
   void Perform(const jobs::StoreAction& action);
+  void Perform(const jobs::RetireAction& action);
   void Perform(const jobs::ForgetAction& action);
+  void Tidy(const std::vector<KeyedRecord>& drops);
   Partition PartitionOf(const char* stream) const;
 
   /// Runs \p handler on the loop unless ownership has changed since.
@@ -104,6 +107,7 @@
   std::shared_ptr<StreamFollower> m_worker_stream;
   std::unique_ptr<jobs::Cell> m_cell;
   std::set<std::string> m_domains_told;
+  jobs::CellLoader m_loader;
 };
 
 }  // namespace hyssopspar::node
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -14,10 +14,6 @@
 
 constexpr const char* kLogPart = "front";
 constexpr std::size_t kJobIdDigits = 16;
-/// One try to store a request, and how often it is tried.
-constexpr milliseconds kStoreLimit{700};
-constexpr int kStoreTries = 3;
-constexpr milliseconds kStoreRetryPause{60};
 /// A caller without a deadline of its own waits this long.
 constexpr milliseconds kDefaultPatience{3000};
 /// Time left to answer when everything else has taken its time.
@@ -62,13 +58,13 @@
 }  // namespace
 
 Front::Front(jobs::PlatformAdapter* platform,
-             DecisionLoop* loop,
              const OperatorView* operators,
-             OwnerClient* owner)
+             OwnerClient* owner,
+             JobAppender* appender)
     : m_platform(platform),
-      m_loop(loop),
       m_operators(operators),
-      m_owner(owner) {}
+      m_owner(owner),
+      m_appender(appender) {}
 
 void Front::Handle(const HttpRequest& request, const HttpReply& reply) {
   if (!m_operators->HasConfig()) {
@@ -123,58 +119,34 @@
       ToMillis(std::chrono::system_clock::now().time_since_epoch());
   submission.m_queue = queue.m_policy;
   submission.m_plan = std::move(plan.value());
-  Store({job_id, jobs::EncodeSubmission(submission)}, kStoreTries, false,
-        DeadlineOf(request, Clock::now()), "submit", reply);
+  Store({job_id, jobs::EncodeSubmission(submission)}, request, reply);
 }
 
 void Front::Cancel(const std::string& job_id,
                    const HttpRequest& request,
                    const HttpReply& reply) {
   // Any value will do; a record without one would remove the key.
-  Store({jobs::CancelKey(job_id), "1"}, kStoreTries, false,
-        DeadlineOf(request, Clock::now()), "cancel", reply);
+  Store({jobs::CancelKey(job_id), "1"}, request, reply);
 }
 
-void Front::Store(const KeyedRecord& record,
-                  int tries_left,
-                  bool maybe_stored,
-                  TimePoint deadline,
-                  const std::string& what,
+void Front::Store(KeyedRecord record,
+                  const HttpRequest& request,
                   const HttpReply& reply) {
-  const TimePoint now = Clock::now();
-  const TimePoint limit = std::min(deadline, now + kStoreLimit);
-  m_platform->Log().Append(
-      {jobs::kJobStream, 0}, {record}, AppendGuard(), limit,
-      [this, record, tries_left, maybe_stored, deadline, what, reply,
-       now](Result<Offset> end) {
-        m_loop->Post([this, record, tries_left, maybe_stored, deadline, what,
-                      reply, now, end = std::move(end)] {
-          const TimePoint answered = Clock::now();
-          if (end) {
-            Log(kLogPart)->info("stored key={} call={} offset={} took_ms={}",
-                                record.m_key, what, end.value(),
-                                ToMillis(answered - now));
+  m_appender->Store(
+      std::move(record), DeadlineOf(request, Clock::now()),
+      [reply](StoreOutcome outcome) {
+        switch (outcome) {
+          case StoreOutcome::kStored:
             reply(EmptyObject());
-            return;
-          }
-          const ErrorCode code = end.error().m_code;
-          const bool maybe = maybe_stored || (code != ErrorCode::kNotSent &&
-                                              code != ErrorCode::kUnavailable);
-          if (tries_left > 1 && answered + kStoreLimit < deadline) {
-            m_loop->PostAt(
-                answered + kStoreRetryPause,
-                [this, record, tries_left, maybe, deadline, what, reply] {
-                  Store(record, tries_left - 1, maybe, deadline, what, reply);
-                });
-            return;
-          }
-          Log(kLogPart)->warn("not-stored key={} call={} known={} error={}",
-                              record.m_key, what, !maybe,
-                              ToString(end.error()));
-          reply(maybe ? ErrorResponse(504, "unknown",
-                                      "the store did not confirm in time")
-                      : Unavailable("the store can't be reached"));
-        });
+            break;
+          case StoreOutcome::kNotStored:
+            reply(Unavailable("the store can't be reached"));
+            break;
+          case StoreOutcome::kUnknown:
+            reply(ErrorResponse(504, "unknown",
+                                "the store did not confirm in time"));
+            break;
+        }
       });
 }
 
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -5,10 +5,10 @@
 
 #include <string>
 
-#include "hyssopspar/decision_loop.h"
 #include "hyssopspar/http_server.h"
 #include "hyssopspar/jobs/platform_adapter.h"
 #include "hyssopspar/jobs/site_config.h"
+#include "node/job_appender.h"
 #include "node/operator_view.h"
 #include "node/owner_client.h"
 
@@ -18,9 +18,9 @@
 class Front {
  public:
   Front(jobs::PlatformAdapter* platform,
-        DecisionLoop* loop,
         const OperatorView* operators,
-        OwnerClient* owner);
+        OwnerClient* owner,
+        JobAppender* appender);
 
   void Handle(const HttpRequest& request, const HttpReply& reply);
 
@@ -38,18 +38,14 @@
   void AnswerPending(const std::string& queue,
                      const HttpRequest& request,
                      const HttpReply& reply);
-  /// Appends to the job stream, again while it may help: repeats are one job.
-  void Store(const KeyedRecord& record,
-             int tries_left,
-             bool maybe_stored,
-             TimePoint deadline,
-             const std::string& what,
+  void Store(KeyedRecord record,
+             const HttpRequest& request,
              const HttpReply& reply);
 
   jobs::PlatformAdapter* m_platform;
-  DecisionLoop* m_loop;
   const OperatorView* m_operators;
   OwnerClient* m_owner;
+  JobAppender* m_appender;
 };
 
 }  // namespace hyssopspar::node
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "hyssopspar/health.h"
+#include "hyssopspar/jobs/records.h"
 #include "hyssopspar/logging.h"
 
 namespace hyssopspar::node {
@@ -41,7 +42,8 @@
       m_operators(m_platform.get(), &m_loop),
       m_host(settings, kCell, m_platform.get(), &m_loop, &m_operators),
       m_owner(&m_host, &m_loop),
-      m_front(m_platform.get(), &m_loop, &m_operators, &m_owner),
+      m_appender(&m_platform->Log(), &m_loop, {jobs::kJobStream, kCell}),
+      m_front(m_platform.get(), &m_operators, &m_owner, &m_appender),
       m_front_server(
           [this](HttpRequest request, HttpReply reply) {
             OnFront(std::move(request), std::move(reply));
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -12,6 +12,7 @@
 #include "hyssopspar/metrics.h"
 #include "node/cell_host.h"
 #include "node/front.h"
+#include "node/job_appender.h"
 #include "node/node_settings.h"
 #include "node/operator_view.h"
 #include "node/owner_client.h"
@@ -43,6 +44,7 @@
   OperatorView m_operators;
   CellHost m_host;
   OwnerClient m_owner;
+  JobAppender m_appender;
   Front m_front;
   HttpServer m_front_server;
   HttpServer m_ready_server;
--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "hyssopspar/jobs/cell_loader.h"
 #include "hyssopspar/jobs/records.h"
 
 namespace hyssopspar::jobs {
@@ -24,6 +25,7 @@
 struct JobWorld::Owner {
   std::unique_ptr<Cell> m_cell;
   std::uint64_t m_epoch = 0;
+  CellLoader m_loader;
   std::size_t m_fed = 0;  ///< Job records passed on.
   bool m_alive = true;
   TimePoint m_store_cut_until;
@@ -192,27 +194,19 @@
   }
   m_store_epoch = owner->m_epoch;
   m_store_sequence = 0;
-  FeedOwner(owner);
   for (const auto& entry : m_progress) {
-    const Result<JobProgress> progress = DecodeProgress(entry.second);
-    if (!progress ||
-        !owner->m_cell->OnProgress(entry.first, progress.value())) {
-      Violate("stored progress can't be read: " + entry.first);
-    }
+    owner->m_loader.EnterProgress({entry.first, entry.second});
   }
+  FeedOwner(owner);
+  owner->m_loader.Finish(owner->m_cell.get(), m_now);
   owner->m_cell->Activate(m_now);
   Pump(owner);
 }
 
 void JobWorld::FeedOwner(Owner* owner) {
   for (; owner->m_fed < m_job_records.size(); ++owner->m_fed) {
-    const KeyedRecord& record = m_job_records[owner->m_fed];
-    const std::string cancelled = CancelledJob(record.m_key);
-    if (cancelled.empty()) {
-      owner->m_cell->OnJob(DecodeSubmission(*record.m_value).value(), m_now);
-    } else {
-      owner->m_cell->OnCancel(cancelled, m_now);
-    }
+    owner->m_loader.EnterJob(m_job_records[owner->m_fed], owner->m_cell.get(),
+                             m_now);
   }
   for (const std::unique_ptr<WorkerSim>& worker : m_workers) {
     if (worker->IsUp()) {
@@ -382,6 +376,17 @@
   });
 }
 
+/// The newest record of each key is kept, so earlier ones may go.
+void JobWorld::Perform(Owner* /*owner*/, const RetireAction& action) {
+  for (const std::string& id : action.m_jobs) {
+    for (KeyedRecord& record : m_job_records) {
+      if (record.m_key == id) {
+        record.m_value = kRetiredMarker;
+      }
+    }
+  }
+}
+
 void JobWorld::Perform(Owner* /*owner*/, const ForgetAction& /*action*/) {}
 
 void JobWorld::CheckStart(WorkerSim* worker, const StartOrder& order) {
--- a/testsuite/job_state/job_world.h
+++ b/testsuite/job_state/job_world.h
@@ -61,6 +61,7 @@
   void Perform(Owner* owner, const PaceAction& action);
   void Perform(Owner* owner, const HoldAction& action);
   void Perform(Owner* owner, const StoreAction& action);
+  void Perform(Owner* owner, const RetireAction& action);
   void Perform(Owner* owner, const ForgetAction& action);
   /// Carries an order to a worker and its answer back, or lets it go astray.
   template <class Answer>
