--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -28,6 +28,7 @@
   CellLoader m_loader;
   std::size_t m_fed = 0;  ///< Job records passed on.
   bool m_alive = true;
+  bool m_loaded = false;  ///< Has what earlier owners stored.
   TimePoint m_store_cut_until;
 };
 
@@ -198,6 +199,7 @@
     owner->m_loader.EnterProgress({entry.first, entry.second});
   }
   FeedOwner(owner);
+  owner->m_loaded = true;
   owner->m_loader.Finish(owner->m_cell.get(), m_now);
   owner->m_cell->Activate(m_now);
   Pump(owner);
@@ -223,7 +225,7 @@
   const bool store_reached =
       m_now >= m_store_down_until && m_now >= owner->m_store_cut_until;
   if (store_reached) {
-    if (owner == m_current) {
+    if (owner == m_current && owner->m_loaded) {
       FeedOwner(owner);
     }
     owner->m_cell->SetViewTimes(m_now, m_now);
