--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -105,6 +105,9 @@
   void UpdateJobState(Job* job, TimePoint now);
   void EndJob(Job* job, JobState state, TimePoint now);
 
+  // cell_report.cpp
+  void ReportLoad(TimePoint now);
+
   // cell_tasks.cpp
   void Occupy(const TaskRef& ref, int worker);
   void Vacate(const TaskRef& ref);
@@ -202,6 +205,7 @@
   TimePoint m_next_flush;
   TimePoint m_next_retire;
   TimePoint m_next_model;
+  TimePoint m_next_report;
   std::set<std::string> m_forgotten;  ///< Progress that the store may drop.
   TimePoint m_batch_retry = TimePoint::max();
   std::vector<Action> m_actions;
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -288,6 +288,7 @@
   Flush(now);
   SendHolds(now);
   RetireJobs(now);
+  ReportLoad(now);
 }
 
 TimePoint Cell::NextDeadline() const {
