--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -13,7 +13,7 @@
 constexpr double kRackBonus = 1e6;
 constexpr double kFailurePenalty = 1e5;
 /// Part of their reserved processors that serving tasks use.
-constexpr double kServingLoad = 0.6;
+constexpr double kServingLoad = 0.45;
 /// Part of its processors that a filling task has to find idle.
 constexpr double kLeastIdle = 0.6;
 /// Expected tail over target beyond which no filling task is added.
@@ -22,6 +22,9 @@
 /// one with others; more than any difference in free processors.
 constexpr double kLikeBonus = 2e5;
 constexpr double kMixedPenalty = 2e5;
+/// Worth of keeping a worker without serving tasks for images that disturb
+/// them; more than any difference in idle processors.
+constexpr double kQuietWorth = 2e5;
 /// Worth of a tail ratio of one, in thousandths of a processor.
 constexpr double kTailWeight = 8000;
 
@@ -85,6 +88,7 @@
   double score = 0;
   if (step.m_fills_idle) {
     score = IdleCpu(worker) - kTailWeight * (*query.m_expected_tail)[index];
+    score -= worker.m_serving_images.empty() ? kQuietWorth : 0;
   } else {
     score = static_cast<double>(worker.m_used.m_cpu_milli -
                                 worker.m_entry.m_capacity.m_cpu_milli);
