--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -17,6 +17,7 @@
 #include "hyssopspar/jobs/cell_settings.h"
 #include "hyssopspar/jobs/interference.h"
 #include "hyssopspar/jobs/job.h"
+#include "hyssopspar/jobs/urgency.h"
 #include "hyssopspar/jobs/worker.h"
 
 namespace hyssopspar::jobs {
@@ -127,7 +128,10 @@
                      TimePoint now);
 
   // cell_workers.cpp
-  void BeginLife(int worker, std::int64_t born, TimePoint now);
+  void BeginLife(int worker, std::int64_t born);
+  void EndEarlierRuns(int worker,
+                      const std::map<TaskRef, std::uint32_t>& listed,
+                      TimePoint now);
   void EnterReport(int worker,
                    const HoldAction& action,
                    const HoldReport& report,
@@ -168,6 +172,8 @@
                     std::uint32_t occurrence,
                     std::uint32_t step,
                     TimePoint now);
+  void SortByUrgency(TimePoint now);
+  std::int64_t UnixMillis(TimePoint now) const;
   void AddUnshownPressure(TimePoint now);
   std::vector<double> ExpectTails(const StepPlan& step) const;
   bool IsDue(const Job& job, std::uint32_t occurrence, TimePoint now);
@@ -188,9 +194,10 @@
   };
   std::map<std::string, EndedJob> m_ended;
   std::set<std::string> m_cancelled;  ///< Cancelled before the job was seen.
-  std::vector<Job*> m_open;           ///< Not terminal, in scheduling order.
+  std::vector<Job*> m_open;           ///< Not terminal, by urgency.
   std::set<std::string> m_domains_out;
   InterferenceModel m_interference;
+  RunTimes m_run_times;
   std::vector<Worker> m_workers;
   std::map<std::string, int> m_worker_index;
   std::vector<std::string> m_worker_names;
--- a/src/include/hyssopspar/jobs/interference.h
+++ b/src/include/hyssopspar/jobs/interference.h
@@ -37,9 +37,7 @@
   explicit InterferenceModel(std::map<std::string, ServingImage> images)
       : m_images(std::move(images)) {}
 
-  const std::map<std::string, ServingImage>& Images() const {
-    return m_images;
-  }
+  const std::map<std::string, ServingImage>& Images() const { return m_images; }
 
   /// Enters one observation of the serving image \p serving.
   void Observe(const std::string& serving,
--- a/src/include/hyssopspar/jobs/job.h
+++ b/src/include/hyssopspar/jobs/job.h
@@ -31,6 +31,7 @@
   std::uint32_t m_tasks_per_occurrence = 0;
   std::vector<std::uint32_t> m_step_done;  ///< By occurrence and step.
   std::size_t m_pending = 0;               ///< Tasks in kPending.
+  std::uint32_t m_depth = 1;               ///< Steps of the longest chain.
   TimePoint m_terminal_since;
 };
 
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -1,7 +1,6 @@
 #include "hyssopspar/jobs/cell.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 #include "hyssopspar/jobs/records.h"
@@ -10,17 +9,6 @@
 
 namespace hyssopspar::jobs {
 
-namespace {
-
-/// Lower goes first: priority, then age.
-std::tuple<std::int64_t, std::int64_t, const std::string&> OrderKey(
-    const Job& job) {
-  return {job.m_submission.m_queue.m_priority,
-          job.m_submission.m_accepted_unix_ms, job.m_submission.m_id};
-}
-
-}  // namespace
-
 Cell::Cell(const CellSettings& settings, TimePoint now)
     : m_settings(settings), m_taken_over(now), m_next_flush(now) {}
 
@@ -57,18 +45,14 @@
 }
 
 void Cell::OnJob(const Submission& submission, TimePoint now) {
-  if (m_jobs.count(submission.m_id) > 0 ||
-      m_ended.count(submission.m_id) > 0) {
+  if (m_jobs.count(submission.m_id) > 0 || m_ended.count(submission.m_id) > 0) {
     return;
   }
   auto job = std::make_unique<Job>(MakeJob(submission));
   Job* const added = job.get();
   added->m_number = ++m_job_numbers;
   m_jobs[submission.m_id] = std::move(job);
-  const auto place = std::lower_bound(
-      m_open.begin(), m_open.end(), added,
-      [](const Job* a, const Job* b) { return OrderKey(*a) < OrderKey(*b); });
-  m_open.insert(place, added);
+  m_open.push_back(added);
   m_schedule_needed = true;
   if (m_active) {
     CellLog()->info("job id={} queue={} tasks={}", submission.m_id,
@@ -166,6 +150,11 @@
   const bool moved = worker.m_entry.m_address != entry.m_address;
   worker.m_entry = entry;
   worker.m_listed = true;
+  // Nothing is started on a new life before it has answered a hold.
+  if (worker.m_born_unix_ms != 0 &&
+      entry.m_born_unix_ms > worker.m_born_unix_ms) {
+    worker.m_fenced = false;
+  }
   if (news) {
     CellLog()->info("worker id={} address={} leaving={} born={}", entry.m_id,
                     entry.m_address, entry.m_leaving, entry.m_born_unix_ms);
--- a/src/libhyssopspar/jobs/cell_loader.cpp
+++ b/src/libhyssopspar/jobs/cell_loader.cpp
@@ -28,7 +28,8 @@
          stored->second.m_workers.empty();
 }
 
-void CellLoader::EnterJob(const KeyedRecord& record, Cell* cell,
+void CellLoader::EnterJob(const KeyedRecord& record,
+                          Cell* cell,
                           TimePoint now) {
   if (!record.m_value) {
     return;
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -51,6 +51,7 @@
     return;
   }
   AddUnshownPressure(now);
+  SortByUrgency(now);
   for (Job* const job : m_open) {
     if (job->m_pending > 0) {
       ScheduleJob(job, now);
@@ -66,6 +67,23 @@
   }
 }
 
+std::int64_t Cell::UnixMillis(TimePoint now) const {
+  return ToMillis(now.time_since_epoch()) + m_unix_offset.count();
+}
+
+void Cell::SortByUrgency(TimePoint now) {
+  std::vector<std::pair<Urgency, Job*>> order;
+  order.reserve(m_open.size());
+  const std::int64_t unix_now = UnixMillis(now);
+  for (Job* const job : m_open) {
+    order.emplace_back(UrgencyOf(*job, m_run_times, unix_now), job);
+  }
+  std::sort(order.begin(), order.end());
+  std::transform(
+      order.begin(), order.end(), m_open.begin(),
+      [](const std::pair<Urgency, Job*>& entry) { return entry.second; });
+}
+
 bool Cell::IsDue(const Job& job, std::uint32_t occurrence, TimePoint now) {
   const JobPlan& plan = job.m_submission.m_plan;
   if (plan.m_occurrences == 0) {
@@ -73,10 +91,7 @@
   }
   const std::int64_t due = plan.m_first_due_unix_ms +
                            std::int64_t{occurrence} * plan.m_interval.count();
-  const milliseconds wait =
-      milliseconds(due) -
-      (m_unix_offset +
-       std::chrono::duration_cast<milliseconds>(now.time_since_epoch()));
+  const milliseconds wait(due - UnixMillis(now));
   if (wait > milliseconds(0)) {
     m_next_schedule = std::min(m_next_schedule, now + wait);
     return false;
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -99,6 +99,7 @@
   }
   if (worker != kNoWorker) {
     if (cause == EndCause::kDone) {
+      m_run_times.Add(job->m_submission.m_queue.m_name, now - task.m_confirmed);
       m_workers[static_cast<std::size_t>(worker)].m_failed_jobs.clear();
     }
     Vacate(ref);
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -85,7 +85,9 @@
   action.m_target = TargetOf(worker);
   action.m_sent = now;
   action.m_order.m_epoch = m_settings.m_epoch;
-  action.m_order.m_acked = w.m_acked_end;
+  // A worker that was lost may come back in a new life, which numbers its ends
+  // anew.
+  action.m_order.m_acked = w.m_reachable ? w.m_acked_end : 0;
   // A worker that does not answer gets no more time, so that its runs lapse.
   const bool extend = w.m_fenced && w.m_reachable;
   if (extend) {
@@ -134,26 +136,33 @@
   worker.m_next_hold = now + pause;
 }
 
-void Cell::BeginLife(int worker, std::int64_t born, TimePoint now) {
+void Cell::BeginLife(int worker, std::int64_t born) {
   Worker& w = m_workers[static_cast<std::size_t>(worker)];
   CellLog()->info("worker-reborn id={} born={} tasks={}", w.m_entry.m_id, born,
                   w.m_tasks.size());
-  w.m_born_unix_ms = born;
   w.m_seen_end = 0;
   w.m_acked_end = 0;
   w.m_failed_jobs.clear();
-  const std::set<TaskRef> tasks = w.m_tasks;
+}
+
+/// Ends the runs that a worker's earlier life took with it.
+void Cell::EndEarlierRuns(int worker,
+                          const std::map<TaskRef, std::uint32_t>& listed,
+                          TimePoint now) {
+  const std::set<TaskRef> tasks =
+      m_workers[static_cast<std::size_t>(worker)].m_tasks;
   for (const TaskRef& ref : tasks) {
-    Task& task = ref.m_job->m_tasks[ref.m_index];
-    if (task.m_state == TaskState::kRecording) {
+    const Task& task = ref.m_job->m_tasks[ref.m_index];
+    if (listed.count(ref) > 0) {
       continue;
     }
-    // An order without an answer may yet reach the new life.
-    if (task.m_doubt == StartDoubt::kUnanswered) {
+    if (task.m_state == TaskState::kRunning ||
+        task.m_doubt == StartDoubt::kInherited) {
+      EndRun(ref, EndCause::kLapsed, "", now);
+    } else if (task.m_doubt == StartDoubt::kUnanswered) {
+      // The order may yet reach the new life.
       SendStop(ref, "worker-reborn", now);
-      continue;
     }
-    EndRun(ref, EndCause::kLapsed, "", now);
   }
 }
 
@@ -165,9 +174,10 @@
   if (report.m_born_unix_ms < w.m_born_unix_ms) {
     return;
   }
-  const bool first = !w.m_fenced;
-  if (!first && report.m_born_unix_ms > w.m_born_unix_ms) {
-    BeginLife(worker, report.m_born_unix_ms, now);
+  const bool first = w.m_born_unix_ms == 0;
+  const bool reborn = !first && report.m_born_unix_ms > w.m_born_unix_ms;
+  if (reborn) {
+    BeginLife(worker, report.m_born_unix_ms);
   }
   w.m_born_unix_ms = report.m_born_unix_ms;
   w.m_clock = report.m_now;
@@ -185,6 +195,9 @@
   std::map<TaskRef, std::uint32_t> listed;
   EnterRunning(worker, report, &listed, now);
   EnterEnds(worker, report, now);
+  if (reborn) {
+    EndEarlierRuns(worker, listed, now);
+  }
   if (report.m_ended.size() < kEndsListed) {
     SettleUnlisted(worker, action.m_sent, listed, now);
   }
@@ -264,9 +277,11 @@
     }
     const Task& task = job->m_tasks[ref.m_index];
     const bool here = IsPlaced(task) && task.m_worker == worker;
-    const bool lapsed_but_done =
-        task.m_state == TaskState::kPending && row.m_cause == EndCause::kDone;
-    if (task.m_run == row.m_run && (here || lapsed_but_done)) {
+    // A run that was given up may have ended well; no later one has started.
+    const bool done_after_all = (task.m_state == TaskState::kPending ||
+                                 task.m_state == TaskState::kRecording) &&
+                                row.m_cause == EndCause::kDone;
+    if ((here && task.m_run == row.m_run) || done_after_all) {
       EndRun(ref, row.m_cause, row.m_checkpoint, now);
     }
   }
--- a/src/libhyssopspar/jobs/job.cpp
+++ b/src/libhyssopspar/jobs/job.cpp
@@ -6,6 +6,22 @@
 
 namespace hyssopspar::jobs {
 
+namespace {
+
+std::uint32_t DepthOf(const JobPlan& plan) {
+  std::vector<std::uint32_t> depth;
+  for (const StepPlan& step : plan.m_steps) {
+    std::uint32_t before = 0;
+    for (const std::uint32_t after : step.m_after) {
+      before = std::max(before, depth[after]);
+    }
+    depth.push_back(before + 1);
+  }
+  return depth.empty() ? 1 : *std::max_element(depth.begin(), depth.end());
+}
+
+}  // namespace
+
 Job MakeJob(Submission submission) {
   Job job;
   job.m_submission = std::move(submission);
@@ -15,6 +31,7 @@
     job.m_step_offset.push_back(job.m_tasks_per_occurrence);
     job.m_tasks_per_occurrence += step.m_tasks;
   }
+  job.m_depth = DepthOf(job.m_submission.m_plan);
   const std::size_t occurrences = Occurrences(job);
   job.m_tasks.resize(occurrences * job.m_tasks_per_occurrence);
   job.m_step_done.resize(occurrences * job.m_submission.m_plan.m_steps.size());
--- a/testsuite/job_state/worker_sim.cpp
+++ b/testsuite/job_state/worker_sim.cpp
@@ -34,6 +34,9 @@
 
 void WorkerSim::Advance(TimePoint now) {
   const bool lapsed = ClockAt(now) > m_lease;
+  if (lapsed) {
+    m_ends_before_lapse = m_ends;
+  }
   std::vector<std::string> over;
   for (const auto& entry : m_runs) {
     if (lapsed || entry.second.m_ends <= now) {
@@ -42,10 +45,10 @@
   }
   for (const std::string& name : over) {
     const SimRun& run = m_runs.at(name);
-    const EndCause cause = run.m_stopping           ? EndCause::kStopped
-                           : run.m_ends > now       ? EndCause::kLapsed
-                           : run.m_plan.m_fails     ? EndCause::kFailed
-                                                    : EndCause::kDone;
+    const EndCause cause = run.m_stopping       ? EndCause::kStopped
+                           : run.m_ends > now   ? EndCause::kLapsed
+                           : run.m_plan.m_fails ? EndCause::kFailed
+                                                : EndCause::kDone;
     EndRun(name, cause);
   }
 }
@@ -104,7 +107,7 @@
         m_lease, std::min(order.m_lease_until, ClockAt(now) + kLongestLease));
   }
   while (!m_ended.empty() && m_ended.front().m_number <= order.m_acked) {
-    if (m_on_acked) {
+    if (m_on_acked && m_ended.front().m_number > m_ends_before_lapse) {
       m_on_acked(m_ended.front());
     }
     m_ended.erase(m_ended.begin());
@@ -128,6 +131,7 @@
   m_ended.clear();
   m_closed.clear();
   m_ends = 0;
+  m_ends_before_lapse = 0;
   m_fence = 0;
   m_lease = WorkerTime();
 }
--- a/testsuite/job_state/worker_sim.h
+++ b/testsuite/job_state/worker_sim.h
@@ -55,7 +55,8 @@
 
   /// Called for each end, with its cause.
   std::function<void(const SimRun&, EndCause)> m_on_end;
-  /// Called for each end that an owner has taken note of.
+  /// Called for each end that an owner has taken note of, unless the lease
+  /// lapsed in between.
   std::function<void(const EndedRow&)> m_on_acked;
 
  private:
@@ -72,6 +73,7 @@
   std::map<std::string, std::uint32_t> m_closed;  ///< Highest run ended here.
   std::vector<EndedRow> m_ended;
   std::uint64_t m_ends = 0;
+  std::uint64_t m_ends_before_lapse = 0;
 };
 
 }  // namespace hyssopspar::jobs
