--- a/src/include/hyssopspar/jobs/interference.h
+++ b/src/include/hyssopspar/jobs/interference.h
@@ -16,10 +16,21 @@
   double m_share = 0;
 };
 
+/// How much one filling image disturbs one serving image.
+struct ImageSlope {
+  double m_value = 0;
+  double m_observations = 0;  ///< By weight.
+};
+
+template <class Archive, class T>
+void VisitFields(Archive& archive, T& slope, const ImageSlope* /*tag*/) {
+  archive(slope.m_value, slope.m_observations);
+}
+
 /// What is known of one serving image.
 struct ServingImage {
   double m_base = 0;  ///< Logarithm of the tail ratio with nothing beside.
-  std::map<std::string, double> m_slopes;  ///< By filling image.
+  std::map<std::string, ImageSlope> m_slopes;  ///< By filling image.
 };
 
 template <class Archive, class T>
--- a/src/libhyssopspar/jobs/interference.cpp
+++ b/src/libhyssopspar/jobs/interference.cpp
@@ -11,12 +11,16 @@
 constexpr double kUnknownSlope = 1.5;
 /// Assumed tail ratio of an image that has not been seen alone.
 constexpr double kUnknownBase = 0.5;
-/// Parts of an observation's error that are corrected at once. The base moves
-/// slower: loads swing around it.
-constexpr double kLearningRate = 0.15;
-constexpr double kBaseRate = 0.03;
+/// Part of an observation's error that is corrected at once: much at first,
+/// then less, so that swings of the load average out.
+constexpr double kFirstRate = 0.3;
+constexpr double kLastRate = 0.02;
+constexpr double kRateHalving = 10;
+constexpr double kBaseRate = 0.02;
 /// Added to the squared shares, so that small ones teach little.
 constexpr double kShareFloor = 0.01;
+/// Share of a worker at which an observation counts half.
+constexpr double kFullWeight = 0.1;
 /// Errors beyond this are cut: an overflowing queue says little of slopes.
 constexpr double kErrorLimit = 1.0;
 /// Least ratio told apart, of tails reported in whole milliseconds.
@@ -44,10 +48,15 @@
     return;
   }
   for (const Pressure& pressure : beside) {
-    double& slope =
-        image.m_slopes.emplace(pressure.m_image, kUnknownSlope).first->second;
-    slope =
-        std::max(0.0, slope + kLearningRate * error * pressure.m_share / norm);
+    ImageSlope& slope =
+        image.m_slopes.emplace(pressure.m_image, ImageSlope{kUnknownSlope, 0})
+            .first->second;
+    const double rate =
+        std::max(kLastRate, kFirstRate * kRateHalving /
+                                (kRateHalving + slope.m_observations));
+    slope.m_value = std::max(
+        0.0, slope.m_value + rate * error * pressure.m_share / norm);
+    slope.m_observations += pressure.m_share / (pressure.m_share + kFullWeight);
   }
 }
 
@@ -58,7 +67,8 @@
     return kUnknownSlope;
   }
   const auto slope = image->second.m_slopes.find(filling);
-  return slope == image->second.m_slopes.end() ? kUnknownSlope : slope->second;
+  return slope == image->second.m_slopes.end() ? kUnknownSlope
+                                               : slope->second.m_value;
 }
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/pacing.cpp
+++ b/src/libhyssopspar/jobs/pacing.cpp
@@ -9,9 +9,9 @@
 
 /// Tail over target above which tasks beside it are slowed, what they are
 /// slowed to, and below which they may speed up.
-constexpr double kHighTail = 0.92;
-constexpr double kWantedTail = 0.8;
-constexpr double kLowTail = 0.75;
+constexpr double kHighTail = 0.85;
+constexpr double kWantedTail = 0.7;
+constexpr double kLowTail = 0.65;
 /// Below this percent a task is paused: it only costs its neighbours.
 constexpr int kLeastPace = 15;
 /// A task whose full pace raises the logarithm of the tail by less is not the
--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -17,7 +17,7 @@
 /// Part of its processors that a filling task has to find idle.
 constexpr double kLeastIdle = 0.6;
 /// Expected tail over target beyond which no filling task is added.
-constexpr double kExpectedTailLimit = 0.85;
+constexpr double kExpectedTailLimit = 0.7;
 /// Worth of a worker whose serving tasks are all of the same image, and cost of
 /// one with others; more than any difference in free processors.
 constexpr double kLikeBonus = 2e5;
