Store requests by way of other nodes while the store can't be reached

Change: records go to the owner or a seed for 1 s at a time; requests of which nothing has been sent are refused after 0.5 s with when to come back; answers leave 300 ms before the caller's deadline. SIGHUP reads the settings again.

--- a/src/include/hyssopspar/program.h
+++ b/src/include/hyssopspar/program.h
@@ -38,12 +38,13 @@
     const ProgramOptions& options,
     const std::function<void(SettingsReader*)>& read);
 
-/// Blocks SIGTERM, SIGINT and SIGPIPE in this thread and those it starts.
+/// Blocks SIGTERM, SIGINT, SIGHUP and SIGPIPE in this thread and those it starts.
 /// Call it first in `main`.
 void BlockSignals();
 
-/// Waits for SIGTERM or SIGINT.
+/// Waits for SIGTERM or SIGINT. Runs \p on_hangup at each SIGHUP.
 void WaitForStop();
+void WaitForStop(const std::function<void()>& on_hangup);
 
 /// Writes \p text to \p path by renaming a temporary file, so that a reader
 /// sees all of it or nothing.
--- a/src/libhyssopspar/program.cpp
+++ b/src/libhyssopspar/program.cpp
@@ -79,6 +79,7 @@
   sigemptyset(&set);
   sigaddset(&set, SIGTERM);
   sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGHUP);
   return set;
 }
 
@@ -91,9 +92,18 @@
 }
 
 void WaitForStop() {
+  WaitForStop(nullptr);
+}
+
+void WaitForStop(const std::function<void()>& on_hangup) {
   const sigset_t set = StopSignals();
-  int received = 0;
-  sigwait(&set, &received);
+  int received = SIGHUP;
+  while (received == SIGHUP) {
+    sigwait(&set, &received);
+    if (received == SIGHUP && on_hangup) {
+      on_hangup();
+    }
+  }
 }
 
 Result<void> WriteFileWhole(const std::string& path, const std::string& text) {
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -17,7 +17,7 @@
 /// A caller without a deadline of its own waits this long.
 constexpr milliseconds kDefaultPatience{3000};
 /// Time left to answer when everything else has taken its time.
-constexpr milliseconds kAnswerMargin{100};
+constexpr milliseconds kAnswerMargin{300};
 constexpr milliseconds kOwnerLimit{1000};
 /// When a caller that was refused may come back, in seconds.
 constexpr const char* kRetryAfter = "1";
--- a/src/node/job_appender.cpp
+++ b/src/node/job_appender.cpp
@@ -11,8 +11,15 @@
 
 constexpr const char* kLogPart = "front";
 /// Limit of one append, and pause before the next after one that failed.
-constexpr milliseconds kAppendLimit{1200};
+constexpr milliseconds kAppendLimit{800};
 constexpr milliseconds kRetryPause{80};
+/// How long records go by way of other nodes before the store is tried again.
+constexpr milliseconds kStoreRetry{1000};
+/// With nothing stored for so long, requests that have not been sent are
+/// refused: they would only wait.
+constexpr milliseconds kRefuseAfter{500};
+/// Longest time in which an append for another node is tried.
+constexpr milliseconds kPeerLimit{700};
 /// Requests in one append, so that it stays below the store's limit.
 constexpr std::size_t kBatch = 64;
 /// A request with less time left is not sent again.
@@ -20,8 +27,53 @@
 
 }  // namespace
 
-JobAppender::JobAppender(KeyedLog* log, DecisionLoop* loop, Partition partition)
-    : m_log(log), m_loop(loop), m_partition(std::move(partition)) {}
+JobAppender::JobAppender(KeyedLog* log,
+                         DecisionLoop* loop,
+                         Partition partition,
+                         PeerStore* peers,
+                         std::function<std::string()> owner_address)
+    : m_log(log),
+      m_loop(loop),
+      m_partition(std::move(partition)),
+      m_peers(peers),
+      m_owner_address(std::move(owner_address)) {}
+
+void JobAppender::StoreForPeer(const std::vector<KeyedRecord>& records,
+                               std::function<void(Result<Offset>)> done) {
+  if (m_store_lost) {
+    done(Fail(ErrorCode::kUnavailable, "the store can't be reached"));
+    return;
+  }
+  m_log->Append(m_partition, records, AppendGuard(), Clock::now() + kPeerLimit,
+                [loop = m_loop, done = std::move(done)](Result<Offset> end) {
+                  loop->Post([done, end = std::move(end)] { done(end); });
+                });
+}
+
+void JobAppender::Send(const std::vector<KeyedRecord>& records,
+                       TimePoint deadline,
+                       std::function<void(Result<Offset>)> done) {
+  const TimePoint now = Clock::now();
+  const std::string owner = m_owner_address();
+  if (m_store_lost && now < m_try_store_at &&
+      (!owner.empty() || m_peers->HasPeers())) {
+    // In turn, since the owner may be as cut off as this node.
+    const bool ask_owner = m_round % 2 == 0 || !m_peers->HasPeers();
+    m_peers->Append(ask_owner ? owner : "", records, deadline, std::move(done));
+    return;
+  }
+  m_log->Append(m_partition, records, AppendGuard(), deadline,
+                [this, done = std::move(done)](Result<Offset> end) {
+                  m_loop->Post([this, done, end = std::move(end)] {
+                    if (m_store_lost == end.has_value()) {
+                      Log(kLogPart)->info("store-path ok={}", end.has_value());
+                    }
+                    m_store_lost = !end;
+                    m_try_store_at = Clock::now() + kStoreRetry;
+                    done(end);
+                  });
+                });
+}
 
 void JobAppender::Store(KeyedRecord record,
                         TimePoint deadline,
@@ -49,13 +101,29 @@
   }
   m_in_flight = true;
   const TimePoint sent = Clock::now();
-  m_log->Append(
-      m_partition, records, AppendGuard(), std::min(last, sent + kAppendLimit),
-      [this, sent, entries = std::move(entries)](Result<Offset> offset) {
-        m_loop->Post([this, sent, entries, offset = std::move(offset)] {
-          OnAnswer(entries, sent, offset);
-        });
-      });
+  const std::uint64_t round = ++m_round;
+  m_loop->PostAt(sent + kRefuseAfter, [this, round] {
+    if (m_in_flight && m_round == round) {
+      RefuseWaiting();
+    }
+  });
+  Send(records, std::min(last, sent + kAppendLimit),
+       [this, sent, entries = std::move(entries)](const Result<Offset>& end) {
+         OnAnswer(entries, sent, end);
+       });
+}
+
+/// Answers the requests of which nothing has been sent.
+void JobAppender::RefuseWaiting() {
+  std::vector<Entry> kept;
+  for (Entry& entry : std::exchange(m_waiting, {})) {
+    if (entry.m_maybe_stored) {
+      kept.push_back(std::move(entry));
+    } else {
+      GiveUp(entry, {ErrorCode::kUnavailable, "the store does not answer"});
+    }
+  }
+  m_waiting = std::move(kept);
 }
 
 void JobAppender::OnAnswer(std::vector<Entry> entries,
--- a/src/node/job_appender.h
+++ b/src/node/job_appender.h
@@ -10,6 +10,7 @@
 
 #include "hyssopspar/decision_loop.h"
 #include "hyssopspar/store/keyed_log.h"
+#include "node/peer_store.h"
 
 namespace hyssopspar::node {
 
@@ -23,7 +24,17 @@
 /// All calls and callbacks on the loop's thread.
 class JobAppender {
  public:
-  JobAppender(KeyedLog* log, DecisionLoop* loop, Partition partition);
+  /// While the store can't be reached from here, records go by way of
+  /// \p peers, first the node that \p owner_address yields.
+  JobAppender(KeyedLog* log,
+              DecisionLoop* loop,
+              Partition partition,
+              PeerStore* peers,
+              std::function<std::string()> owner_address);
+
+  /// Stores records for another node, in one append.
+  void StoreForPeer(const std::vector<KeyedRecord>& records,
+                    std::function<void(Result<Offset>)> done);
 
   /// Stores \p record, again while \p deadline allows: repeats are one job.
   void Store(KeyedRecord record,
@@ -39,6 +50,10 @@
   };
 
   void SendNext();
+  void Send(const std::vector<KeyedRecord>& records,
+            TimePoint deadline,
+            std::function<void(Result<Offset>)> done);
+  void RefuseWaiting();
   void OnAnswer(std::vector<Entry> entries,
                 TimePoint sent,
                 const Result<Offset>& end);
@@ -48,7 +63,12 @@
   DecisionLoop* m_loop;
   Partition m_partition;
   std::vector<Entry> m_waiting;
+  PeerStore* m_peers;
+  std::function<std::string()> m_owner_address;
   bool m_in_flight = false;
+  std::uint64_t m_round = 0;  ///< Number of the append in flight.
+  bool m_store_lost = false;  ///< The last append from here had no answer.
+  TimePoint m_try_store_at;   ///< When the store is tried again.
 };
 
 }  // namespace hyssopspar::node
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -6,8 +6,32 @@
 #include "node/node_settings.h"
 #include "platform/adapter.h"
 
+namespace {
+
+using namespace hyssopspar;
+
+/// Reads the settings file again. The log level takes effect at once, what
+/// names addresses at the next start.
+void ReportReload(const ProgramOptions& options) {
+  node::NodeSettings settings;
+  ProgramOptions quiet = options;
+  quiet.m_check_config = false;
+  const std::optional<int> refused =
+      LoadSettings(quiet, [&settings](SettingsReader* reader) {
+        settings = node::ReadNodeSettings(reader);
+      });
+  if (refused) {
+    Log("node")->error("reload-refused file={}", options.m_config);
+    return;
+  }
+  SetLogLevel(settings.m_log_level);
+  Log("node")->info("reloaded file={} log_level={}", options.m_config,
+                    settings.m_log_level);
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
-  using namespace hyssopspar;
   BlockSignals();
   ProgramOptions options;
   std::optional<int> done =
@@ -35,7 +59,7 @@
   Log("node")->info("started name={} domain={} version={} front={}",
                     settings.m_name, settings.m_failure_domain,
                     HYSSOPSPAR_VERSION, settings.m_front_listen);
-  WaitForStop();
+  WaitForStop([&options] { ReportReload(options); });
   process.LeaveAndStop();
   return kExitOk;
 }
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -42,7 +42,12 @@
       m_operators(m_platform.get(), &m_loop),
       m_host(settings, kCell, m_platform.get(), &m_loop, &m_operators),
       m_owner(&m_host, &m_loop),
-      m_appender(&m_platform->Log(), &m_loop, {jobs::kJobStream, kCell}),
+      m_peers(settings.m_peers, &m_loop),
+      m_appender(&m_platform->Log(),
+                 &m_loop,
+                 {jobs::kJobStream, kCell},
+                 &m_peers,
+                 [this] { return OwnerAddress(); }),
       m_front(m_platform.get(), &m_operators, &m_owner, &m_appender),
       m_front_server(
           [this](HttpRequest request, HttpReply reply) {
@@ -97,9 +102,41 @@
   m_internal_server.Stop();
   m_platform->Stop();
   m_owner.Stop();
+  m_peers.Stop();
   m_loop.Stop();
 }
 
+void NodeProcess::OnPeer(const HttpRequest& request, const HttpReply& reply) {
+  if (request.m_target != kRecordsPath) {
+    reply(m_owner.AnswerPeer(request));
+    return;
+  }
+  const Result<std::vector<KeyedRecord>> records =
+      DecodeRecords(request.m_body);
+  if (!records) {
+    reply(ErrorResponse(400, "malformed", records.error().m_detail));
+    return;
+  }
+  m_appender.StoreForPeer(records.value(), [reply](const Result<Offset>& end) {
+    if (end) {
+      reply(JsonResponse(200, "{}"));
+      return;
+    }
+    const ErrorCode code = end.error().m_code;
+    const bool nothing_done =
+        code == ErrorCode::kNotSent || code == ErrorCode::kUnavailable;
+    reply(ErrorResponse(nothing_done ? 503 : 504, std::string(ToString(code)),
+                        end.error().m_detail));
+  });
+}
+
+std::string NodeProcess::OwnerAddress() const {
+  const jobs::OwnerView& owner = m_host.Owner();
+  const bool other = owner.m_record && !owner.m_record->m_released &&
+                     owner.m_record->m_node != m_settings.m_name;
+  return other ? owner.m_record->m_address : "";
+}
+
 bool NodeProcess::IsReady() const {
   return !m_leaving.load() && m_operators.HasConfig() &&
          Clock::now() - m_operators.Verified() < kContactLimit;
@@ -132,7 +169,7 @@
     return;
   }
   m_loop.Post([this, request = std::move(request), reply = std::move(reply)] {
-    reply(m_owner.AnswerPeer(request));
+    OnPeer(request, reply);
   });
 }
 
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -16,6 +16,7 @@
 #include "node/node_settings.h"
 #include "node/operator_view.h"
 #include "node/owner_client.h"
+#include "node/peer_store.h"
 
 namespace hyssopspar::node {
 
@@ -35,6 +36,9 @@
   void OnFront(HttpRequest request, HttpReply reply);
   void OnReady(const HttpRequest& request, const HttpReply& reply);
   void OnInternal(HttpRequest request, HttpReply reply);
+  void OnPeer(const HttpRequest& request, const HttpReply& reply);
+  /// Internal address of the owner, if it is another node.
+  std::string OwnerAddress() const;
   bool IsReady() const;
 
   NodeSettings m_settings;
@@ -44,6 +48,7 @@
   OperatorView m_operators;
   CellHost m_host;
   OwnerClient m_owner;
+  PeerStore m_peers;
   JobAppender m_appender;
   Front m_front;
   HttpServer m_front_server;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -1,6 +1,7 @@
 #include "node/node_settings.h"
 
 #include <algorithm>
+#include <sstream>
 
 #include "hyssopspar/ids.h"
 
@@ -16,6 +17,23 @@
 constexpr milliseconds kLongestLease{6000};
 constexpr milliseconds kMinute{60000};
 
+/// Internal addresses of the hosts in \p seeds ("ip:port,..."): the port is the
+/// same on all nodes.
+std::vector<std::string> PeerAddresses(const std::string& seeds,
+                                       const std::string& own) {
+  const std::string port = own.substr(std::min(own.size(), own.rfind(':')));
+  std::vector<std::string> peers;
+  std::stringstream list(seeds);
+  std::string seed;
+  while (std::getline(list, seed, ',')) {
+    const std::string address = seed.substr(0, seed.find(':')) + port;
+    if (address != own) {
+      peers.push_back(address);
+    }
+  }
+  return peers;
+}
+
 }  // namespace
 
 NodeSettings ReadNodeSettings(SettingsReader* reader) {
@@ -32,6 +50,8 @@
   settings.m_front_listen = listen.Address("front");
   settings.m_ready_listen = listen.Address("ready");
   settings.m_internal_listen = listen.Address("internal");
+  settings.m_peers =
+      PeerAddresses(reader->String("seeds", ""), settings.m_internal_listen);
   SettingsReader store = reader->Table("store");
   settings.m_store_address = store.Address("address");
   SettingsReader workers = reader->Table("workers");
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "hyssopspar/jobs/cell_settings.h"
 #include "hyssopspar/jobs/ownership.h"
@@ -19,6 +20,8 @@
   std::string m_front_listen;     ///< Callers.
   std::string m_ready_listen;     ///< The balancer's checks.
   std::string m_internal_listen;  ///< Other nodes, and metrics.
+  /// Internal addresses of some other nodes; some may be out of date.
+  std::vector<std::string> m_peers;
   std::string m_log_level;
   /// Time between SIGTERM and the end of the process.
   milliseconds m_grace{6000};
