--- /dev/null
+++ b/src/libhyssopspar/jobs/ownership_test.cpp
@@ -0,0 +1,90 @@
+#include "hyssopspar/jobs/ownership.h"
+
+#include <gtest/gtest.h>
+
+namespace hyssopspar::jobs {
+namespace {
+
+const TimePoint kStart{std::chrono::hours(1)};
+
+OwnershipSettings Settings(const std::string& node) {
+  OwnershipSettings settings;
+  settings.m_node = node;
+  settings.m_process = node + "-1";
+  return settings;
+}
+
+OwnerRecord Record(std::uint64_t epoch, const std::string& node) {
+  OwnerRecord record;
+  record.m_epoch = epoch;
+  record.m_node = node;
+  record.m_process = node + "-1";
+  return record;
+}
+
+TEST(OwnershipTest, SilenceIsWaitedOutAndMustBeRead) {
+  OwnerView view;
+  NoteOwner(&view, Record(3, "a"), kStart);
+  const OwnershipSettings settings = Settings("b");
+  const ClaimTime claim = NextClaim(view, settings);
+  EXPECT_TRUE(claim.m_needs_silence);
+  EXPECT_GE(claim.m_at, kStart + settings.m_silence);
+  EXPECT_LE(claim.m_at, kStart + settings.m_silence + settings.m_spread);
+}
+
+TEST(OwnershipTest, ARenewalRestartsTheSilence) {
+  OwnerView view;
+  NoteOwner(&view, Record(3, "a"), kStart);
+  OwnerRecord renewed = Record(3, "a");
+  renewed.m_renewals = 1;
+  NoteOwner(&view, renewed, kStart + milliseconds(800));
+  EXPECT_GE(NextClaim(view, Settings("b")).m_at,
+            kStart + milliseconds(800) + Settings("b").m_silence);
+}
+
+TEST(OwnershipTest, AReleasedCellIsFreeAtOnce) {
+  OwnerView view;
+  OwnerRecord released = Record(3, "a");
+  released.m_released = true;
+  NoteOwner(&view, released, kStart);
+  const ClaimTime claim = NextClaim(view, Settings("b"));
+  EXPECT_FALSE(claim.m_needs_silence);
+  EXPECT_LE(claim.m_at, kStart + Settings("b").m_spread);
+}
+
+TEST(OwnershipTest, ANodeReplacesItsOwnEarlierLifeAtOnce) {
+  OwnerView view;
+  NoteOwner(&view, Record(3, "a"), kStart);
+  OwnershipSettings reborn = Settings("a");
+  reborn.m_process = "a-2";
+  EXPECT_EQ(NextClaim(view, reborn).m_at, kStart);
+  EXPECT_FALSE(OwnsCell(view, reborn));
+  EXPECT_TRUE(OwnsCell(view, Settings("a")));
+}
+
+TEST(OwnershipTest, OlderRecordsChangeNothing) {
+  OwnerView view;
+  NoteOwner(&view, Record(3, "a"), kStart);
+  NoteOwner(&view, Record(2, "b"), kStart + milliseconds(100));
+  EXPECT_EQ(view.m_record->m_node, "a");
+  EXPECT_EQ(view.m_changed, kStart);
+}
+
+TEST(OwnershipTest, AnOwnerThatRefusesIsForgivenOnceReplaced) {
+  OwnerView view;
+  NoteOwner(&view, Record(3, "a"), kStart);
+  view.m_unreachable = true;
+  EXPECT_FALSE(NextClaim(view, Settings("b")).m_needs_silence);
+  NoteOwner(&view, Record(4, "c"), kStart + milliseconds(10));
+  EXPECT_TRUE(NextClaim(view, Settings("b")).m_needs_silence);
+}
+
+TEST(OwnershipTest, AClaimHasTheNextEpoch) {
+  OwnerView view;
+  EXPECT_EQ(MakeClaim(view, Settings("a")).m_epoch, 1U);
+  NoteOwner(&view, Record(7, "b"), kStart);
+  EXPECT_EQ(MakeClaim(view, Settings("a")).m_epoch, 8U);
+}
+
+}  // namespace
+}  // namespace hyssopspar::jobs
--- /dev/null
+++ b/src/libhyssopspar/jobs/pacing_test.cpp
@@ -0,0 +1,68 @@
+#include "hyssopspar/jobs/pacing.h"
+
+#include <gtest/gtest.h>
+
+namespace hyssopspar::jobs {
+namespace {
+
+/// A model that has learnt that `heavy` disturbs `serving` and `light` does
+/// not.
+InterferenceModel LearntModel() {
+  InterferenceModel model;
+  for (int i = 0; i < 400; ++i) {
+    model.Observe("serving", 0.5, {});
+    model.Observe("serving", 0.5, {{"light", 0.3}});
+    model.Observe("serving", 0.5 * 2.7, {{"heavy", 0.2}});
+  }
+  return model;
+}
+
+TEST(InterferenceModelTest, LearnsWhichPairsDisturb) {
+  const InterferenceModel model = LearntModel();
+  // exp(5 * 0.2) is 2.7.
+  EXPECT_NEAR(model.Slope("serving", "heavy"), 5.0, 0.8);
+  EXPECT_LT(model.Slope("serving", "light"), 0.3);
+}
+
+TEST(InterferenceModelTest, StartsCarefully) {
+  const InterferenceModel model;
+  EXPECT_GT(model.Slope("any", "other"), 0);
+}
+
+TEST(PacingTest, SlowsTheHeaviestPresserOnly) {
+  std::vector<FillTask> fills = {{"light", 0.1, 100, 100},
+                                 {"heavy", 0.1, 100, 100}};
+  ChoosePaces(LearntModel(), {{"serving", 1.2}}, false, &fills);
+  EXPECT_EQ(fills[0].m_wanted, 100);
+  EXPECT_LT(fills[1].m_wanted, 50);
+}
+
+TEST(PacingTest, PausesAllWhenAsked) {
+  std::vector<FillTask> fills = {{"light", 0.1, 100, 100},
+                                 {"heavy", 0.1, 40, 40}};
+  ChoosePaces(LearntModel(), {{"serving", 1.2}}, true, &fills);
+  EXPECT_EQ(fills[0].m_wanted, 0);
+  EXPECT_EQ(fills[1].m_wanted, 0);
+}
+
+TEST(PacingTest, SpeedsUpWithNothingToDisturb) {
+  std::vector<FillTask> fills = {{"heavy", 0.1, 0, 0}};
+  ChoosePaces(LearntModel(), {}, false, &fills);
+  EXPECT_EQ(fills[0].m_wanted, 100);
+}
+
+TEST(PacingTest, SpeedsTheGentlestUpFirst) {
+  std::vector<FillTask> fills = {{"heavy", 0.2, 0, 0}, {"light", 0.2, 0, 0}};
+  ChoosePaces(LearntModel(), {{"serving", 0.5}}, false, &fills);
+  EXPECT_EQ(fills[1].m_wanted, 100);
+  EXPECT_LT(fills[0].m_wanted, 100);
+}
+
+TEST(PacingTest, ExpectsWhatTheModelSays) {
+  const std::vector<ServedTail> tails = {{"serving", 0.5}};
+  EXPECT_NEAR(ExpectedTail(LearntModel(), tails, "heavy", 0.2), 1.35, 0.2);
+  EXPECT_NEAR(ExpectedTail(LearntModel(), tails, "light", 0.2), 0.5, 0.05);
+}
+
+}  // namespace
+}  // namespace hyssopspar::jobs
--- /dev/null
+++ b/src/libhyssopspar/jobs/placement_test.cpp
@@ -0,0 +1,145 @@
+#include "hyssopspar/jobs/placement.h"
+
+#include <gtest/gtest.h>
+
+#include "hyssopspar/jobs/task.h"
+
+namespace hyssopspar::jobs {
+namespace {
+
+const TimePoint kNow{std::chrono::hours(1)};
+
+class JobPlacementTest : public testing::Test {
+ protected:
+  JobPlacementTest() {
+    m_query.m_step = &m_step;
+    m_query.m_service = &m_service;
+    m_query.m_domains_out = &m_domains_out;
+    m_query.m_failed_on = &m_failed_on;
+    m_query.m_step_tasks = &m_step_tasks;
+    m_query.m_expected_tail = &m_expected_tail;
+    m_query.m_now = kNow;
+    m_step.m_size = {4000, 1000, 0};
+  }
+
+  Worker& AddWorker() {
+    Worker worker;
+    worker.m_listed = true;
+    worker.m_fenced = true;
+    worker.m_reachable = true;
+    worker.m_entry.m_service = "pool";
+    worker.m_entry.m_failure_domain = "east";
+    worker.m_entry.m_rack = "r" + std::to_string(m_workers.size());
+    worker.m_entry.m_capacity = {16000, 32000, 0};
+    m_workers.push_back(worker);
+    m_step_tasks.push_back(0);
+    m_expected_tail.push_back(0);
+    return m_workers.back();
+  }
+
+  int Choose() const { return ChooseWorker(m_workers, m_query); }
+
+  std::vector<Worker> m_workers;
+  StepPlan m_step;
+  std::string m_service = "pool";
+  std::set<std::string> m_domains_out;
+  std::vector<int> m_failed_on;
+  std::vector<std::uint32_t> m_step_tasks;
+  std::vector<double> m_expected_tail;
+  PlacementQuery m_query;
+};
+
+TEST_F(JobPlacementTest, PacksWhatReserves) {
+  AddWorker();
+  AddWorker().m_used = {8000, 1000, 0};
+  EXPECT_EQ(Choose(), 1);
+}
+
+TEST_F(JobPlacementTest, NeverOvercommits) {
+  AddWorker().m_used = {12001, 0, 0};
+  EXPECT_EQ(Choose(), kNoWorker);
+  m_workers[0].m_used = {8000, 0, 0};
+  m_workers[0].m_foreign = {4001, 0, 0};
+  EXPECT_EQ(Choose(), kNoWorker);
+  m_workers[0].m_foreign = {4000, 0, 0};
+  EXPECT_EQ(Choose(), 0);
+  m_workers[0].m_unknown_runs = true;
+  EXPECT_EQ(Choose(), kNoWorker);
+}
+
+TEST_F(JobPlacementTest, FillingTasksTakeMemoryButNoProcessor) {
+  m_step.m_fills_idle = true;
+  Worker& worker = AddWorker();
+  worker.m_used = {16000, 0, 0};
+  worker.m_serve_cpu_milli = 16000;
+  EXPECT_EQ(Choose(), 0);
+  worker.m_used.m_memory_mib = 31001;
+  EXPECT_EQ(Choose(), kNoWorker);
+}
+
+TEST_F(JobPlacementTest, FillingTasksStayAwayFromHighTails) {
+  m_step.m_fills_idle = true;
+  AddWorker().m_serving_images["a"] = 1;
+  AddWorker().m_serving_images["b"] = 1;
+  m_expected_tail = {0.9, 0.5};
+  EXPECT_EQ(Choose(), 1);
+  m_expected_tail = {0.9, 0.9};
+  EXPECT_EQ(Choose(), kNoWorker);
+}
+
+TEST_F(JobPlacementTest, ServingTasksKeepToTheirImage) {
+  m_step.m_tail_target = milliseconds(10);
+  m_step.m_image = "a";
+  AddWorker();
+  AddWorker().m_serving_images["b"] = 1;
+  AddWorker().m_serving_images["a"] = 1;
+  EXPECT_EQ(Choose(), 2);
+  m_workers[2].m_used = {16000, 0, 0};
+  EXPECT_EQ(Choose(), 0);
+}
+
+TEST_F(JobPlacementTest, RespectsDomainsLabelsServicesAndSpread) {
+  AddWorker();
+  m_domains_out.insert("east");
+  EXPECT_EQ(Choose(), kNoWorker);
+  m_domains_out.clear();
+  m_step.m_label = "gpu";
+  EXPECT_EQ(Choose(), kNoWorker);
+  m_workers[0].m_entry.m_labels = {"gpu"};
+  EXPECT_EQ(Choose(), 0);
+  m_step.m_per_worker = 1;
+  m_step_tasks[0] = 1;
+  EXPECT_EQ(Choose(), kNoWorker);
+  m_step_tasks[0] = 0;
+  m_service = "other";
+  EXPECT_EQ(Choose(), kNoWorker);
+}
+
+TEST_F(JobPlacementTest, PrefersTheDataAndAvoidsWhereItFailed) {
+  AddWorker();
+  AddWorker();
+  AddWorker();
+  m_step.m_data_rack = "r2";
+  EXPECT_EQ(Choose(), 2);
+  m_step.m_data_rack.clear();
+  m_failed_on = {0, 1};
+  EXPECT_EQ(Choose(), 2);
+}
+
+TEST_F(JobPlacementTest, SkipsWorkersThatMayNotStart) {
+  Worker& worker = AddWorker();
+  worker.m_reachable = false;
+  EXPECT_EQ(Choose(), kNoWorker);
+  worker.m_reachable = true;
+  worker.m_entry.m_leaving = true;
+  EXPECT_EQ(Choose(), kNoWorker);
+  worker.m_entry.m_leaving = false;
+  worker.m_quarantined_until = kNow + milliseconds(1);
+  EXPECT_EQ(Choose(), kNoWorker);
+  worker.m_quarantined_until = kNow;
+  worker.m_fenced = false;
+  EXPECT_EQ(Choose(), kNoWorker);
+}
+
+}  // namespace
+}  // namespace hyssopspar::jobs
--- /dev/null
+++ b/testsuite/platform/wire_test.cpp
@@ -0,0 +1,134 @@
+#include "platform/wire.h"
+
+#include <gtest/gtest.h>
+
+#include <websocketpp/base64/base64.hpp>
+
+namespace platform {
+namespace {
+
+namespace hs = hyssopspar;
+namespace jobs = hyssopspar::jobs;
+
+TEST(WireTest, ReadsAJob) {
+  const hs::Result<jobs::JobPlan> plan = DecodeJobBody(
+      R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900,
+          "affinity":"r1-3"},{"count":20,"cpu":2000,"dependsOn":[0],
+          "checkpointing":true,"targetMs":18,"fills":true}],"later":1})");
+  ASSERT_TRUE(plan);
+  ASSERT_EQ(plan.value().m_steps.size(), 2U);
+  EXPECT_EQ(plan.value().m_steps[0].m_data_rack, "r1-3");
+  EXPECT_EQ(plan.value().m_steps[1].m_after, std::vector<std::uint32_t>{0});
+  EXPECT_TRUE(plan.value().m_steps[1].m_fills_idle);
+  EXPECT_EQ(plan.value().m_steps[1].m_tail_target, hs::milliseconds(18));
+}
+
+TEST(WireTest, RefusesBadJobs) {
+  const std::vector<std::string> bodies = {
+      "",
+      "[]",
+      "{",
+      R"({"spec":"x"})",
+      R"({"spec":7,"steps":[{"count":1}]})",
+      R"({"spec":"x","steps":[]})",
+      R"({"spec":"x","steps":[{"count":0}]})",
+      R"({"spec":"x","steps":[{"count":-1}]})",
+      R"({"spec":"x","steps":[{"count":"4"}]})",
+      R"({"spec":"x","steps":[{"count":1e9}]})",
+      R"({"spec":"x","steps":[{"count":1,"dependsOn":[0]}]})",
+      R"({"spec":")" + std::string(4001, 'x') + R"(","steps":[{"count":1}]})"};
+  for (const std::string& body : bodies) {
+    EXPECT_FALSE(DecodeJobBody(body)) << body.substr(0, 80);
+  }
+}
+
+TEST(WireTest, ReadsWorkersAndIgnoresForeignEntries) {
+  const std::string entry =
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"draining",
+          "capacity":{"cpu":16000,"memMb":32768},"labels":["a","r1-2"],
+          "born":12,"sequence":4})";
+  const hs::Result<jobs::WorkerEntry> worker =
+      DecodeWorkerRecord({"i-1", entry});
+  ASSERT_TRUE(worker);
+  EXPECT_TRUE(worker.value().m_leaving);
+  EXPECT_EQ(worker.value().m_rack, "r1-2");
+  EXPECT_EQ(worker.value().m_born_unix_ms, 12);
+  for (
+      const char* bad :
+      {"", "\xff\xfe", "[]", "{}", R"({"service":1})",
+       R"({"service":"s","address":"a","zone":"z","state":"asleep","capacity":{}})"}) {
+    EXPECT_FALSE(DecodeWorkerRecord({"i-1", std::string(bad)})) << bad;
+  }
+  EXPECT_FALSE(DecodeWorkerRecord({"i-1", std::nullopt}));
+}
+
+TEST(WireTest, ReadsOperatorsRecords) {
+  const hs::Result<jobs::OperatorChange> change = DecodeOperatorRecord(
+      {"config", std::string(R"({"version":7,"routes":[{"name":"r","host":"h",
+        "pathPrefix":"/p/","service":"s","priority":2,"maxAttempts":4,
+        "stretch":1.5,"targetLatencyMs":250}],"services":[]})")});
+  ASSERT_TRUE(change);
+  const auto& config = std::get<jobs::SiteConfig>(change.value());
+  EXPECT_EQ(config.m_revision, 7);
+  EXPECT_EQ(config.m_queues.at(0).m_policy.m_max_attempts, 4U);
+  const hs::Result<jobs::OperatorChange> out =
+      DecodeOperatorRecord({"evacuate/z", std::string("{}")});
+  EXPECT_TRUE(std::get<jobs::DomainChange>(out.value()).m_out);
+  const hs::Result<jobs::OperatorChange> back =
+      DecodeOperatorRecord({"evacuate/z", std::nullopt});
+  EXPECT_FALSE(std::get<jobs::DomainChange>(back.value()).m_out);
+  EXPECT_FALSE(DecodeOperatorRecord({"config", std::string("{")}));
+}
+
+TEST(WireTest, FramesAndReadsRecords) {
+  const std::string frames =
+      FrameRecords({{"key", std::string("value")}, {"gone", std::nullopt}});
+  std::string body(16, '\0');
+  body[7] = 9;   // End.
+  body[15] = 5;  // Oldest record held.
+  const hs::Result<hs::KeyedSlice> slice = DecodeSlice(body + frames, 5);
+  ASSERT_TRUE(slice);
+  EXPECT_EQ(slice.value().m_end, 9U);
+  EXPECT_EQ(slice.value().m_next, 7U);
+  EXPECT_FALSE(slice.value().m_gap);
+  ASSERT_EQ(slice.value().m_records.size(), 2U);
+  EXPECT_EQ(slice.value().m_records[0].m_value, "value");
+  EXPECT_FALSE(slice.value().m_records[1].m_value.has_value());
+  EXPECT_TRUE(DecodeSlice(body + frames, 4).value().m_gap);
+  EXPECT_FALSE(DecodeSlice(body + frames.substr(0, frames.size() - 8), 5));
+  EXPECT_FALSE(DecodeSlice("short", 5));
+}
+
+TEST(WireTest, ReadsPages) {
+  const hs::Result<hs::KeyedPage> page = DecodePage(
+      R"({"items":[{"key":"k","value":")" + websocketpp::base64_encode("v") +
+      R"(","offset":4}],"hasMore":true,"end":6})");
+  ASSERT_TRUE(page);
+  EXPECT_EQ(page.value().m_records.at(0).m_value, "v");
+  EXPECT_TRUE(page.value().m_more);
+  EXPECT_FALSE(DecodePage("{}"));
+}
+
+TEST(WireTest, ReadsHolds) {
+  const hs::Result<jobs::HoldReport> report = DecodeHold(
+      R"({"clockMs":482113,"born":5,"running":[["5c0e.0.1.17",2,"0b",41,7]],
+          "ended":[[58,"5c0e.0.1.9",1,"done",""]]})");
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report.value().m_running.at(0).m_task.m_index, 17U);
+  EXPECT_EQ(report.value().m_running.at(0).m_usage, 7);
+  EXPECT_EQ(report.value().m_ended.at(0).m_number, 58U);
+  EXPECT_EQ(report.value().m_ended.at(0).m_cause, jobs::EndCause::kDone);
+  EXPECT_FALSE(DecodeHold(R"({"clockMs":1,"running":[[1]],"ended":[]})"));
+}
+
+TEST(WireTest, NamesTasksAsThePlatformDoes) {
+  jobs::StopOrder order;
+  order.m_task = {"5c0e7a21d94b36f8", 0, 1, 17};
+  order.m_run = 2;
+  order.m_epoch = 7;
+  EXPECT_EQ(EncodeStop(order),
+            R"({"fencingToken":7,"run":2,"task":"5c0e7a21d94b36f8.0.1.17"})");
+}
+
+}  // namespace
+}  // namespace platform
