Don't try tasks like those that found no worker in the same pass

Ruled out: the store (22 ms), the job stream (its read returned at once). Change: a pass remembers what was refused and skips what asks at least as much; passes are 20 ms apart.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -17,6 +17,7 @@
 #include "hyssopspar/jobs/cell_settings.h"
 #include "hyssopspar/jobs/interference.h"
 #include "hyssopspar/jobs/job.h"
+#include "hyssopspar/jobs/refusals.h"
 #include "hyssopspar/jobs/urgency.h"
 #include "hyssopspar/jobs/worker.h"
 
@@ -198,6 +199,7 @@
   std::set<std::string> m_domains_out;
   InterferenceModel m_interference;
   RunTimes m_run_times;
+  Refusals m_refusals;  ///< Of the present pass.
   std::vector<Worker> m_workers;
   std::map<std::string, int> m_worker_index;
   std::vector<std::string> m_worker_names;
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -15,7 +15,7 @@
 /// Pause before tasks that found no worker are tried again unasked.
 constexpr milliseconds kRetryPause{250};
 /// Between passes, so that one pass serves many events.
-constexpr milliseconds kPassPause{10};
+constexpr milliseconds kPassPause{20};
 
 double ShareOf(const StepPlan& step, const Worker& worker) {
   return static_cast<double>(step.m_size.m_cpu_milli) /
@@ -52,6 +52,7 @@
   }
   AddUnshownPressure(now);
   SortByUrgency(now);
+  m_refusals.Clear();
   for (Job* const job : m_open) {
     if (job->m_pending > 0) {
       ScheduleJob(job, now);
@@ -147,6 +148,11 @@
                         std::uint32_t step,
                         TimePoint now) {
   const StepPlan& plan = job->m_submission.m_plan.m_steps[step];
+  const std::string& service = job->m_submission.m_queue.m_service;
+  if (m_refusals.Covers(service, plan)) {
+    m_next_schedule = std::min(m_next_schedule, now + kRetryPause);
+    return;
+  }
   const std::size_t first =
       std::size_t{occurrence} * job->m_tasks_per_occurrence +
       job->m_step_offset[step];
@@ -169,19 +175,22 @@
   }
   PlacementQuery query;
   query.m_step = &plan;
-  query.m_service = &job->m_submission.m_queue.m_service;
+  query.m_service = &service;
   query.m_domains_out = &m_domains_out;
   query.m_step_tasks = &step_tasks;
   query.m_now = now;
+  std::vector<double> expected_tail;
+  query.m_expected_tail = &expected_tail;
   std::vector<std::size_t> placed;
   for (const std::size_t i : pending) {
     query.m_failed_on = &job->m_tasks[i].m_failed_on;
-    const std::vector<double> expected_tail =
-        plan.m_fills_idle ? ExpectTails(plan) : std::vector<double>();
-    query.m_expected_tail = &expected_tail;
+    if (plan.m_fills_idle) {
+      expected_tail = ExpectTails(plan);
+    }
     const int worker = ChooseWorker(m_workers, query);
     if (worker == kNoWorker) {
       m_next_schedule = std::min(m_next_schedule, now + kRetryPause);
+      m_refusals.Add(service, plan);
       break;
     }
     Occupy({job, i}, worker);
