Wait out what an earlier owner may have granted

The new owner took workers that were missing from the list for 2.3 s as gone and started their tasks anew, while the old owner kept their leases. Ruled out: fencing (the workers had not heard of the new epoch). Change: only a lapsed lease frees a lost worker's tasks. So that this does not take long, an owner acts for 3.5 s on a renewal instead of 10 s, and the wait counts from the last renewal that was seen.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -51,7 +51,7 @@
 
   void SetDomainOut(const std::string& failure_domain, bool out);
   void SetWorker(const WorkerEntry& entry, TimePoint now);
-  void RemoveWorker(const std::string& id, TimePoint now);
+  void RemoveWorker(const std::string& id);
 
   /// When the views of operators and of workers were last known to be current.
   void SetViewTimes(TimePoint operators, TimePoint workers);
@@ -185,7 +185,6 @@
   TimePoint m_operators_verified;
   TimePoint m_workers_verified;
   TimePoint m_authority = TimePoint::max();
-  TimePoint m_taken_over;
   milliseconds m_unix_offset{0};  ///< Unix time less our clock.
 
   std::map<std::string, std::unique_ptr<Job>> m_jobs;
--- a/src/include/hyssopspar/jobs/cell_settings.h
+++ b/src/include/hyssopspar/jobs/cell_settings.h
@@ -15,9 +15,8 @@
 
   /// Lease granted to workers with each hold; at most what the platform allows.
   milliseconds m_lease{5000};
-  /// Leases of earlier owners may last this long after a takeover: the time an
-  /// owner may act on its last renewal, and the longest lease.
-  milliseconds m_inherited_lease{18000};
+  /// By then all leases that earlier owners granted have lapsed.
+  TimePoint m_inherited_lease_deadline;
   /// Pause between batches, so that one append carries many changes.
   milliseconds m_flush_interval{20};
   /// Time that a worker waits for an end before it answers a hold.
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -32,7 +32,6 @@
 struct Worker {
   WorkerEntry m_entry;
   bool m_listed = false;  ///< In the platform's list now.
-  TimePoint m_unlisted_since;
 
   std::set<TaskRef> m_tasks;  ///< Placed here, in any state with room.
   Resources m_used;           ///< By m_tasks, idle-filling processor left out.
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -10,7 +10,7 @@
 namespace hyssopspar::jobs {
 
 Cell::Cell(const CellSettings& settings, TimePoint now)
-    : m_settings(settings), m_taken_over(now), m_next_flush(now) {}
+    : m_settings(settings), m_next_flush(now) {}
 
 Job* Cell::Find(const std::string& job_id) {
   const auto it = m_jobs.find(job_id);
@@ -30,8 +30,7 @@
   const int index = static_cast<int>(m_workers.size());
   Worker worker;
   worker.m_entry.m_id = id;
-  worker.m_lease_deadline = m_taken_over + m_settings.m_inherited_lease;
-  worker.m_unlisted_since = m_taken_over;
+  worker.m_lease_deadline = m_settings.m_inherited_lease_deadline;
   m_workers.push_back(std::move(worker));
   m_worker_names.push_back(id);
   m_worker_index[id] = index;
@@ -165,7 +164,7 @@
   }
 }
 
-void Cell::RemoveWorker(const std::string& id, TimePoint now) {
+void Cell::RemoveWorker(const std::string& id) {
   const auto it = m_worker_index.find(id);
   if (it == m_worker_index.end()) {
     return;
@@ -173,7 +172,6 @@
   Worker& worker = m_workers[static_cast<std::size_t>(it->second)];
   if (worker.m_listed) {
     worker.m_listed = false;
-    worker.m_unlisted_since = now;
     CellLog()->info("worker-unlisted id={} tasks={}", id,
                     worker.m_tasks.size());
   }
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -19,9 +19,6 @@
 constexpr milliseconds kLastHoldRetry{1000};
 /// Longest time between holds while ends wait to be stored.
 constexpr milliseconds kUnstoredHoldPause{500};
-/// The platform lists a living worker again within two seconds; one that is
-/// missing longer and does not answer is gone.
-constexpr milliseconds kGoneAfter{2300};
 /// Ends that a worker lists at once; with as many, some may not be listed.
 constexpr std::size_t kEndsListed = 500;
 /// A stop without an answer is sent again after this long.
@@ -416,11 +413,7 @@
     if (worker.m_tasks.empty() || worker.m_reachable) {
       continue;
     }
-    const bool gone = !worker.m_listed &&
-                      m_workers_verified - worker.m_unlisted_since > kGoneAfter;
-    if (gone) {
-      EndAllRuns(static_cast<int>(i), "gone", now);
-    } else if (now > worker.m_lease_deadline) {
+    if (now > worker.m_lease_deadline) {
       EndAllRuns(static_cast<int>(i), "lapsed", now);
     }
   }
--- a/src/libhyssopspar/jobs/interference.cpp
+++ b/src/libhyssopspar/jobs/interference.cpp
@@ -54,8 +54,8 @@
     const double rate =
         std::max(kLastRate, kFirstRate * kRateHalving /
                                 (kRateHalving + slope.m_observations));
-    slope.m_value = std::max(
-        0.0, slope.m_value + rate * error * pressure.m_share / norm);
+    slope.m_value =
+        std::max(0.0, slope.m_value + rate * error * pressure.m_share / norm);
     slope.m_observations += pressure.m_share / (pressure.m_share + kFullWeight);
   }
 }
--- a/src/node/cell_host.cpp
+++ b/src/node/cell_host.cpp
@@ -174,6 +174,7 @@
 void CellHost::Claim() {
   m_phase = Phase::kClaiming;
   ++m_generation;
+  m_last_renewal = m_owner.m_changed;
   m_claim = jobs::MakeClaim(m_owner, m_settings.m_ownership);
   m_claim_sent = Clock::now();
   Log(kLogPart)->info("claim cell={} epoch={} silence_ms={} refused={}",
@@ -242,6 +243,8 @@
 void CellHost::LoadJobs() {
   jobs::CellSettings settings = m_settings.m_cell;
   settings.m_epoch = m_claim.m_epoch;
+  settings.m_inherited_lease_deadline =
+      m_last_renewal + m_settings.m_longest_lease;
   m_cell = std::make_unique<jobs::Cell>(settings, Clock::now());
   m_domains_told.clear();
   FollowerSink workers;
@@ -434,7 +437,7 @@
       Log(kLogPart)->warn("worker-ignored key={} error={}", record.m_key,
                           ToString(entry.error()));
     }
-    m_cell->RemoveWorker(record.m_key, now);
+    m_cell->RemoveWorker(record.m_key);
   }
   Pump();
 }
@@ -444,10 +447,9 @@
   for (const KeyedRecord& record : records) {
     present.insert(record.m_key);
   }
-  const TimePoint now = Clock::now();
   for (const jobs::Worker& worker : m_cell->Workers()) {
     if (present.count(worker.m_entry.m_id) == 0) {
-      m_cell->RemoveWorker(worker.m_entry.m_id, now);
+      m_cell->RemoveWorker(worker.m_entry.m_id);
     }
   }
   EnterWorkers(records);
--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -97,6 +97,7 @@
   jobs::OwnerRecord m_claim;
   Offset m_owner_end = 0;
   TimePoint m_claim_sent;
+  TimePoint m_last_renewal;  ///< Of the owner that the claim replaces.
   TimePoint m_renew_at;
   bool m_renewing = false;
   bool m_stopped = false;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -60,7 +60,7 @@
   settings.m_cell.m_lease =
       std::min(kLongestLease,
                std::chrono::duration_cast<milliseconds>(longest * kLeaseShare));
-  settings.m_cell.m_inherited_lease =
+  settings.m_longest_lease =
       settings.m_authority + std::chrono::duration_cast<milliseconds>(
                                  settings.m_cell.m_lease / kSlowestClock);
   settings.m_ownership.m_node = settings.m_name;
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -26,7 +26,9 @@
   /// Time between SIGTERM and the end of the process.
   milliseconds m_grace{6000};
   /// An owner acts this long on its last renewal.
-  milliseconds m_authority{10000};
+  milliseconds m_authority{3500};
+  /// After an owner's last renewal, its leases last no longer than this.
+  milliseconds m_longest_lease{10000};
   jobs::CellSettings m_cell;
   jobs::OwnershipSettings m_ownership;
 };
--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -30,6 +30,9 @@
   bool m_alive = true;
   bool m_loaded = false;  ///< Has what earlier owners stored.
   TimePoint m_store_cut_until;
+  /// Workers that this owner alone doesn't reach, and that aren't listed.
+  std::set<int> m_cut_workers;
+  TimePoint m_workers_cut_until;
 };
 
 JobWorld::JobWorld(const JobWorldOptions& options)
@@ -166,12 +169,32 @@
           m_current->m_store_cut_until = m_now + span;
           m_current->m_cell->SetAuthority(m_now + kAuthority);
           BeginOwner();
+          CutFromNewOwner(span);
         });
         break;
     }
   }
 }
 
+/// What cut off the old owner may cut workers off from the store and the new
+/// owner, while the old one still reaches them.
+void JobWorld::CutFromNewOwner(Duration span) {
+  if (Chance(0.5)) {
+    return;
+  }
+  m_current->m_workers_cut_until = m_now + span;
+  for (std::size_t i = 0; i < m_workers.size(); i += 2) {
+    m_current->m_cut_workers.insert(static_cast<int>(i));
+  }
+}
+
+bool JobWorld::IsCut(const Owner& owner, int worker) const {
+  const auto cut = m_cut_until.find(worker);
+  const bool from_all = cut != m_cut_until.end() && m_now < cut->second;
+  return from_all || (m_now < owner.m_workers_cut_until &&
+                      owner.m_cut_workers.count(worker) > 0);
+}
+
 void JobWorld::BeginOwner() {
   m_owners.push_back(std::make_unique<Owner>());
   Owner* const owner = m_owners.back().get();
@@ -179,7 +202,8 @@
   owner->m_epoch = m_owners.size();
   CellSettings settings;
   settings.m_epoch = owner->m_epoch;
-  settings.m_inherited_lease = kAuthority + settings.m_lease * 100 / 98;
+  settings.m_inherited_lease_deadline =
+      m_now + kAuthority + settings.m_lease * 100 / 98;
   owner->m_cell = std::make_unique<Cell>(settings, m_now);
   At(Trip(), [this, owner] { LoadOwner(owner); });
 }
@@ -209,9 +233,13 @@
     owner->m_loader.EnterJob(m_job_records[owner->m_fed], owner->m_cell.get(),
                              m_now);
   }
-  for (const std::unique_ptr<WorkerSim>& worker : m_workers) {
-    if (worker->IsUp()) {
-      owner->m_cell->SetWorker(worker->Entry(), m_now);
+  for (std::size_t i = 0; i < m_workers.size(); ++i) {
+    const WorkerSim& worker = *m_workers[i];
+    if (m_now < owner->m_workers_cut_until &&
+        owner->m_cut_workers.count(static_cast<int>(i)) > 0) {
+      owner->m_cell->RemoveWorker(worker.Entry().m_id);
+    } else if (worker.IsUp()) {
+      owner->m_cell->SetWorker(worker.Entry(), m_now);
     }
   }
 }
@@ -261,8 +289,7 @@
     return;
   }
   At(Trip(), [this, owner, worker, sim, deliver, answered, lost] {
-    const auto cut = m_cut_until.find(worker);
-    if (!sim->IsUp() || (cut != m_cut_until.end() && m_now < cut->second)) {
+    if (!sim->IsUp() || IsCut(*owner, worker)) {
       lost();
       return;
     }
--- a/testsuite/job_state/job_world.h
+++ b/testsuite/job_state/job_world.h
@@ -52,6 +52,8 @@
   Submission RandomJob(int number);
   RunPlan PlanOf(const TaskName& task);
 
+  void CutFromNewOwner(Duration span);
+  bool IsCut(const Owner& owner, int worker) const;
   void BeginOwner();
   void LoadOwner(Owner* owner);
   void FeedOwner(Owner* owner);
