--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -23,6 +23,13 @@
 
 namespace hyssopspar::jobs {
 
+/// A stored end of a job, for metrics.
+struct JobEnd {
+  std::string m_queue;
+  JobState m_state = JobState::kCompleted;
+  Duration m_age{0};  ///< Since the job was accepted.
+};
+
 /// State of one cell in one epoch of ownership. Free of input and output: it
 /// takes the time and what arrived, and yields actions. A placement is stored
 /// before the worker gets the start, and an end before the worker may forget
@@ -78,6 +85,9 @@
   TimePoint NextDeadline() const;
   std::vector<Action> TakeActions();
 
+  /// Jobs whose end has been stored since the last call.
+  std::vector<JobEnd> TakeEnds();
+
   /// A job's state as the store has it, or nothing for an unknown job.
   std::optional<JobState> StateOf(const std::string& job_id) const;
   /// Jobs of a queue of which no task has been started.
@@ -217,6 +227,7 @@
   std::set<std::string> m_forgotten;  ///< Progress that the store may drop.
   TimePoint m_batch_retry = TimePoint::max();
   std::vector<Action> m_actions;
+  std::vector<JobEnd> m_ends;
 };
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -260,6 +260,10 @@
   return !m_dirty.empty() || m_batch.has_value();
 }
 
+std::vector<JobEnd> Cell::TakeEnds() {
+  return std::exchange(m_ends, {});
+}
+
 std::vector<Action> Cell::TakeActions() {
   return std::exchange(m_actions, {});
 }
--- a/src/libhyssopspar/jobs/cell_log.cpp
+++ b/src/libhyssopspar/jobs/cell_log.cpp
@@ -3,8 +3,8 @@
 namespace hyssopspar::jobs {
 
 std::shared_ptr<spdlog::logger> CellLog() {
-  static const std::shared_ptr<spdlog::logger> logger = Log("cell");
-  return logger;
+  static const std::shared_ptr<spdlog::logger> kLogger = Log("cell");
+  return kLogger;
 }
 
 const char* CauseWord(EndCause cause) {
--- a/src/libhyssopspar/jobs/cell_store.cpp
+++ b/src/libhyssopspar/jobs/cell_store.cpp
@@ -110,9 +110,15 @@
   }
   for (const auto& entry : stored.m_states) {
     Job* const job = Find(entry.first);
-    if (job != nullptr) {
-      job->m_stored_state = entry.second;
+    if (job == nullptr) {
+      continue;
+    }
+    if (IsTerminal(entry.second) && job->m_stored_state != entry.second) {
+      m_ends.push_back({job->m_submission.m_queue.m_name, entry.second,
+                        milliseconds(UnixMillis(now) -
+                                     job->m_submission.m_accepted_unix_ms)});
     }
+    job->m_stored_state = entry.second;
   }
   SendPlacements(stored, now);
 }
--- a/src/node/cell_host.cpp
+++ b/src/node/cell_host.cpp
@@ -29,12 +29,14 @@
                    int cell,
                    jobs::PlatformAdapter* platform,
                    DecisionLoop* loop,
-                   const OperatorView* operators)
+                   const OperatorView* operators,
+                   Metrics* metrics)
     : m_settings(settings),
       m_number(cell),
       m_platform(platform),
       m_loop(loop),
-      m_operators(operators) {}
+      m_operators(operators),
+      m_metrics(metrics) {}
 
 CellHost::~CellHost() = default;
 
@@ -306,6 +308,7 @@
 
 void CellHost::Own() {
   m_phase = Phase::kOwning;
+  m_metrics->Value("hyssopspar_takeovers_total").fetch_add(1);
   const TimePoint now = Clock::now();
   Log(kLogPart)->info("owning cell={} epoch={} after_ms={}", m_number,
                       m_claim.m_epoch, ToMillis(now - m_claim_sent));
@@ -346,7 +349,7 @@
       }));
 }
 
-void CellHost::Release(std::function<void()> done) {
+void CellHost::Release(const std::function<void()>& done) {
   m_releasing = true;
   if (m_phase != Phase::kOwning) {
     StepDown("stopping");
@@ -468,6 +471,7 @@
   for (jobs::Action& action : m_cell->TakeActions()) {
     std::visit([this](auto& a) { Perform(std::move(a)); }, action);
   }
+  CountEnds();
   if (m_cell->IsFenced()) {
     StepDown("fenced");
     ArmReview();
@@ -476,7 +480,16 @@
   m_loop->SetDeadline(m_cell->NextDeadline(), [this] { Pump(); });
 }
 
+void CellHost::CountEnds() {
+  for (const jobs::JobEnd& end : m_cell->TakeEnds()) {
+    const std::string labels = Label("queue", end.m_queue) + "," +
+                               Label("state", jobs::ToString(end.m_state));
+    m_metrics->Histogram("hyssopspar_job_seconds", labels).Add(end.m_age);
+  }
+}
+
 void CellHost::Perform(jobs::StartAction action) {
+  m_metrics->Value("hyssopspar_starts_total").fetch_add(1);
   const TimePoint deadline = Clock::now() + kOrderLimit;
   const jobs::WorkerTarget target = action.m_target;
   const jobs::StartOrder order = action.m_order;
@@ -491,6 +504,7 @@
 }
 
 void CellHost::Perform(jobs::StopAction action) {
+  m_metrics->Value("hyssopspar_stops_total").fetch_add(1);
   const jobs::WorkerTarget target = action.m_target;
   const jobs::StopOrder order = action.m_order;
   m_platform->Workers().Stop(
@@ -514,6 +528,7 @@
 }
 
 void CellHost::Perform(jobs::HoldAction action) {
+  m_metrics->Value("hyssopspar_holds_total").fetch_add(1);
   const TimePoint deadline = Clock::now() + kOrderLimit + action.m_order.m_wait;
   const jobs::WorkerTarget target = action.m_target;
   const jobs::HoldOrder order = action.m_order;
@@ -528,6 +543,7 @@
 }
 
 void CellHost::Perform(const jobs::StoreAction& action) {
+  m_metrics->Value("hyssopspar_batches_total").fetch_add(1);
   AppendGuard guard;
   guard.m_writer = kWriterName;
   guard.m_epoch = m_claim.m_epoch;
--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -17,6 +17,7 @@
 #include "hyssopspar/jobs/ownership.h"
 #include "hyssopspar/jobs/platform_adapter.h"
 #include "hyssopspar/jobs/records.h"
+#include "hyssopspar/metrics.h"
 #include "hyssopspar/store/stream_follower.h"
 #include "node/node_settings.h"
 #include "node/operator_view.h"
@@ -30,12 +31,13 @@
            int cell,
            jobs::PlatformAdapter* platform,
            DecisionLoop* loop,
-           const OperatorView* operators);
+           const OperatorView* operators,
+           Metrics* metrics);
   ~CellHost();
 
   void Start();
   /// Gives the cell up, so that another node takes it at once.
-  void Release(std::function<void()> done);
+  void Release(const std::function<void()>& done);
   void Stop();
 
   /// Passes a change of the operators' view on to the cell.
@@ -71,6 +73,7 @@
   void EnterWorkers(const std::vector<KeyedRecord>& records);
   void ReplaceWorkers(const std::vector<KeyedRecord>& records);
   void Pump();
+  void CountEnds();
   void Perform(jobs::StartAction action);
   void Perform(jobs::StopAction action);
   void Perform(const jobs::PaceAction& action);
@@ -90,6 +93,7 @@
   jobs::PlatformAdapter* m_platform;
   DecisionLoop* m_loop;
   const OperatorView* m_operators;
+  Metrics* m_metrics;
 
   Phase m_phase = Phase::kFollowing;
   std::uint64_t m_generation = 0;  ///< Changes with each claim and step down.
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -40,7 +40,12 @@
       m_platform(std::move(platform)),
       m_loop(kLoopCapacity),
       m_operators(m_platform.get(), &m_loop),
-      m_host(settings, kCell, m_platform.get(), &m_loop, &m_operators),
+      m_host(settings,
+             kCell,
+             m_platform.get(),
+             &m_loop,
+             &m_operators,
+             &m_metrics),
       m_owner(&m_host, &m_loop),
       m_peers(settings.m_peers, &m_loop),
       m_appender(&m_platform->Log(),
@@ -137,6 +142,18 @@
   return other ? owner.m_record->m_address : "";
 }
 
+HttpReply NodeProcess::Counted(const std::string& method,
+                               const HttpReply& reply) {
+  return [this, method, reply, begun = Clock::now()](HttpResponse response) {
+    const std::string labels =
+        Label("method", method) + "," +
+        Label("status", std::to_string(response.m_status));
+    m_metrics.Histogram("hyssopspar_request_seconds", labels)
+        .Add(Clock::now() - begun);
+    reply(std::move(response));
+  };
+}
+
 bool NodeProcess::IsReady() const {
   return !m_leaving.load() && m_operators.HasConfig() &&
          Clock::now() - m_operators.Verified() < kContactLimit;
@@ -146,7 +163,7 @@
   const HttpReply refuse = reply;
   const bool queued = m_loop.TryPost(
       [this, request = std::move(request), reply = std::move(reply)] {
-        m_front.Handle(request, reply);
+        m_front.Handle(request, Counted(request.m_method, reply));
       });
   if (!queued) {
     refuse(ErrorResponse(503, "not-run", "too many requests waiting"));
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -39,6 +39,8 @@
   void OnPeer(const HttpRequest& request, const HttpReply& reply);
   /// Internal address of the owner, if it is another node.
   std::string OwnerAddress() const;
+  /// Passes an answer on and counts it.
+  HttpReply Counted(const std::string& method, const HttpReply& reply);
   bool IsReady() const;
 
   NodeSettings m_settings;
