--- a/src/node/job_appender.cpp
+++ b/src/node/job_appender.cpp
@@ -18,6 +18,8 @@
 /// With nothing stored for so long, requests that have not been sent are
 /// refused: they would only wait.
 constexpr milliseconds kRefuseAfter{500};
+/// A request whose outcome is unknown is tried again for this long.
+constexpr milliseconds kUnknownLimit{1200};
 /// Longest time in which an append for another node is tried.
 constexpr milliseconds kPeerLimit{700};
 /// Requests in one append, so that it stays below the store's limit.
@@ -59,7 +61,11 @@
       (!owner.empty() || m_peers->HasPeers())) {
     // In turn, since the owner may be as cut off as this node.
     const bool ask_owner = m_round % 2 == 0 || !m_peers->HasPeers();
-    m_peers->Append(ask_owner ? owner : "", records, deadline, std::move(done));
+    m_peers->Append(ask_owner ? owner : "", records, deadline,
+                    [this, done = std::move(done)](const Result<Offset>& end) {
+                      m_peers_lost = !end;
+                      done(end);
+                    });
     return;
   }
   m_log->Append(m_partition, records, AppendGuard(), deadline,
@@ -78,7 +84,14 @@
 void JobAppender::Store(KeyedRecord record,
                         TimePoint deadline,
                         std::function<void(StoreOutcome)> done) {
-  m_waiting.push_back({std::move(record), deadline, false, std::move(done)});
+  Entry entry{std::move(record), deadline, Clock::now() + kUnknownLimit, false,
+              std::move(done)};
+  // One request at a time finds out whether the store is back.
+  if (m_in_flight && m_store_lost && m_peers_lost) {
+    GiveUp(entry, {ErrorCode::kUnavailable, "the store is away"});
+    return;
+  }
+  m_waiting.push_back(std::move(entry));
   if (!m_in_flight) {
     SendNext();
   }
@@ -146,7 +159,8 @@
       code != ErrorCode::kNotSent && code != ErrorCode::kUnavailable;
   for (Entry& entry : entries) {
     entry.m_maybe_stored = entry.m_maybe_stored || maybe;
-    if (entry.m_deadline - now < kLeastTime) {
+    const bool waited_long = entry.m_maybe_stored && now > entry.m_give_up_at;
+    if (waited_long || entry.m_deadline - now < kLeastTime) {
       GiveUp(entry, end.error());
     } else {
       m_waiting.push_back(std::move(entry));
--- a/src/node/job_appender.h
+++ b/src/node/job_appender.h
@@ -45,6 +45,7 @@
   struct Entry {
     KeyedRecord m_record;
     TimePoint m_deadline;
+    TimePoint m_give_up_at;  ///< When an unknown outcome is passed on.
     bool m_maybe_stored = false;
     std::function<void(StoreOutcome)> m_done;
   };
@@ -68,6 +69,7 @@
   bool m_in_flight = false;
   std::uint64_t m_round = 0;  ///< Number of the append in flight.
   bool m_store_lost = false;  ///< The last append from here had no answer.
+  bool m_peers_lost = false;  ///< Nor did the last one by way of a peer.
   TimePoint m_try_store_at;   ///< When the store is tried again.
 };
 
