--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -158,9 +158,6 @@
                       TimePoint now);
   TaskRef RefOf(const TaskName& name);
   void StopForeignRun(int worker, const RunningRow& row);
-  void EnterTails(int worker, const HoldReport& report, TimePoint now);
-  void PaceFills(int worker, const HoldReport& report, TimePoint now);
-  void OrderPace(const TaskRef& ref, int percent, TimePoint now);
   void SendHold(int worker, TimePoint now);
   void SendHolds(TimePoint now);
   void LapseRuns(TimePoint now);
@@ -168,6 +165,11 @@
   WorkerMix MixOf(const Worker& worker) const;
   void ExtendLeaseDeadline(Worker* worker, WorkerTime until);
 
+  // cell_pacing.cpp
+  void EnterTails(int worker, const HoldReport& report, TimePoint now);
+  void PaceFills(int worker, const HoldReport& report, TimePoint now);
+  void OrderPace(const TaskRef& ref, int percent, TimePoint now);
+
   // cell_store.cpp
   void Flush(TimePoint now);
   void AckStoredEnds(TimePoint now);
--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -115,4 +115,16 @@
   jobs::CellLoader m_loader;
 };
 
+template <class T, class Handler>
+std::function<void(T)> CellHost::OnLoop(Handler handler) {
+  return [this, loop = m_loop, generation = m_generation,
+          handler = std::move(handler)](T answer) {
+    loop->Post([this, generation, handler, answer = std::move(answer)] {
+      if (!m_stopped && generation == m_generation) {
+        handler(answer);
+      }
+    });
+  };
+}
+
 }  // namespace hyssopspar::node
