--- a/src/include/hyssopspar/error.h
+++ b/src/include/hyssopspar/error.h
@@ -24,7 +24,7 @@
   kUnavailable,     ///< The peer answered that it can't serve now.
   kQueueFull,
   kTooLarge,
-  kFenced,  ///< A writer with a higher epoch has taken over.
+  kFenced,     ///< A writer with a higher epoch has taken over.
   kInvariant,  ///< A state invariant does not hold.
 };
 
--- a/src/include/hyssopspar/program.h
+++ b/src/include/hyssopspar/program.h
@@ -38,8 +38,8 @@
     const ProgramOptions& options,
     const std::function<void(SettingsReader*)>& read);
 
-/// Blocks SIGTERM, SIGINT, SIGHUP and SIGPIPE in this thread and those it starts.
-/// Call it first in `main`.
+/// Blocks SIGTERM, SIGINT, SIGHUP and SIGPIPE in this thread and those it
+/// starts. Call it first in `main`.
 void BlockSignals();
 
 /// Waits for SIGTERM or SIGINT. Runs \p on_hangup at each SIGHUP.
