Let one piece of code serve where the job plane had two

The rule on young views and the test of a usable worker stood twice, the worker clock's rate and the writer's name twice, a task's share of a worker three times, the append of the owner's record three times, the handling of the platform's answer five times; records between nodes had a CBOR coding of their own beside the archive, without its bound on nesting; a report's rows were looked up three times, and a step's expected tails were all worked out anew for each task. Removed as dead: Job::m_dirty, Worker::m_orders, m_hold_sent, Cell::HasUnstored, CellHost::Stop, OperatorView::Stop. No check, bound or assertion is changed. Ruled out for this commit: adding pressure in logarithms in AddPressure, which would change placements.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -94,8 +94,6 @@
   std::size_t PendingOf(const std::string& queue) const;
   /// True once a writer or a worker has shown that a higher epoch exists.
   bool IsFenced() const { return m_is_fenced; }
-  /// True while stored state lags behind decisions.
-  bool HasUnstored() const;
 
   const std::vector<Worker>& Workers() const { return m_workers; }
   const Job* FindJob(const std::string& job_id) const;
@@ -132,6 +130,8 @@
   void EndGang(const TaskRef& ref);
   void SendStart(const TaskRef& ref, TimePoint now);
   void SendStop(const TaskRef& ref, const char* reason, TimePoint now);
+  /// True when this owner may start anything, on views that are young enough.
+  bool MayAct(TimePoint now) const;
   bool MayStart(const Job& job, const Task& task, TimePoint now) const;
   void HandleRefusal(const StartAction& action,
                      Job* job,
@@ -147,9 +147,11 @@
                    const HoldAction& action,
                    const HoldReport& report,
                    TimePoint now);
+  std::vector<TaskRef> RefsOf(const std::vector<RunningRow>& rows);
   void EnterEnds(int worker, const HoldReport& report, TimePoint now);
   void EnterRunning(int worker,
                     const HoldReport& report,
+                    const std::vector<TaskRef>& refs,
                     std::map<TaskRef, std::uint32_t>* listed,
                     TimePoint now);
   void SettleUnlisted(int worker,
@@ -166,8 +168,14 @@
   void ExtendLeaseDeadline(Worker* worker, WorkerTime until);
 
   // cell_pacing.cpp
-  void EnterTails(int worker, const HoldReport& report, TimePoint now);
-  void PaceFills(int worker, const HoldReport& report, TimePoint now);
+  void EnterTails(int worker,
+                  const HoldReport& report,
+                  const std::vector<TaskRef>& refs,
+                  TimePoint now);
+  void PaceFills(int worker,
+                 const HoldReport& report,
+                 const std::vector<TaskRef>& refs,
+                 TimePoint now);
   void OrderPace(const TaskRef& ref, int percent, TimePoint now);
 
   // cell_store.cpp
@@ -188,7 +196,7 @@
   void SortByUrgency(TimePoint now);
   std::int64_t UnixMillis(TimePoint now) const;
   void AddUnshownPressure(TimePoint now);
-  std::vector<double> ExpectTails(const StepPlan& step) const;
+  double ExpectTail(const StepPlan& step, const Worker& worker) const;
   bool IsDue(const Job& job, std::uint32_t occurrence, TimePoint now);
 
   CellSettings m_settings;
--- a/src/include/hyssopspar/jobs/job.h
+++ b/src/include/hyssopspar/jobs/job.h
@@ -23,9 +23,8 @@
   JobState m_state = JobState::kQueued;
   JobState m_stored_state = JobState::kQueued;  ///< As the store has it.
   bool m_cancelled = false;
-  bool m_dirty = false;       ///< Differs from what is stored or being stored.
-  bool m_begun = false;       ///< A task has been started.
-  std::vector<Task> m_tasks;  ///< By occurrence, step and index.
+  bool m_begun = false;                      ///< A task has been started.
+  std::vector<Task> m_tasks;                 ///< By occurrence, step and index.
   std::vector<std::uint32_t> m_step_offset;  ///< Within an occurrence.
   std::vector<std::uint32_t> m_step_of;      ///< Step of each of its tasks.
   std::uint32_t m_tasks_per_occurrence = 0;
--- a/src/include/hyssopspar/jobs/records.h
+++ b/src/include/hyssopspar/jobs/records.h
@@ -18,6 +18,9 @@
 inline constexpr const char* kProgressStream = "progress";
 inline constexpr const char* kOwnerStream = "owners";
 
+/// Writer under which the owner's epoch guards the progress stream.
+inline constexpr const char* kOwnerWriter = "owner";
+
 /// Key of the interference model in the progress stream.
 inline constexpr const char* kModelKey = "model";
 
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -49,13 +49,11 @@
   TimePoint m_lease_deadline;
 
   bool m_hold_in_flight = false;
-  TimePoint m_hold_sent;
   TimePoint m_next_hold;
   std::uint32_t m_hold_errors = 0;  ///< In a row.
 
   std::uint64_t m_seen_end = 0;   ///< Highest end that was entered.
   std::uint64_t m_acked_end = 0;  ///< Highest end that is stored.
-  std::uint32_t m_orders = 0;     ///< In flight.
 
   std::set<std::string>
       m_failed_jobs;  ///< Since the last task that ended well.
@@ -78,6 +76,12 @@
   bool m_fills = false;
 };
 
+/// Share of the worker's processors that a task of the step asks for.
+double ShareOf(const StepPlan& step, const Worker& worker);
+
+/// True when starts may go to the worker at all.
+bool IsUsable(const Worker& worker, const std::set<std::string>& domains_out);
+
 /// True when a hold should go to the worker at m_next_hold.
 bool WantsHold(const Worker& worker);
 
--- a/src/include/hyssopspar/jobs/worker_port.h
+++ b/src/include/hyssopspar/jobs/worker_port.h
@@ -14,6 +14,9 @@
 
 namespace hyssopspar::jobs {
 
+/// Rate of the slowest worker clock, of the platform's contract.
+inline constexpr double kSlowestWorkerClock = 0.98;
+
 /// Names a task across the whole system.
 struct TaskName {
   std::string m_job;
@@ -140,7 +143,7 @@
                     TimePoint deadline,
                     std::function<void(Result<void>)> done) = 0;
 
-  /// Fails with kConflict when the worker knows a higher epoch, and with
+  /// Fails with kFenced when the worker knows a higher epoch, and with
   /// kNotFound when the address belongs to another worker.
   virtual void Hold(const WorkerTarget& worker,
                     const HoldOrder& order,
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -13,8 +13,7 @@
     : m_settings(settings), m_next_flush(now) {}
 
 Job* Cell::Find(const std::string& job_id) {
-  const auto it = m_jobs.find(job_id);
-  return it == m_jobs.end() ? nullptr : it->second.get();
+  return const_cast<Job*>(FindJob(job_id));
 }
 
 const Job* Cell::FindJob(const std::string& job_id) const {
@@ -256,10 +255,6 @@
       }));
 }
 
-bool Cell::HasUnstored() const {
-  return !m_dirty.empty() || m_batch.has_value();
-}
-
 std::vector<JobEnd> Cell::TakeEnds() {
   return std::exchange(m_ends, {});
 }
--- a/src/libhyssopspar/jobs/cell_pacing.cpp
+++ b/src/libhyssopspar/jobs/cell_pacing.cpp
@@ -23,14 +23,18 @@
 
 }  // namespace
 
-void Cell::EnterTails(int worker, const HoldReport& report, TimePoint now) {
+void Cell::EnterTails(int worker,
+                      const HoldReport& report,
+                      const std::vector<TaskRef>& refs,
+                      TimePoint now) {
   Worker& w = m_workers[static_cast<std::size_t>(worker)];
   w.m_tails.clear();
   std::vector<Pressure> beside;
   bool settled = true;
   const double cpu = static_cast<double>(w.m_entry.m_capacity.m_cpu_milli);
-  for (const RunningRow& row : report.m_running) {
-    const TaskRef ref = RefOf(row.m_task);
+  for (std::size_t i = 0; i < refs.size(); ++i) {
+    const RunningRow& row = report.m_running[i];
+    const TaskRef& ref = refs[i];
     if (ref.m_job == nullptr) {
       continue;
     }
@@ -60,17 +64,20 @@
   }
 }
 
-void Cell::PaceFills(int worker, const HoldReport& report, TimePoint now) {
+void Cell::PaceFills(int worker,
+                     const HoldReport& report,
+                     const std::vector<TaskRef>& refs,
+                     TimePoint now) {
   Worker& w = m_workers[static_cast<std::size_t>(worker)];
   if (now - w.m_paced_at < kPacePause) {
     return;
   }
   w.m_paced_at = now;
   std::vector<FillTask> fills;
-  std::vector<TaskRef> refs;
-  const double cpu = static_cast<double>(w.m_entry.m_capacity.m_cpu_milli);
-  for (const RunningRow& row : report.m_running) {
-    const TaskRef ref = RefOf(row.m_task);
+  std::vector<TaskRef> paced;
+  for (std::size_t i = 0; i < refs.size(); ++i) {
+    const RunningRow& row = report.m_running[i];
+    const TaskRef& ref = refs[i];
     Job* const job = ref.m_job;
     if (job == nullptr) {
       continue;
@@ -79,17 +86,16 @@
     const Task& task = job->m_tasks[ref.m_index];
     if (step.m_fills_idle && task.m_state == TaskState::kRunning &&
         task.m_worker == worker && task.m_run == row.m_run) {
-      fills.push_back({step.m_image,
-                       static_cast<double>(step.m_size.m_cpu_milli) / cpu,
-                       task.m_pace, task.m_pace});
-      refs.push_back(ref);
+      fills.push_back(
+          {step.m_image, ShareOf(step, w), task.m_pace, task.m_pace});
+      paced.push_back(ref);
     }
   }
   const bool pause_all =
       w.m_over_since < now && now - w.m_over_since > kOverLimit;
   ChoosePaces(m_interference, w.m_tails, pause_all, &fills);
   for (std::size_t i = 0; i < fills.size(); ++i) {
-    OrderPace(refs[i], fills[i].m_wanted, now);
+    OrderPace(paced[i], fills[i].m_wanted, now);
   }
 }
 
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -17,11 +17,6 @@
 /// Between passes, so that one pass serves many events.
 constexpr milliseconds kPassPause{20};
 
-double ShareOf(const StepPlan& step, const Worker& worker) {
-  return static_cast<double>(step.m_size.m_cpu_milli) /
-         static_cast<double>(worker.m_entry.m_capacity.m_cpu_milli);
-}
-
 /// Adds to the worker's expected tails what a task of the step presses.
 void AddPressure(const InterferenceModel& model,
                  const StepPlan& step,
@@ -45,9 +40,7 @@
   m_last_schedule = now;
   m_schedule_needed = false;
   m_next_schedule = TimePoint::max();
-  const TimePoint oldest = now - m_settings.m_view_limit;
-  if (now > m_authority || m_operators_verified < oldest ||
-      m_workers_verified < oldest) {
+  if (!MayAct(now)) {
     return;
   }
   AddUnshownPressure(now);
@@ -132,15 +125,10 @@
   }
 }
 
-/// Tail ratio expected on each worker with one more task of the step.
-std::vector<double> Cell::ExpectTails(const StepPlan& step) const {
-  std::vector<double> expected;
-  expected.reserve(m_workers.size());
-  for (const Worker& worker : m_workers) {
-    expected.push_back(ExpectedTail(m_interference, worker.m_expected_tails,
-                                    step.m_image, ShareOf(step, worker)));
-  }
-  return expected;
+/// Tail ratio expected on the worker with one more task of the step.
+double Cell::ExpectTail(const StepPlan& step, const Worker& worker) const {
+  return ExpectedTail(m_interference, worker.m_expected_tails, step.m_image,
+                      ShareOf(step, worker));
 }
 
 void Cell::ScheduleStep(Job* job,
@@ -180,25 +168,28 @@
   query.m_step_tasks = &step_tasks;
   query.m_now = now;
   std::vector<double> expected_tail;
+  for (std::size_t i = 0; plan.m_fills_idle && i < m_workers.size(); ++i) {
+    expected_tail.push_back(ExpectTail(plan, m_workers[i]));
+  }
   query.m_expected_tail = &expected_tail;
   std::vector<std::size_t> placed;
   for (const std::size_t i : pending) {
     query.m_failed_on = &job->m_tasks[i].m_failed_on;
-    if (plan.m_fills_idle) {
-      expected_tail = ExpectTails(plan);
-    }
     const int worker = ChooseWorker(m_workers, query);
     if (worker == kNoWorker) {
       m_next_schedule = std::min(m_next_schedule, now + kRetryPause);
       m_refusals.Add(service, plan);
       break;
     }
+    const std::size_t chosen = static_cast<std::size_t>(worker);
     Occupy({job, i}, worker);
-    AddPressure(m_interference, plan,
-                &m_workers[static_cast<std::size_t>(worker)]);
-    ++step_tasks[static_cast<std::size_t>(worker)];
+    AddPressure(m_interference, plan, &m_workers[chosen]);
+    if (plan.m_fills_idle) {
+      expected_tail[chosen] = ExpectTail(plan, m_workers[chosen]);
+    }
+    ++step_tasks[chosen];
     if (plan.m_same_rack && query.m_rack.empty()) {
-      query.m_rack = m_workers[static_cast<std::size_t>(worker)].m_entry.m_rack;
+      query.m_rack = m_workers[chosen].m_entry.m_rack;
     }
     placed.push_back(i);
   }
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -161,18 +161,16 @@
   }
 }
 
-bool Cell::MayStart(const Job& job, const Task& task, TimePoint now) const {
-  if (IsTerminal(job.m_state) || now > m_authority) {
-    return false;
-  }
+bool Cell::MayAct(TimePoint now) const {
   const TimePoint oldest = now - m_settings.m_view_limit;
-  if (m_operators_verified < oldest || m_workers_verified < oldest) {
-    return false;
-  }
-  const Worker& worker = m_workers[static_cast<std::size_t>(task.m_worker)];
-  return worker.m_listed && worker.m_fenced && worker.m_reachable &&
-         !worker.m_entry.m_leaving &&
-         m_domains_out.count(worker.m_entry.m_failure_domain) == 0;
+  return now <= m_authority && m_operators_verified >= oldest &&
+         m_workers_verified >= oldest;
+}
+
+bool Cell::MayStart(const Job& job, const Task& task, TimePoint now) const {
+  return !IsTerminal(job.m_state) && MayAct(now) &&
+         IsUsable(m_workers[static_cast<std::size_t>(task.m_worker)],
+                  m_domains_out);
 }
 
 void Cell::SendStart(const TaskRef& ref, TimePoint now) {
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// Rate of the slowest worker clock, of the platform's contract.
-constexpr double kSlowestClock = 0.98;
 /// Reckoning errors that a lapsed lease is given beyond its end.
 constexpr milliseconds kLapseMargin{300};
 /// Pauses after a hold without an answer: doubled from the first to the last.
@@ -30,6 +28,17 @@
          std::chrono::duration_cast<milliseconds>(at - worker.m_clock_at);
 }
 
+double ShareOf(const StepPlan& step, const Worker& worker) {
+  return static_cast<double>(step.m_size.m_cpu_milli) /
+         static_cast<double>(worker.m_entry.m_capacity.m_cpu_milli);
+}
+
+bool IsUsable(const Worker& worker, const std::set<std::string>& domains_out) {
+  return worker.m_listed && worker.m_fenced && worker.m_reachable &&
+         !worker.m_entry.m_leaving &&
+         domains_out.count(worker.m_entry.m_failure_domain) == 0;
+}
+
 bool WantsHold(const Worker& worker) {
   return (worker.m_listed || !worker.m_tasks.empty()) &&
          !worker.m_hold_in_flight && !worker.m_entry.m_address.empty();
@@ -49,7 +58,8 @@
   const milliseconds span = until - worker->m_clock;
   const TimePoint lapse =
       worker->m_clock_at +
-      std::chrono::duration_cast<Duration>(span / kSlowestClock) + kLapseMargin;
+      std::chrono::duration_cast<Duration>(span / kSlowestWorkerClock) +
+      kLapseMargin;
   worker->m_lease_deadline = std::max(worker->m_lease_deadline, lapse);
 }
 
@@ -179,7 +189,8 @@
   w.m_hold_errors = 0;
 
   std::map<TaskRef, std::uint32_t> listed;
-  EnterRunning(worker, report, &listed, now);
+  const std::vector<TaskRef> refs = RefsOf(report.m_running);
+  EnterRunning(worker, report, refs, &listed, now);
   EnterEnds(worker, report, now);
   if (reborn) {
     EndEarlierRuns(worker, listed, now);
@@ -187,20 +198,22 @@
   if (report.m_ended.size() < kEndsListed) {
     SettleUnlisted(worker, action.m_sent, listed, now);
   }
-  EnterTails(worker, report, now);
-  PaceFills(worker, report, now);
+  EnterTails(worker, report, refs, now);
+  PaceFills(worker, report, refs, now);
   w.m_next_hold = w.m_acked_end < w.m_seen_end ? now + kUnstoredHoldPause : now;
 }
 
 void Cell::EnterRunning(int worker,
                         const HoldReport& report,
+                        const std::vector<TaskRef>& refs,
                         std::map<TaskRef, std::uint32_t>* listed,
                         TimePoint now) {
   Worker& w = m_workers[static_cast<std::size_t>(worker)];
   w.m_foreign = Resources();
   w.m_unknown_runs = false;
-  for (const RunningRow& row : report.m_running) {
-    const TaskRef ref = RefOf(row.m_task);
+  for (std::size_t i = 0; i < refs.size(); ++i) {
+    const RunningRow& row = report.m_running[i];
+    const TaskRef& ref = refs[i];
     Job* const job = ref.m_job;
     if (job == nullptr) {
       w.m_unknown_runs = true;
@@ -237,6 +250,15 @@
   return index < 0 ? TaskRef{} : TaskRef{job, static_cast<std::size_t>(index)};
 }
 
+std::vector<TaskRef> Cell::RefsOf(const std::vector<RunningRow>& rows) {
+  std::vector<TaskRef> refs;
+  refs.reserve(rows.size());
+  for (const RunningRow& row : rows) {
+    refs.push_back(RefOf(row.m_task));
+  }
+  return refs;
+}
+
 void Cell::StopForeignRun(int worker, const RunningRow& row) {
   StopAction action;
   action.m_worker = worker;
--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -40,13 +40,11 @@
                 std::uint32_t step_tasks,
                 const PlacementQuery& query) {
   const StepPlan& step = *query.m_step;
-  const bool usable =
-      worker.m_listed && worker.m_fenced && worker.m_reachable &&
-      !worker.m_unknown_runs && !worker.m_entry.m_leaving &&
-      worker.m_quarantined_until <= query.m_now &&
-      worker.m_backoff_until <= query.m_now &&
-      worker.m_entry.m_service == *query.m_service &&
-      query.m_domains_out->count(worker.m_entry.m_failure_domain) == 0;
+  const bool usable = IsUsable(worker, *query.m_domains_out) &&
+                      !worker.m_unknown_runs &&
+                      worker.m_quarantined_until <= query.m_now &&
+                      worker.m_backoff_until <= query.m_now &&
+                      worker.m_entry.m_service == *query.m_service;
   if (!usable || !HasLabel(worker.m_entry, step.m_label)) {
     return false;
   }
--- /dev/null
+++ b/src/libhyssopspar/store/record_batch.cpp
@@ -0,0 +1,44 @@
+#include "hyssopspar/store/record_batch.h"
+
+#include "pvt/archive.h"
+
+namespace hyssopspar {
+
+namespace {
+
+struct BatchedRecord {
+  std::string m_key;
+  std::string m_value;
+};
+
+template <class Archive, class T>
+void VisitFields(Archive& archive, T& record, const BatchedRecord* /*tag*/) {
+  archive(record.m_key, record.m_value);
+}
+
+}  // namespace
+
+std::string EncodeRecords(const std::vector<KeyedRecord>& records) {
+  std::vector<BatchedRecord> batch;
+  batch.reserve(records.size());
+  for (const KeyedRecord& record : records) {
+    batch.push_back({record.m_key, record.m_value.value_or("")});
+  }
+  return pvt::Encode(batch);
+}
+
+Result<std::vector<KeyedRecord>> DecodeRecords(const std::string& bytes) {
+  const Result<std::vector<BatchedRecord>> batch =
+      pvt::Decode<std::vector<BatchedRecord>>(bytes);
+  if (!batch) {
+    return batch.error();
+  }
+  std::vector<KeyedRecord> records;
+  records.reserve(batch.value().size());
+  for (const BatchedRecord& record : batch.value()) {
+    records.push_back({record.m_key, record.m_value});
+  }
+  return records;
+}
+
+}  // namespace hyssopspar
--- a/src/node/cell_host.cpp
+++ b/src/node/cell_host.cpp
@@ -11,8 +11,7 @@
 
 constexpr const char* kLogPart = "owner";
 constexpr const char* kOwnerKey = "owner";
-constexpr const char* kWriterName = "owner";
-/// Limits of one call to the store and of one order to a worker.
+/// Limit of one call to the store.
 constexpr milliseconds kStoreLimit{1500};
 constexpr milliseconds kRetryPause{150};
 /// Time the store waits for owner and job records before it answers.
@@ -60,12 +59,6 @@
   m_owner_stream->Start();
 }
 
-void CellHost::Stop() {
-  m_stopped = true;
-  m_owner_stream->Stop();
-  StepDown("stopping");
-}
-
 void CellHost::OnOwnerRecords(const std::vector<KeyedRecord>& records) {
   const TimePoint now = Clock::now();
   m_owner_end = std::max(m_owner_end, m_owner_stream->Next());
@@ -101,7 +94,7 @@
 
 /// Decides what the owner's records ask of this node.
 void CellHost::Review() {
-  if (m_stopped || m_releasing || !m_owner_stream->IsLoaded()) {
+  if (m_releasing || !m_owner_stream->IsLoaded()) {
     return;
   }
   const TimePoint now = Clock::now();
@@ -170,14 +163,28 @@
                       m_number, m_claim.m_epoch,
                       ToMillis(m_claim_sent - m_owner.m_changed),
                       m_owner.m_unreachable);
+  AppendOwner(m_claim, [this](const Result<Offset>& end) { OnClaimed(end); });
+}
+
+/// Replaces the owner's record, unless another was written meanwhile.
+void CellHost::AppendOwner(const jobs::OwnerRecord& record,
+                           std::function<void(Result<Offset>)> done) {
   AppendGuard guard;
   guard.m_expected_end = m_owner_end;
-  m_platform->Log().Append(
-      PartitionOf(jobs::kOwnerStream),
-      {{kOwnerKey, jobs::EncodeOwner(m_claim)}}, guard,
-      m_claim_sent + kStoreLimit,
-      OnLoop<Result<Offset>>(
-          [this](const Result<Offset>& end) { OnClaimed(end); }));
+  m_platform->Log().Append(PartitionOf(jobs::kOwnerStream),
+                           {{kOwnerKey, jobs::EncodeOwner(record)}}, guard,
+                           Clock::now() + kStoreLimit,
+                           OnLoop<Result<Offset>>(std::move(done)));
+}
+
+/// Runs \p step after a pause, unless ownership has changed by then.
+void CellHost::RetryLater(std::function<void()> step) {
+  m_loop->PostAt(Clock::now() + kRetryPause,
+                 [this, generation = m_generation, step = std::move(step)] {
+                   if (generation == m_generation) {
+                     step();
+                   }
+                 });
 }
 
 void CellHost::OnClaimed(const Result<Offset>& result) {
@@ -203,7 +210,7 @@
 void CellHost::Fence() {
   m_phase = Phase::kFencing;
   AppendGuard guard;
-  guard.m_writer = kWriterName;
+  guard.m_writer = jobs::kOwnerWriter;
   guard.m_epoch = m_claim.m_epoch;
   m_platform->Log().Append(
       PartitionOf(jobs::kProgressStream), {}, guard, Clock::now() + kStoreLimit,
@@ -220,12 +227,7 @@
           StepDown("fenced");
           return;
         }
-        m_loop->PostAt(Clock::now() + kRetryPause,
-                       [this, generation = m_generation] {
-                         if (generation == m_generation) {
-                           Fence();
-                         }
-                       });
+        RetryLater([this] { Fence(); });
       }));
 }
 
@@ -275,12 +277,7 @@
   if (!page) {
     Log(kLogPart)->warn("load-failed cell={} epoch={} error={}", m_number,
                         m_claim.m_epoch, ToString(page.error()));
-    m_loop->PostAt(Clock::now() + kRetryPause,
-                   [this, generation = m_generation] {
-                     if (generation == m_generation) {
-                       LoadProgress("");
-                     }
-                   });
+    RetryLater([this] { LoadProgress(""); });
     return;
   }
   for (const KeyedRecord& record : page.value().m_records) {
@@ -315,25 +312,20 @@
   renewed.m_renewals = m_owner.m_record->m_renewals + 1;
   const TimePoint sent = Clock::now();
   m_renew_at = sent + m_settings.m_ownership.m_renewal;
-  AppendGuard guard;
-  guard.m_expected_end = m_owner_end;
-  m_platform->Log().Append(
-      PartitionOf(jobs::kOwnerStream),
-      {{kOwnerKey, jobs::EncodeOwner(renewed)}}, guard, sent + kStoreLimit,
-      OnLoop<Result<Offset>>([this, sent, renewed](const Result<Offset>& end) {
-        m_renewing = false;
-        if (end) {
-          m_owner_end = std::max(m_owner_end, end.value());
-          jobs::NoteOwner(&m_owner, renewed, Clock::now());
-          m_cell->SetAuthority(sent + m_settings.m_authority);
-        } else {
-          Log(kLogPart)->warn("renewal-failed cell={} epoch={} error={}",
-                              m_number, m_claim.m_epoch, ToString(end.error()));
-          m_renew_at = Clock::now() + kRetryPause;
-        }
-        Review();
-        Pump();
-      }));
+  AppendOwner(renewed, [this, sent, renewed](const Result<Offset>& end) {
+    m_renewing = false;
+    if (end) {
+      m_owner_end = std::max(m_owner_end, end.value());
+      jobs::NoteOwner(&m_owner, renewed, Clock::now());
+      m_cell->SetAuthority(sent + m_settings.m_authority);
+    } else {
+      Log(kLogPart)->warn("renewal-failed cell={} epoch={} error={}", m_number,
+                          m_claim.m_epoch, ToString(end.error()));
+      m_renew_at = Clock::now() + kRetryPause;
+    }
+    Review();
+    Pump();
+  });
 }
 
 void CellHost::Release(const std::function<void()>& done) {
@@ -346,17 +338,11 @@
   StepDown("stopping");
   jobs::OwnerRecord released = m_claim;
   released.m_released = true;
-  AppendGuard guard;
-  guard.m_expected_end = m_owner_end;
-  m_platform->Log().Append(
-      PartitionOf(jobs::kOwnerStream),
-      {{kOwnerKey, jobs::EncodeOwner(released)}}, guard,
-      Clock::now() + kStoreLimit,
-      OnLoop<Result<Offset>>([this, done](const Result<Offset>& end) {
-        Log(kLogPart)->info("released cell={} epoch={} stored={}", m_number,
-                            m_claim.m_epoch, end.has_value());
-        done();
-      }));
+  AppendOwner(released, [this, done](const Result<Offset>& end) {
+    Log(kLogPart)->info("released cell={} epoch={} stored={}", m_number,
+                        m_claim.m_epoch, end.has_value());
+    done();
+  });
 }
 
 void CellHost::StepDown(const char* reason) {
--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -38,7 +38,6 @@
   void Start();
   /// Gives the cell up, so that another node takes it at once.
   void Release(const std::function<void()>& done);
-  void Stop();
 
   /// Passes a change of the operators' view on to the cell.
   void OnOperators();
@@ -59,6 +58,9 @@
   void OnOwnerRecords(const std::vector<KeyedRecord>& records);
   void Review();
   void Claim();
+  void AppendOwner(const jobs::OwnerRecord& record,
+                   std::function<void(Result<Offset>)> done);
+  void RetryLater(std::function<void()> step);
   void OnClaimed(const Result<Offset>& result);
   void Fence();
   void LoadJobs();
@@ -104,7 +106,6 @@
   TimePoint m_last_renewal;  ///< Of the owner that the claim replaces.
   TimePoint m_renew_at;
   bool m_renewing = false;
-  bool m_stopped = false;
   bool m_releasing = false;
   TimePoint m_review_at = TimePoint::max();
   std::shared_ptr<StreamFollower> m_owner_stream;
@@ -120,7 +121,7 @@
   return [this, loop = m_loop, generation = m_generation,
           handler = std::move(handler)](T answer) {
     loop->Post([this, generation, handler, answer = std::move(answer)] {
-      if (!m_stopped && generation == m_generation) {
+      if (generation == m_generation) {
         handler(answer);
       }
     });
--- a/src/node/cell_host_acting.cpp
+++ b/src/node/cell_host_acting.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr const char* kLogPart = "owner";
-constexpr const char* kWriterName = "owner";
 /// Limits of one call to the store and of one order to a worker.
 constexpr milliseconds kStoreLimit{1500};
 constexpr milliseconds kOrderLimit{1000};
@@ -142,7 +141,7 @@
 void CellHost::Perform(const jobs::StoreAction& action) {
   m_metrics->Value("hyssopspar_batches_total").fetch_add(1);
   AppendGuard guard;
-  guard.m_writer = kWriterName;
+  guard.m_writer = jobs::kOwnerWriter;
   guard.m_epoch = m_claim.m_epoch;
   guard.m_sequence = action.m_batch;
   m_platform->Log().Append(
--- a/src/node/job_appender_test.cpp
+++ b/src/node/job_appender_test.cpp
@@ -8,6 +8,7 @@
 #include <mutex>
 
 #include "hyssopspar/logging.h"
+#include "hyssopspar/store/record_batch.h"
 
 namespace hyssopspar::node {
 namespace {
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -7,6 +7,7 @@
 #include "hyssopspar/health.h"
 #include "hyssopspar/jobs/records.h"
 #include "hyssopspar/logging.h"
+#include "hyssopspar/store/record_batch.h"
 
 namespace hyssopspar::node {
 
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -4,6 +4,7 @@
 #include <sstream>
 
 #include "hyssopspar/ids.h"
+#include "hyssopspar/jobs/worker_port.h"
 
 namespace hyssopspar::node {
 
@@ -12,8 +13,6 @@
 /// Leases stay below what the platform allows by this share, for the time that
 /// a message may take and for slow clocks.
 constexpr double kLeaseShare = 0.9;
-/// Rate of the slowest worker clock, of the platform's contract.
-constexpr double kSlowestClock = 0.98;
 constexpr milliseconds kLongestLease{6000};
 constexpr milliseconds kMinute{60000};
 
@@ -61,8 +60,9 @@
       std::min(kLongestLease,
                std::chrono::duration_cast<milliseconds>(longest * kLeaseShare));
   settings.m_longest_lease =
-      settings.m_authority + std::chrono::duration_cast<milliseconds>(
-                                 settings.m_cell.m_lease / kSlowestClock);
+      settings.m_authority +
+      std::chrono::duration_cast<milliseconds>(settings.m_cell.m_lease /
+                                               jobs::kSlowestWorkerClock);
   settings.m_ownership.m_node = settings.m_name;
   settings.m_ownership.m_process = std::to_string(RandomId());
   settings.m_ownership.m_address = settings.m_internal_listen;
--- a/src/node/operator_view.cpp
+++ b/src/node/operator_view.cpp
@@ -33,10 +33,6 @@
   m_stream->Start();
 }
 
-void OperatorView::Stop() {
-  m_stream->Stop();
-}
-
 void OperatorView::Enter(const std::vector<KeyedRecord>& records) {
   for (const KeyedRecord& record : records) {
     Result<jobs::OperatorChange> change = m_platform->DecodeOperator(record);
--- a/src/node/operator_view.h
+++ b/src/node/operator_view.h
@@ -22,7 +22,6 @@
 
   /// \p changed runs after each change.
   void Start(std::function<void()> changed);
-  void Stop();
 
   bool HasConfig() const { return m_has_config; }
   const jobs::SiteConfig& Config() const { return m_config; }
--- a/src/node/peer_store.h
+++ b/src/node/peer_store.h
@@ -17,9 +17,6 @@
 /// Path of the internal interface that takes records.
 inline constexpr const char* kRecordsPath = "/v1/records";
 
-std::string EncodeRecords(const std::vector<KeyedRecord>& records);
-Result<std::vector<KeyedRecord>> DecodeRecords(const std::string& bytes);
-
 /// All calls and callbacks on the loop's thread.
 class PeerStore {
  public:
