Give a cell's ownership to the strongest nodes

Change: nodes much weaker than the strongest that has owned the cell claim 1.5 s later; a strong node that reads a weak owner's renewal asks it for the cell. A release now waits for a renewal in flight, so the two no longer conflict (which cost 2.3 s of silence).

--- a/src/include/hyssopspar/jobs/ownership.h
+++ b/src/include/hyssopspar/jobs/ownership.h
@@ -21,6 +21,10 @@
   milliseconds m_renewal{800};
   /// Claims of different nodes are spread over this time.
   milliseconds m_spread{250};
+  /// Processors of this node. The work of an owner goes to strong nodes.
+  double m_strength = 1;
+  /// Nodes much weaker than the strongest claim so much later.
+  milliseconds m_weaker_delay{1500};
 };
 
 /// What one node knows of the owner of a cell.
@@ -36,6 +40,12 @@
 /// True when the view names this very process as a live owner.
 bool OwnsCell(const OwnerView& view, const OwnershipSettings& settings);
 
+/// True when a node of \p strength should leave a cell to one of \p other.
+bool IsMuchWeaker(double strength, double other);
+
+/// True when this node should ask the live owner for the cell.
+bool ShouldOffer(const OwnerView& view, const OwnershipSettings& settings);
+
 /// When a node may claim a cell.
 struct ClaimTime {
   TimePoint m_at;
--- a/src/include/hyssopspar/jobs/records.h
+++ b/src/include/hyssopspar/jobs/records.h
@@ -41,6 +41,9 @@
   std::string m_address;  ///< Of the owner's internal interface.
   std::uint64_t m_renewals = 0;
   bool m_released = false;  ///< The owner has stopped acting.
+  double m_strength = 0;    ///< Processors of the owner's node.
+  /// Processors of the strongest node that has owned the cell or offered to.
+  double m_strongest = 0;
 };
 
 std::string EncodeSubmission(const Submission& job);
--- a/src/libhyssopspar/jobs/ownership_test.cpp
+++ b/src/libhyssopspar/jobs/ownership_test.cpp
@@ -86,5 +86,56 @@
   EXPECT_EQ(MakeClaim(view, Settings("a")).m_epoch, 8U);
 }
 
+OwnershipSettings WeakSettings(const std::string& node) {
+  OwnershipSettings settings = Settings(node);
+  settings.m_strength = 0.1;
+  return settings;
+}
+
+TEST(OwnershipTest, WeakNodesLeaveAFreeCellToStrongOnesFirst) {
+  OwnerView view;
+  OwnerRecord released = Record(3, "a");
+  released.m_released = true;
+  released.m_strongest = 1;
+  NoteOwner(&view, released, kStart);
+  const OwnershipSettings weak = WeakSettings("b");
+  EXPECT_GE(NextClaim(view, weak).m_at, kStart + weak.m_weaker_delay);
+  EXPECT_LE(NextClaim(view, Settings("c")).m_at, kStart + weak.m_spread);
+}
+
+TEST(OwnershipTest, EquallyWeakNodesDoNotWaitForEachOther) {
+  OwnerView view;
+  OwnerRecord released = Record(3, "a");
+  released.m_released = true;
+  released.m_strongest = 0.12;
+  NoteOwner(&view, released, kStart);
+  EXPECT_LE(NextClaim(view, WeakSettings("b")).m_at,
+            kStart + WeakSettings("b").m_spread);
+}
+
+TEST(OwnershipTest, AStrongNodeAsksAWeakOwnerForTheCell) {
+  OwnerView view;
+  EXPECT_FALSE(ShouldOffer(view, Settings("b")));
+  OwnerRecord record = Record(3, "a");
+  record.m_strength = 0.1;
+  NoteOwner(&view, record, kStart);
+  EXPECT_TRUE(ShouldOffer(view, Settings("b")));
+  EXPECT_FALSE(ShouldOffer(view, WeakSettings("b")));
+  EXPECT_FALSE(ShouldOffer(view, Settings("a")));
+  record.m_released = true;
+  NoteOwner(&view, record, kStart);
+  EXPECT_FALSE(ShouldOffer(view, Settings("b")));
+}
+
+TEST(OwnershipTest, AClaimKeepsTheStrongestNodeInMind) {
+  OwnerView view;
+  EXPECT_EQ(MakeClaim(view, WeakSettings("a")).m_strongest, 0.1);
+  OwnerRecord record = Record(3, "b");
+  record.m_strongest = 0.5;
+  NoteOwner(&view, record, kStart);
+  EXPECT_EQ(MakeClaim(view, WeakSettings("a")).m_strength, 0.1);
+  EXPECT_EQ(MakeClaim(view, WeakSettings("a")).m_strongest, 0.5);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/records.cpp
+++ b/src/libhyssopspar/jobs/records.cpp
@@ -13,7 +13,8 @@
 template <class Archive, class T>
 void VisitFields(Archive& archive, T& owner, const OwnerRecord* /*tag*/) {
   archive(owner.m_epoch, owner.m_node, owner.m_process, owner.m_address,
-          owner.m_renewals, owner.m_released);
+          owner.m_renewals, owner.m_released, owner.m_strength,
+          owner.m_strongest);
 }
 
 std::string CancelKey(const std::string& job_id) {
--- a/src/node/cell_host.cpp
+++ b/src/node/cell_host.cpp
@@ -20,6 +20,8 @@
 /// Between looks at the platform's list of workers.
 constexpr milliseconds kWorkerReadPause{400};
 constexpr milliseconds kJobViewLimit{2500};
+/// An owner keeps the cell at least this long before it follows an offer.
+constexpr milliseconds kLeastTenure{3000};
 
 }  // namespace
 
@@ -80,6 +82,24 @@
     }
   }
   Review();
+  if (m_phase == Phase::kFollowing && !m_releasing &&
+      jobs::ShouldOffer(m_owner, m_settings.m_ownership)) {
+    m_offer_handler();
+  }
+}
+
+void CellHost::SetOfferHandler(std::function<void()> handler) {
+  m_offer_handler = std::move(handler);
+}
+
+void CellHost::OnOffer(double strength) {
+  if (m_phase != Phase::kOwning ||
+      !jobs::IsMuchWeaker(m_settings.m_ownership.m_strength, strength) ||
+      Clock::now() - m_owning_since < kLeastTenure) {
+    return;
+  }
+  m_offered = std::max(m_offered, strength);
+  Review();
 }
 
 void CellHost::SuspectOwner(std::uint64_t epoch) {
@@ -94,6 +114,11 @@
 
 /// Decides what the owner's records ask of this node.
 void CellHost::Review() {
+  const bool leaving = m_releasing || m_offered > 0;
+  // A record that overtakes a renewal would be refused.
+  if (leaving && m_phase == Phase::kOwning && !m_renewing) {
+    GiveUp(m_releasing ? "stopping" : "handed-over");
+  }
   if (m_releasing || !m_owner_stream->IsLoaded()) {
     return;
   }
@@ -124,7 +149,7 @@
     default:
       if (!ours) {
         StepDown("replaced");
-      } else if (m_phase == Phase::kOwning && now >= m_renew_at) {
+      } else if (m_phase == Phase::kOwning && now >= m_renew_at && !leaving) {
         Renew();
       }
       break;
@@ -297,6 +322,7 @@
   Log(kLogPart)->info("owning cell={} epoch={} after_ms={}", m_number,
                       m_claim.m_epoch, ToMillis(now - m_claim_sent));
   m_renew_at = now;
+  m_owning_since = now;
   m_cell->SetAuthority(m_claim_sent + m_settings.m_authority);
   m_cell->Activate(now);
   OnOperators();
@@ -328,20 +354,34 @@
   });
 }
 
-void CellHost::Release(const std::function<void()>& done) {
+void CellHost::Release(std::function<void()> done) {
   m_releasing = true;
-  if (m_phase != Phase::kOwning) {
-    StepDown("stopping");
-    done();
+  m_on_released = std::move(done);
+  if (m_phase == Phase::kOwning) {
+    Review();
     return;
   }
   StepDown("stopping");
+  std::exchange(m_on_released, nullptr)();
+}
+
+/// Stops acting and tells the others so.
+void CellHost::GiveUp(const char* reason) {
   jobs::OwnerRecord released = m_claim;
   released.m_released = true;
-  AppendOwner(released, [this, done](const Result<Offset>& end) {
+  released.m_strongest = std::max(released.m_strongest, m_offered);
+  StepDown(reason);
+  AppendOwner(released, [this, released](const Result<Offset>& end) {
     Log(kLogPart)->info("released cell={} epoch={} stored={}", m_number,
                         m_claim.m_epoch, end.has_value());
-    done();
+    if (end) {
+      m_owner_end = std::max(m_owner_end, end.value());
+      jobs::NoteOwner(&m_owner, released, Clock::now());
+    }
+    if (m_on_released) {
+      std::exchange(m_on_released, nullptr)();
+    }
+    Review();
   });
 }
 
@@ -353,6 +393,7 @@
   ++m_generation;
   m_phase = Phase::kFollowing;
   m_renewing = false;
+  m_offered = 0;
   if (m_job_stream != nullptr) {
     m_job_stream->Stop();
   }
--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -36,8 +36,14 @@
   ~CellHost();
 
   void Start();
-  /// Gives the cell up, so that another node takes it at once.
-  void Release(const std::function<void()>& done);
+  /// Gives the cell up, so that another node takes it at once. Nothing is
+  /// claimed afterwards.
+  void Release(std::function<void()> done);
+
+  /// Gives the cell to a node of \p strength, if that is much stronger.
+  void OnOffer(double strength);
+  /// Called when the owner has been heard of and should be asked for the cell.
+  void SetOfferHandler(std::function<void()> handler);
 
   /// Passes a change of the operators' view on to the cell.
   void OnOperators();
@@ -68,6 +74,7 @@
   void OnProgressPage(const Result<KeyedPage>& page);
   void Own();
   void Renew();
+  void GiveUp(const char* reason);
   void StepDown(const char* reason);
   void ArmReview();
 
@@ -106,7 +113,11 @@
   TimePoint m_last_renewal;  ///< Of the owner that the claim replaces.
   TimePoint m_renew_at;
   bool m_renewing = false;
+  TimePoint m_owning_since;
+  double m_offered = 0;  ///< Processors of the node that asked for the cell.
   bool m_releasing = false;
+  std::function<void()> m_on_released;
+  std::function<void()> m_offer_handler;
   TimePoint m_review_at = TimePoint::max();
   std::shared_ptr<StreamFollower> m_owner_stream;
   std::shared_ptr<StreamFollower> m_job_stream;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -82,6 +82,8 @@
   BOOST_OUTCOME_TRY(m_front_server.Start(m_settings.m_front_listen));
   m_loop.Post([this] {
     m_operators.Start([this] { m_host.OnOperators(); });
+    m_host.SetOfferHandler(
+        [this] { m_owner.Offer(m_settings.m_ownership.m_strength); });
     m_host.Start();
   });
   return Ok();
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -15,6 +15,7 @@
 constexpr double kLeaseShare = 0.9;
 constexpr milliseconds kLongestLease{6000};
 constexpr milliseconds kMinute{60000};
+constexpr double kMostCores = 1024;
 
 /// Internal addresses of the hosts in \p seeds ("ip:port,..."): the port is the
 /// same on all nodes.
@@ -63,6 +64,9 @@
       settings.m_authority +
       std::chrono::duration_cast<milliseconds>(settings.m_cell.m_lease /
                                                jobs::kSlowestWorkerClock);
+  SettingsReader machine = reader->Table("machine");
+  settings.m_ownership.m_strength = machine.Number("cpu_share", 1, 0, 1) *
+                                    machine.Number("cores", 1, 0, kMostCores);
   settings.m_ownership.m_node = settings.m_name;
   settings.m_ownership.m_process = std::to_string(RandomId());
   settings.m_ownership.m_address = settings.m_internal_listen;
--- a/src/node/owner_client.cpp
+++ b/src/node/owner_client.cpp
@@ -1,13 +1,19 @@
 #include "node/owner_client.h"
 
+#include <cstdlib>
 #include <utility>
 
+#include "hyssopspar/logging.h"
+
 namespace hyssopspar::node {
 
 namespace {
 
+constexpr const char* kLogPart = "owner";
 constexpr const char* kJobPath = "/v1/jobs/";
 constexpr const char* kPendingPath = "/v1/pending/";
+constexpr const char* kOfferPath = "/v1/offers/";
+constexpr milliseconds kOfferLimit{1000};
 constexpr std::size_t kIdleConnections = 2;
 
 bool TakePrefix(const std::string& path,
@@ -119,6 +125,16 @@
               });
 }
 
+void OwnerClient::Offer(double strength) {
+  Ask(kOfferPath + std::to_string(strength), Clock::now() + kOfferLimit,
+      [](const Result<std::string>& answer) {
+        if (!answer) {
+          Log(kLogPart)->info("offer-failed error={}",
+                              ToString(answer.error()));
+        }
+      });
+}
+
 HttpResponse OwnerClient::AnswerPeer(const HttpRequest& request) const {
   const jobs::Cell* const cell = m_host->OwnedCell();
   if (cell == nullptr) {
@@ -137,6 +153,10 @@
   if (TakePrefix(request.m_target, kPendingPath, &rest)) {
     return TextResponse(std::to_string(cell->PendingOf(rest)));
   }
+  if (TakePrefix(request.m_target, kOfferPath, &rest)) {
+    m_host->OnOffer(std::strtod(rest.c_str(), nullptr));
+    return TextResponse("noted");
+  }
   return ErrorResponse(400, "invalid-argument", "unknown path");
 }
 
--- a/src/node/owner_client.h
+++ b/src/node/owner_client.h
@@ -31,6 +31,9 @@
                   TimePoint deadline,
                   std::function<void(Result<std::size_t>)> done);
 
+  /// Asks the owner to give the cell to a node of \p strength processors.
+  void Offer(double strength);
+
   /// Answers another node's question from the cell here.
   HttpResponse AnswerPeer(const HttpRequest& request) const;
 
