--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -196,7 +196,6 @@
   void SortByUrgency(TimePoint now);
   std::int64_t UnixMillis(TimePoint now) const;
   void AddUnshownPressure(TimePoint now);
-  double ExpectTail(const StepPlan& step, const Worker& worker) const;
   bool IsDue(const Job& job, std::uint32_t occurrence, TimePoint now);
 
   CellSettings m_settings;
--- a/src/include/hyssopspar/jobs/pacing.h
+++ b/src/include/hyssopspar/jobs/pacing.h
@@ -34,11 +34,4 @@
                  bool pause_all,
                  std::vector<FillTask>* fills);
 
-/// Highest tail ratio that is expected once a task of image \p filling with
-/// \p share of the worker works beside \p tails.
-double ExpectedTail(const InterferenceModel& model,
-                    const std::vector<ServedTail>& tails,
-                    const std::string& filling,
-                    double share);
-
 }  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/jobs/placement.h
+++ b/src/include/hyssopspar/jobs/placement.h
@@ -3,7 +3,9 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,9 +25,9 @@
   const std::vector<int>* m_failed_on = nullptr;
   /// Tasks of the step on each worker.
   const std::vector<std::uint32_t>* m_step_tasks = nullptr;
-  /// Tail ratio expected on each worker with the task; empty for tasks that do
-  /// not fill.
-  const std::vector<double>* m_expected_tail = nullptr;
+  /// Tail ratio expected on the worker of an index with the task. Asked for
+  /// tasks that fill, on workers that could take them otherwise.
+  std::function<double(std::size_t)> m_expect_tail;
   std::string m_rack;  ///< Preferred, of a gang that is best on one rack.
   TimePoint m_now;
 };
--- a/src/libhyssopspar/jobs/cell_pacing.cpp
+++ b/src/libhyssopspar/jobs/cell_pacing.cpp
@@ -21,6 +21,22 @@
 constexpr milliseconds kPauseLimit{1200};
 constexpr milliseconds kLongPauseLimit{5000};
 
+std::vector<ServedTail> WorstByImage(const std::vector<ServedTail>& tails) {
+  std::vector<ServedTail> worst;
+  for (const ServedTail& tail : tails) {
+    const auto known = std::find_if(worst.begin(), worst.end(),
+                                    [&tail](const ServedTail& other) {
+                                      return other.m_image == tail.m_image;
+                                    });
+    if (known == worst.end()) {
+      worst.push_back(tail);
+    } else {
+      known->m_ratio = std::max(known->m_ratio, tail.m_ratio);
+    }
+  }
+  return worst;
+}
+
 }  // namespace
 
 void Cell::EnterTails(int worker,
@@ -28,7 +44,7 @@
                       const std::vector<TaskRef>& refs,
                       TimePoint now) {
   Worker& w = m_workers[static_cast<std::size_t>(worker)];
-  w.m_tails.clear();
+  std::vector<ServedTail> tails;
   std::vector<Pressure> beside;
   bool settled = true;
   const double cpu = static_cast<double>(w.m_entry.m_capacity.m_cpu_milli);
@@ -48,17 +64,18 @@
                 now - task.m_paced_at > kTailWindow;
     } else if (step.m_tail_target > milliseconds(0) &&
                now - task.m_confirmed > kTailWindow) {
-      w.m_tails.push_back(
+      tails.push_back(
           {step.m_image,
            row.m_usage / static_cast<double>(step.m_tail_target.count())});
     }
   }
+  w.m_tails = WorstByImage(tails);
   const bool over =
       std::any_of(w.m_tails.begin(), w.m_tails.end(),
                   [](const ServedTail& tail) { return tail.m_ratio > 1; });
   w.m_over_since = over ? std::min(w.m_over_since, now) : TimePoint::max();
   if (settled) {
-    for (const ServedTail& tail : w.m_tails) {
+    for (const ServedTail& tail : tails) {
       m_interference.Observe(tail.m_image, tail.m_ratio, beside);
     }
   }
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -4,6 +4,7 @@
 
 #include "hyssopspar/jobs/cell.h"
 #include "hyssopspar/jobs/placement.h"
+#include "hyssopspar/jobs/tail_forecast.h"
 #include "jobs/cell_log.h"
 
 namespace hyssopspar::jobs {
@@ -17,16 +18,15 @@
 /// Between passes, so that one pass serves many events.
 constexpr milliseconds kPassPause{20};
 
-/// Adds to the worker's expected tails what a task of the step presses.
-void AddPressure(const InterferenceModel& model,
+/// Tail ratio of a worker that was not asked for yet.
+constexpr double kNotAsked = -1;
+
+/// Adds to the worker's expected tails what a filling task of the step presses.
+void AddPressure(const TailForecast& forecast,
                  const StepPlan& step,
                  Worker* worker) {
-  if (!step.m_fills_idle) {
-    return;
-  }
   for (ServedTail& tail : worker->m_expected_tails) {
-    tail.m_ratio +=
-        model.Slope(tail.m_image, step.m_image) * ShareOf(step, *worker);
+    tail.m_ratio += forecast.Slope(tail.m_image) * ShareOf(step, *worker);
   }
 }
 
@@ -118,19 +118,14 @@
       const Task& task = ref.m_job->m_tasks[ref.m_index];
       const bool shown = task.m_state == TaskState::kRunning &&
                          now - task.m_confirmed > kUnshownTime;
-      if (!shown) {
-        AddPressure(m_interference, StepOf(*ref.m_job, ref.m_index), &worker);
+      const StepPlan& step = StepOf(*ref.m_job, ref.m_index);
+      if (!shown && step.m_fills_idle) {
+        AddPressure(TailForecast(m_interference, step.m_image), step, &worker);
       }
     }
   }
 }
 
-/// Tail ratio expected on the worker with one more task of the step.
-double Cell::ExpectTail(const StepPlan& step, const Worker& worker) const {
-  return ExpectedTail(m_interference, worker.m_expected_tails, step.m_image,
-                      ShareOf(step, worker));
-}
-
 void Cell::ScheduleStep(Job* job,
                         std::uint32_t occurrence,
                         std::uint32_t step,
@@ -167,11 +162,15 @@
   query.m_domains_out = &m_domains_out;
   query.m_step_tasks = &step_tasks;
   query.m_now = now;
-  std::vector<double> expected_tail;
-  for (std::size_t i = 0; plan.m_fills_idle && i < m_workers.size(); ++i) {
-    expected_tail.push_back(ExpectTail(plan, m_workers[i]));
-  }
-  query.m_expected_tail = &expected_tail;
+  const TailForecast forecast(m_interference, plan.m_image);
+  std::vector<double> expected_tail(m_workers.size(), kNotAsked);
+  query.m_expect_tail = [&](std::size_t i) {
+    if (expected_tail[i] == kNotAsked) {
+      expected_tail[i] = forecast.Worst(m_workers[i].m_expected_tails,
+                                        ShareOf(plan, m_workers[i]));
+    }
+    return expected_tail[i];
+  };
   std::vector<std::size_t> placed;
   for (const std::size_t i : pending) {
     query.m_failed_on = &job->m_tasks[i].m_failed_on;
@@ -183,9 +182,9 @@
     }
     const std::size_t chosen = static_cast<std::size_t>(worker);
     Occupy({job, i}, worker);
-    AddPressure(m_interference, plan, &m_workers[chosen]);
     if (plan.m_fills_idle) {
-      expected_tail[chosen] = ExpectTail(plan, m_workers[chosen]);
+      AddPressure(forecast, plan, &m_workers[chosen]);
+      expected_tail[chosen] = kNotAsked;
     }
     ++step_tasks[chosen];
     if (plan.m_same_rack && query.m_rack.empty()) {
--- a/src/libhyssopspar/jobs/pacing.cpp
+++ b/src/libhyssopspar/jobs/pacing.cpp
@@ -111,17 +111,4 @@
   }
 }
 
-double ExpectedTail(const InterferenceModel& model,
-                    const std::vector<ServedTail>& tails,
-                    const std::string& filling,
-                    double share) {
-  double worst = 0;
-  for (const ServedTail& tail : tails) {
-    worst = std::max(
-        worst,
-        tail.m_ratio * std::exp(model.Slope(tail.m_image, filling) * share));
-  }
-  return worst;
-}
-
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/pacing_test.cpp
+++ b/src/libhyssopspar/jobs/pacing_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "hyssopspar/jobs/tail_forecast.h"
+
 namespace hyssopspar::jobs {
 namespace {
 
@@ -60,8 +62,19 @@
 
 TEST(PacingTest, ExpectsWhatTheModelSays) {
   const std::vector<ServedTail> tails = {{"serving", 0.5}};
-  EXPECT_NEAR(ExpectedTail(LearntModel(), tails, "heavy", 0.2), 1.35, 0.2);
-  EXPECT_NEAR(ExpectedTail(LearntModel(), tails, "light", 0.2), 0.5, 0.05);
+  const InterferenceModel model = LearntModel();
+  EXPECT_NEAR(TailForecast(model, "heavy").Worst(tails, 0.2), 1.35, 0.2);
+  EXPECT_NEAR(TailForecast(model, "light").Worst(tails, 0.2), 0.5, 0.05);
+}
+
+TEST(PacingTest, ForecastsOfUnknownImagesAreTheModels) {
+  const InterferenceModel model = LearntModel();
+  for (const char* const serving : {"serving", "unseen"}) {
+    for (const char* const filling : {"heavy", "light", "unseen"}) {
+      EXPECT_EQ(TailForecast(model, filling).Slope(serving),
+                model.Slope(serving, filling));
+    }
+  }
 }
 
 }  // namespace
--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -81,11 +81,12 @@
 /// that fill go where most is idle.
 double Score(const Worker& worker,
              std::size_t index,
+             double expected_tail,
              const PlacementQuery& query) {
   const StepPlan& step = *query.m_step;
   double score = 0;
   if (step.m_fills_idle) {
-    score = IdleCpu(worker) - kTailWeight * (*query.m_expected_tail)[index];
+    score = IdleCpu(worker) - kTailWeight * expected_tail;
     score -= worker.m_serving_images.empty() ? kQuietWorth : 0;
   } else {
     score = static_cast<double>(worker.m_used.m_cpu_milli -
@@ -103,15 +104,10 @@
   return score + (near ? kRackBonus : 0) - (failed_here ? kFailurePenalty : 0);
 }
 
-/// False for a worker on which a filling task would find nothing idle, or
-/// would raise a served tail too far.
-bool MayFill(const Worker& worker,
-             std::size_t index,
-             const PlacementQuery& query) {
+/// True when a filling task would find enough idle on the worker.
+bool HasIdleCpu(const Worker& worker, const StepPlan& step) {
   return IdleCpu(worker) >=
-             kLeastIdle *
-                 static_cast<double>(query.m_step->m_size.m_cpu_milli) &&
-         (*query.m_expected_tail)[index] <= kExpectedTailLimit;
+         kLeastIdle * static_cast<double>(step.m_size.m_cpu_milli);
 }
 
 }  // namespace
@@ -120,14 +116,17 @@
                  const PlacementQuery& query) {
   int best = kNoWorker;
   double best_score = 0;
+  const bool fills = query.m_step->m_fills_idle;
   for (std::size_t i = 0; i < workers.size(); ++i) {
-    if (!IsEligible(workers[i], (*query.m_step_tasks)[i], query)) {
+    if (!IsEligible(workers[i], (*query.m_step_tasks)[i], query) ||
+        (fills && !HasIdleCpu(workers[i], *query.m_step))) {
       continue;
     }
-    if (query.m_step->m_fills_idle && !MayFill(workers[i], i, query)) {
+    const double tail = fills ? query.m_expect_tail(i) : 0;
+    if (tail > kExpectedTailLimit) {
       continue;
     }
-    const double score = Score(workers[i], i, query);
+    const double score = Score(workers[i], i, tail, query);
     if (best == kNoWorker || score > best_score) {
       best = static_cast<int>(i);
       best_score = score;
--- a/src/libhyssopspar/jobs/placement_test.cpp
+++ b/src/libhyssopspar/jobs/placement_test.cpp
@@ -17,7 +17,9 @@
     m_query.m_domains_out = &m_domains_out;
     m_query.m_failed_on = &m_failed_on;
     m_query.m_step_tasks = &m_step_tasks;
-    m_query.m_expected_tail = &m_expected_tail;
+    m_query.m_expect_tail = [this](std::size_t i) {
+      return m_expected_tail[i];
+    };
     m_query.m_now = kNow;
     m_step.m_size = {4000, 1000, 0};
   }
@@ -87,6 +89,20 @@
   EXPECT_EQ(Choose(), kNoWorker);
 }
 
+TEST_F(JobPlacementTest, AsksForTailsOnlyWhereThereIsRoom) {
+  m_step.m_fills_idle = true;
+  AddWorker().m_fill_cpu_milli = 16000;
+  AddWorker().m_used.m_memory_mib = 32000;
+  AddWorker();
+  std::vector<std::size_t> asked;
+  m_query.m_expect_tail = [&asked](std::size_t i) {
+    asked.push_back(i);
+    return 0.0;
+  };
+  EXPECT_EQ(Choose(), 2);
+  EXPECT_EQ(asked, std::vector<std::size_t>{2});
+}
+
 TEST_F(JobPlacementTest, ServingTasksKeepToTheirImage) {
   m_step.m_tail_target = milliseconds(10);
   m_step.m_image = "a";
