Place filling tasks where they raise served tails least

The score of a worker weighed idle processors by the thousand and a rise of the tail by a few hundred, so pairs were hardly told apart until the limit was reached. Ruled out: processors (filling used 10,000 of about 14,000 idle cores). Change: a rise of a tail's logarithm costs what it takes of a worker's budget.

--- a/src/include/hyssopspar/jobs/placement.h
+++ b/src/include/hyssopspar/jobs/placement.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "hyssopspar/jobs/job_plan.h"
+#include "hyssopspar/jobs/tail_forecast.h"
 #include "hyssopspar/jobs/worker.h"
 #include "hyssopspar/time.h"
 
@@ -25,9 +26,9 @@
   const std::vector<int>* m_failed_on = nullptr;
   /// Tasks of the step on each worker.
   const std::vector<std::uint32_t>* m_step_tasks = nullptr;
-  /// Tail ratio expected on the worker of an index with the task. Asked for
+  /// Effect of the task on the tails of the worker of an index. Asked for
   /// tasks that fill, on workers that could take them otherwise.
-  std::function<double(std::size_t)> m_expect_tail;
+  std::function<TailEffect(std::size_t)> m_tail_effect;
   std::string m_rack;  ///< Preferred, of a gang that is best on one rack.
   TimePoint m_now;
 };
--- a/src/include/hyssopspar/jobs/tail_forecast.h
+++ b/src/include/hyssopspar/jobs/tail_forecast.h
@@ -12,15 +12,20 @@
 
 namespace hyssopspar::jobs {
 
+/// What one more filling task would do to the served tails of a worker.
+struct TailEffect {
+  double m_ratio = 0;  ///< Highest tail over target that is expected.
+  double m_rise = 0;   ///< Highest rise of a tail's logarithm.
+};
+
 /// What the model says of one filling image, looked up once for many workers.
 /// Valid as long as the model is unchanged.
 class TailForecast {
  public:
   TailForecast(const InterferenceModel& model, const std::string& filling);
 
-  /// Highest tail ratio that is expected once a task with \p share of the
-  /// worker works beside \p tails.
-  double Worst(const std::vector<ServedTail>& tails, double share) const;
+  /// Effect on \p tails of a task with \p share of the worker.
+  TailEffect EffectOn(const std::vector<ServedTail>& tails, double share) const;
 
   /// Rise of the logarithm of \p serving's tail for a whole worker.
   double Slope(const std::string& serving) const;
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -1,6 +1,7 @@
 // Placement of ready tasks.
 
 #include <algorithm>
+#include <optional>
 
 #include "hyssopspar/jobs/cell.h"
 #include "hyssopspar/jobs/placement.h"
@@ -18,9 +19,6 @@
 /// Between passes, so that one pass serves many events.
 constexpr milliseconds kPassPause{20};
 
-/// Tail ratio of a worker that was not asked for yet.
-constexpr double kNotAsked = -1;
-
 /// Adds to the worker's expected tails what a filling task of the step presses.
 void AddPressure(const TailForecast& forecast,
                  const StepPlan& step,
@@ -163,13 +161,13 @@
   query.m_step_tasks = &step_tasks;
   query.m_now = now;
   const TailForecast forecast(m_interference, plan.m_image);
-  std::vector<double> expected_tail(m_workers.size(), kNotAsked);
-  query.m_expect_tail = [&](std::size_t i) {
-    if (expected_tail[i] == kNotAsked) {
-      expected_tail[i] = forecast.Worst(m_workers[i].m_expected_tails,
-                                        ShareOf(plan, m_workers[i]));
+  std::vector<std::optional<TailEffect>> effects(m_workers.size());
+  query.m_tail_effect = [&](std::size_t i) {
+    if (!effects[i]) {
+      effects[i] = forecast.EffectOn(m_workers[i].m_expected_tails,
+                                     ShareOf(plan, m_workers[i]));
     }
-    return expected_tail[i];
+    return *effects[i];
   };
   std::vector<std::size_t> placed;
   for (const std::size_t i : pending) {
@@ -184,7 +182,7 @@
     Occupy({job, i}, worker);
     if (plan.m_fills_idle) {
       AddPressure(forecast, plan, &m_workers[chosen]);
-      expected_tail[chosen] = kNotAsked;
+      effects[chosen].reset();
     }
     ++step_tasks[chosen];
     if (plan.m_same_rack && query.m_rack.empty()) {
--- a/src/libhyssopspar/jobs/pacing_test.cpp
+++ b/src/libhyssopspar/jobs/pacing_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 #include "hyssopspar/jobs/tail_forecast.h"
 
 namespace hyssopspar::jobs {
@@ -63,8 +65,12 @@
 TEST(PacingTest, ExpectsWhatTheModelSays) {
   const std::vector<ServedTail> tails = {{"serving", 0.5}};
   const InterferenceModel model = LearntModel();
-  EXPECT_NEAR(TailForecast(model, "heavy").Worst(tails, 0.2), 1.35, 0.2);
-  EXPECT_NEAR(TailForecast(model, "light").Worst(tails, 0.2), 0.5, 0.05);
+  const TailEffect heavy = TailForecast(model, "heavy").EffectOn(tails, 0.2);
+  EXPECT_NEAR(heavy.m_ratio, 1.35, 0.2);
+  EXPECT_NEAR(heavy.m_rise, std::log(1.35 / 0.5), 0.2);
+  const TailEffect light = TailForecast(model, "light").EffectOn(tails, 0.2);
+  EXPECT_NEAR(light.m_ratio, 0.5, 0.05);
+  EXPECT_NEAR(light.m_rise, 0, 0.1);
 }
 
 TEST(PacingTest, ForecastsOfUnknownImagesAreTheModels) {
--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -27,6 +27,10 @@
 constexpr double kQuietWorth = 2e5;
 /// Worth of a tail ratio of one, in thousandths of a processor.
 constexpr double kTailWeight = 8000;
+/// Worth of a rise by one of a tail's logarithm, in thousandths of a
+/// processor: what a worker has left for filling tasks, over the logarithm of
+/// kExpectedTailLimit against a usual tail.
+constexpr double kRiseWeight = 90000;
 
 bool HasLabel(const WorkerEntry& entry, const std::string& label) {
   return label.empty() ||
@@ -81,12 +85,13 @@
 /// that fill go where most is idle.
 double Score(const Worker& worker,
              std::size_t index,
-             double expected_tail,
+             const TailEffect& effect,
              const PlacementQuery& query) {
   const StepPlan& step = *query.m_step;
   double score = 0;
   if (step.m_fills_idle) {
-    score = IdleCpu(worker) - kTailWeight * expected_tail;
+    score = IdleCpu(worker) - kTailWeight * effect.m_ratio -
+            kRiseWeight * effect.m_rise;
     score -= worker.m_serving_images.empty() ? kQuietWorth : 0;
   } else {
     score = static_cast<double>(worker.m_used.m_cpu_milli -
@@ -122,11 +127,11 @@
         (fills && !HasIdleCpu(workers[i], *query.m_step))) {
       continue;
     }
-    const double tail = fills ? query.m_expect_tail(i) : 0;
-    if (tail > kExpectedTailLimit) {
+    const TailEffect effect = fills ? query.m_tail_effect(i) : TailEffect();
+    if (effect.m_ratio > kExpectedTailLimit) {
       continue;
     }
-    const double score = Score(workers[i], i, tail, query);
+    const double score = Score(workers[i], i, effect, query);
     if (best == kNoWorker || score > best_score) {
       best = static_cast<int>(i);
       best_score = score;
--- a/src/libhyssopspar/jobs/placement_test.cpp
+++ b/src/libhyssopspar/jobs/placement_test.cpp
@@ -17,8 +17,8 @@
     m_query.m_domains_out = &m_domains_out;
     m_query.m_failed_on = &m_failed_on;
     m_query.m_step_tasks = &m_step_tasks;
-    m_query.m_expect_tail = [this](std::size_t i) {
-      return m_expected_tail[i];
+    m_query.m_tail_effect = [this](std::size_t i) {
+      return TailEffect{m_expected_tail[i], m_expected_rise[i]};
     };
     m_query.m_now = kNow;
     m_step.m_size = {4000, 1000, 0};
@@ -36,6 +36,7 @@
     m_workers.push_back(worker);
     m_step_tasks.push_back(0);
     m_expected_tail.push_back(0);
+    m_expected_rise.push_back(0);
     return m_workers.back();
   }
 
@@ -48,6 +49,7 @@
   std::vector<int> m_failed_on;
   std::vector<std::uint32_t> m_step_tasks;
   std::vector<double> m_expected_tail;
+  std::vector<double> m_expected_rise;
   PlacementQuery m_query;
 };
 
@@ -89,15 +91,27 @@
   EXPECT_EQ(Choose(), kNoWorker);
 }
 
+TEST_F(JobPlacementTest, FillingTasksGoWhereTheyDisturbLeast) {
+  m_step.m_fills_idle = true;
+  AddWorker().m_serving_images["a"] = 1;
+  AddWorker().m_serving_images["b"] = 1;
+  m_workers[1].m_fill_cpu_milli = 6000;
+  m_expected_tail = {0.6, 0.6};
+  m_expected_rise = {0.1, 0.01};
+  EXPECT_EQ(Choose(), 1);
+  m_expected_rise = {0.01, 0.01};
+  EXPECT_EQ(Choose(), 0);
+}
+
 TEST_F(JobPlacementTest, AsksForTailsOnlyWhereThereIsRoom) {
   m_step.m_fills_idle = true;
   AddWorker().m_fill_cpu_milli = 16000;
   AddWorker().m_used.m_memory_mib = 32000;
   AddWorker();
   std::vector<std::size_t> asked;
-  m_query.m_expect_tail = [&asked](std::size_t i) {
+  m_query.m_tail_effect = [&asked](std::size_t i) {
     asked.push_back(i);
-    return 0.0;
+    return TailEffect();
   };
   EXPECT_EQ(Choose(), 2);
   EXPECT_EQ(asked, std::vector<std::size_t>{2});
--- a/src/libhyssopspar/jobs/tail_forecast.cpp
+++ b/src/libhyssopspar/jobs/tail_forecast.cpp
@@ -13,14 +13,15 @@
   }
 }
 
-double TailForecast::Worst(const std::vector<ServedTail>& tails,
-                           double share) const {
-  double worst = 0;
+TailEffect TailForecast::EffectOn(const std::vector<ServedTail>& tails,
+                                  double share) const {
+  TailEffect effect;
   for (const ServedTail& tail : tails) {
-    worst =
-        std::max(worst, tail.m_ratio * std::exp(Slope(tail.m_image) * share));
+    const double rise = Slope(tail.m_image) * share;
+    effect.m_ratio = std::max(effect.m_ratio, tail.m_ratio * std::exp(rise));
+    effect.m_rise = std::max(effect.m_rise, rise);
   }
-  return worst;
+  return effect;
 }
 
 double TailForecast::Slope(const std::string& serving) const {
