Forecast the tails beside newly placed tasks as the model says

Cause: pressure of tasks that reports do not show yet was added to the tail's ratio, while the model's slopes are those of its logarithm. Change: the forecast applies itself to the tails; a test holds the two alike.

--- a/src/include/hyssopspar/jobs/tail_forecast.h
+++ b/src/include/hyssopspar/jobs/tail_forecast.h
@@ -27,6 +27,9 @@
   /// Effect on \p tails of a task with \p share of the worker.
   TailEffect EffectOn(const std::vector<ServedTail>& tails, double share) const;
 
+  /// Raises \p tails to what is expected beside a task with \p share.
+  void Apply(double share, std::vector<ServedTail>* tails) const;
+
   /// Rise of the logarithm of \p serving's tail for a whole worker.
   double Slope(const std::string& serving) const;
 
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -19,15 +19,6 @@
 /// Between passes, so that one pass serves many events.
 constexpr milliseconds kPassPause{20};
 
-/// Adds to the worker's expected tails what a filling task of the step presses.
-void AddPressure(const TailForecast& forecast,
-                 const StepPlan& step,
-                 Worker* worker) {
-  for (ServedTail& tail : worker->m_expected_tails) {
-    tail.m_ratio += forecast.Slope(tail.m_image) * ShareOf(step, *worker);
-  }
-}
-
 }  // namespace
 
 void Cell::Schedule(TimePoint now) {
@@ -118,7 +109,8 @@
                          now - task.m_confirmed > kUnshownTime;
       const StepPlan& step = StepOf(*ref.m_job, ref.m_index);
       if (!shown && step.m_fills_idle) {
-        AddPressure(TailForecast(m_interference, step.m_image), step, &worker);
+        TailForecast(m_interference, step.m_image)
+            .Apply(ShareOf(step, worker), &worker.m_expected_tails);
       }
     }
   }
@@ -181,7 +173,8 @@
     const std::size_t chosen = static_cast<std::size_t>(worker);
     Occupy({job, i}, worker);
     if (plan.m_fills_idle) {
-      AddPressure(forecast, plan, &m_workers[chosen]);
+      forecast.Apply(ShareOf(plan, m_workers[chosen]),
+                     &m_workers[chosen].m_expected_tails);
       effects[chosen].reset();
     }
     ++step_tasks[chosen];
--- a/src/libhyssopspar/jobs/pacing_test.cpp
+++ b/src/libhyssopspar/jobs/pacing_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cmath>
 
 #include "hyssopspar/jobs/tail_forecast.h"
@@ -73,6 +74,14 @@
   EXPECT_NEAR(light.m_rise, 0, 0.1);
 }
 
+TEST(PacingTest, PlacedTasksRaiseTailsAsForecast) {
+  std::vector<ServedTail> tails = {{"serving", 0.3}, {"unseen", 0.5}};
+  const TailForecast forecast(LearntModel(), "heavy");
+  const double first = forecast.EffectOn(tails, 0.1).m_ratio;
+  forecast.Apply(0.1, &tails);
+  EXPECT_DOUBLE_EQ(std::max(tails[0].m_ratio, tails[1].m_ratio), first);
+}
+
 TEST(PacingTest, ForecastsOfUnknownImagesAreTheModels) {
   const InterferenceModel model = LearntModel();
   for (const char* const serving : {"serving", "unseen"}) {
--- a/src/libhyssopspar/jobs/tail_forecast.cpp
+++ b/src/libhyssopspar/jobs/tail_forecast.cpp
@@ -24,6 +24,12 @@
   return effect;
 }
 
+void TailForecast::Apply(double share, std::vector<ServedTail>* tails) const {
+  for (ServedTail& tail : *tails) {
+    tail.m_ratio *= std::exp(Slope(tail.m_image) * share);
+  }
+}
+
 double TailForecast::Slope(const std::string& serving) const {
   for (const auto& slope : m_slopes) {
     if (slope.first == serving) {
