Let serving tasks share workers with those that feel the same

Ruled out: learning (slopes settle within 20 s), processors. Change: a worker is scored by what the new image feels and those there don't; the flat penalty for any other image goes.

--- a/src/include/hyssopspar/jobs/interference.h
+++ b/src/include/hyssopspar/jobs/interference.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <utility>
@@ -55,6 +56,12 @@
                double tail_ratio,
                const std::vector<Pressure>& beside);
 
+  /// Share of the disturbance that \p serving feels and the images of \p others
+  /// don't, from 0 to 1: what its arrival would close to filling images. 1 when
+  /// one of the images is unknown.
+  double Unlikeness(const std::string& serving,
+                    const std::map<std::string, std::uint32_t>& others) const;
+
   /// Rise of the logarithm for a whole worker that \p filling takes.
   double Slope(const std::string& serving, const std::string& filling) const;
 
--- a/src/include/hyssopspar/jobs/placement.h
+++ b/src/include/hyssopspar/jobs/placement.h
@@ -29,6 +29,9 @@
   /// Effect of the task on the tails of the worker of an index. Asked for
   /// tasks that fill, on workers that could take them otherwise.
   std::function<TailEffect(std::size_t)> m_tail_effect;
+  /// Unlikeness of a serving task's image to those of the worker of an index.
+  /// Asked for tasks that serve, on workers with others that do.
+  std::function<double(std::size_t)> m_unlikeness;
   std::string m_rack;  ///< Preferred, of a gang that is best on one rack.
   TimePoint m_now;
 };
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -161,6 +161,10 @@
     }
     return *effects[i];
   };
+  query.m_unlikeness = [&](std::size_t i) {
+    return m_interference.Unlikeness(plan.m_image,
+                                     m_workers[i].m_serving_images);
+  };
   std::vector<std::size_t> placed;
   for (const std::size_t i : pending) {
     query.m_failed_on = &job->m_tasks[i].m_failed_on;
--- a/src/libhyssopspar/jobs/interference.cpp
+++ b/src/libhyssopspar/jobs/interference.cpp
@@ -60,6 +60,31 @@
   }
 }
 
+double InterferenceModel::Unlikeness(
+    const std::string& serving,
+    const std::map<std::string, std::uint32_t>& others) const {
+  const auto image = m_images.find(serving);
+  if (image == m_images.end()) {
+    return 1;
+  }
+  for (const auto& other : others) {
+    if (m_images.count(other.first) == 0) {
+      return 1;
+    }
+  }
+  double felt = 0;
+  double new_felt = 0;
+  for (const auto& entry : image->second.m_slopes) {
+    double by_others = 0;
+    for (const auto& other : others) {
+      by_others = std::max(by_others, Slope(other.first, entry.first));
+    }
+    felt += entry.second.m_value;
+    new_felt += std::max(0.0, entry.second.m_value - by_others);
+  }
+  return felt > 0 ? new_felt / felt : 0;
+}
+
 double InterferenceModel::Slope(const std::string& serving,
                                 const std::string& filling) const {
   const auto image = m_images.find(serving);
--- a/src/libhyssopspar/jobs/pacing_test.cpp
+++ b/src/libhyssopspar/jobs/pacing_test.cpp
@@ -74,6 +74,18 @@
   EXPECT_NEAR(light.m_rise, 0, 0.1);
 }
 
+TEST(PacingTest, ImagesAreLikeWhenTheyFeelTheSame) {
+  const InterferenceModel model({{"a", {0, {{"x", {4, 9}}, {"y", {0, 9}}}}},
+                                 {"b", {0, {{"x", {3, 9}}, {"y", {0, 9}}}}},
+                                 {"c", {0, {{"x", {0, 9}}, {"y", {4, 9}}}}}});
+  EXPECT_DOUBLE_EQ(model.Unlikeness("a", {{"b", 1}}), 0.25);
+  EXPECT_DOUBLE_EQ(model.Unlikeness("b", {{"a", 1}}), 0);
+  EXPECT_DOUBLE_EQ(model.Unlikeness("a", {{"c", 2}}), 1);
+  EXPECT_DOUBLE_EQ(model.Unlikeness("a", {{"b", 1}, {"c", 1}}), 0.25);
+  EXPECT_DOUBLE_EQ(model.Unlikeness("a", {{"unseen", 1}}), 1);
+  EXPECT_DOUBLE_EQ(model.Unlikeness("unseen", {{"a", 1}}), 1);
+}
+
 TEST(PacingTest, PlacedTasksRaiseTailsAsForecast) {
   std::vector<ServedTail> tails = {{"serving", 0.3}, {"unseen", 0.5}};
   const TailForecast forecast(LearntModel(), "heavy");
--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -19,9 +19,9 @@
 /// Expected tail over target beyond which no filling task is added.
 constexpr double kExpectedTailLimit = 0.7;
 /// Worth of a worker whose serving tasks are all of the same image, and cost of
-/// one with others; more than any difference in free processors.
+/// one whose serving tasks feel nothing that those of the image feel; more than
+/// any difference in free processors.
 constexpr double kLikeBonus = 2e5;
-constexpr double kMixedPenalty = 2e5;
 /// Worth of keeping a worker without serving tasks for images that disturb
 /// them; more than any difference in idle processors.
 constexpr double kQuietWorth = 2e5;
@@ -71,13 +71,18 @@
 
 namespace {
 
-/// Tasks that serve keep to workers with others of their image, so that fewer
-/// images of filling tasks disturb somebody there.
-double ServingScore(const Worker& worker, const std::string& image) {
-  const std::size_t others =
-      worker.m_serving_images.size() - worker.m_serving_images.count(image);
-  return others > 0 ? -kMixedPenalty
-                    : (worker.m_serving_images.empty() ? 0 : kLikeBonus);
+/// Tasks that serve keep to workers whose serving images feel the same, so that
+/// fewer images of filling tasks disturb somebody there.
+double ServingScore(const Worker& worker,
+                    std::size_t index,
+                    const PlacementQuery& query) {
+  const std::map<std::string, std::uint32_t>& images = worker.m_serving_images;
+  if (images.empty()) {
+    return 0;
+  }
+  const bool only_like =
+      images.size() == 1 && images.count(query.m_step->m_image) == 1;
+  return kLikeBonus * (only_like ? 1 : 1 - 2 * query.m_unlikeness(index));
 }
 
 /// Higher is better. Tasks that reserve processors are packed, so that whole
@@ -97,7 +102,7 @@
     score = static_cast<double>(worker.m_used.m_cpu_milli -
                                 worker.m_entry.m_capacity.m_cpu_milli);
     score += step.m_tail_target > milliseconds(0)
-                 ? ServingScore(worker, step.m_image)
+                 ? ServingScore(worker, index, query)
                  : 0;
   }
   const std::string& rack = worker.m_entry.m_rack;
--- a/src/libhyssopspar/jobs/placement_test.cpp
+++ b/src/libhyssopspar/jobs/placement_test.cpp
@@ -20,6 +20,7 @@
     m_query.m_tail_effect = [this](std::size_t i) {
       return TailEffect{m_expected_tail[i], m_expected_rise[i]};
     };
+    m_query.m_unlikeness = [this](std::size_t i) { return m_unlikeness[i]; };
     m_query.m_now = kNow;
     m_step.m_size = {4000, 1000, 0};
   }
@@ -37,6 +38,7 @@
     m_step_tasks.push_back(0);
     m_expected_tail.push_back(0);
     m_expected_rise.push_back(0);
+    m_unlikeness.push_back(1);
     return m_workers.back();
   }
 
@@ -50,6 +52,7 @@
   std::vector<std::uint32_t> m_step_tasks;
   std::vector<double> m_expected_tail;
   std::vector<double> m_expected_rise;
+  std::vector<double> m_unlikeness;
   PlacementQuery m_query;
 };
 
@@ -128,6 +131,18 @@
   EXPECT_EQ(Choose(), 0);
 }
 
+TEST_F(JobPlacementTest, ServingTasksMixWithThoseThatFeelTheSame) {
+  m_step.m_tail_target = milliseconds(10);
+  m_step.m_image = "a";
+  AddWorker().m_serving_images["b"] = 1;
+  AddWorker().m_serving_images["c"] = 1;
+  AddWorker();
+  m_unlikeness = {0.9, 0.1, 1};
+  EXPECT_EQ(Choose(), 1);
+  m_unlikeness = {0.9, 0.8, 1};
+  EXPECT_EQ(Choose(), 2);
+}
+
 TEST_F(JobPlacementTest, RespectsDomainsLabelsServicesAndSpread) {
   AddWorker();
   m_domains_out.insert("east");
