Leave a slow store to the owner, which stores for all in few calls

Ruled out: the owner (no failed batch in these seconds), the rate limits. Change: a node whose append took more than 150 ms, or timed out, goes by way of the owner until that answers fast; the owner stores what it is sent in one append at a time. The choice of the way is a struct with free functions. The first 2 s, until the queue of direct appends has drained, are still refused.

--- a/src/node/job_appender.cpp
+++ b/src/node/job_appender.cpp
@@ -13,15 +13,11 @@
 /// Limit of one append, and pause before the next after one that failed.
 constexpr milliseconds kAppendLimit{800};
 constexpr milliseconds kRetryPause{80};
-/// How long records go by way of other nodes before the store is tried again.
-constexpr milliseconds kStoreRetry{1000};
 /// With nothing stored for so long, requests that have not been sent are
 /// refused: they would only wait.
 constexpr milliseconds kRefuseAfter{500};
 /// A request whose outcome is unknown is tried again for this long.
 constexpr milliseconds kUnknownLimit{1200};
-/// Longest time in which an append for another node is tried.
-constexpr milliseconds kPeerLimit{700};
 /// Requests in one append, so that it stays below the store's limit.
 constexpr std::size_t kBatch = 64;
 /// A request with less time left is not sent again.
@@ -38,46 +34,43 @@
       m_loop(loop),
       m_partition(std::move(partition)),
       m_peers(peers),
-      m_owner_address(std::move(owner_address)) {}
+      m_owner_address(std::move(owner_address)),
+      m_for_peers(log, loop, m_partition) {}
 
 void JobAppender::StoreForPeer(const std::vector<KeyedRecord>& records,
                                std::function<void(Result<Offset>)> done) {
-  if (m_store_lost) {
+  if (m_path.m_lost) {
     done(Fail(ErrorCode::kUnavailable, "the store can't be reached"));
     return;
   }
-  m_log->Append(m_partition, records, AppendGuard(), Clock::now() + kPeerLimit,
-                [loop = m_loop, done = std::move(done)](Result<Offset> end) {
-                  loop->Post([done, end = std::move(end)] { done(end); });
-                });
+  m_for_peers.Append(records, std::move(done));
 }
 
 void JobAppender::Send(const std::vector<KeyedRecord>& records,
                        TimePoint deadline,
                        std::function<void(Result<Offset>)> done) {
-  const TimePoint now = Clock::now();
+  const TimePoint sent = Clock::now();
   const std::string owner = m_owner_address();
-  if (m_store_lost && now < m_try_store_at &&
-      (!owner.empty() || m_peers->HasPeers())) {
-    // In turn, since the owner may be as cut off as this node.
-    const bool ask_owner = m_round % 2 == 0 || !m_peers->HasPeers();
-    m_peers->Append(ask_owner ? owner : "", records, deadline,
-                    [this, done = std::move(done)](const Result<Offset>& end) {
-                      m_peers_lost = !end;
-                      done(end);
-                    });
+  const StoreRoute route =
+      ChooseRoute(m_path, !owner.empty(), m_peers->HasPeers(), sent);
+  const auto finish = [this, route, sent,
+                       done = std::move(done)](const Result<Offset>& end) {
+    const StorePath before = m_path;
+    NoteAnswer(&m_path, route, end.has_value(), sent, Clock::now());
+    if (before.m_lost != m_path.m_lost || before.m_slow != m_path.m_slow) {
+      Log(kLogPart)->info("store-path ok={} slow={}", !m_path.m_lost,
+                          m_path.m_slow);
+    }
+    done(end);
+  };
+  if (route != StoreRoute::kDirect) {
+    m_peers->Append(route == StoreRoute::kOwner ? owner : "", records, deadline,
+                    finish);
     return;
   }
   m_log->Append(m_partition, records, AppendGuard(), deadline,
-                [this, done = std::move(done)](Result<Offset> end) {
-                  m_loop->Post([this, done, end = std::move(end)] {
-                    if (m_store_lost == end.has_value()) {
-                      Log(kLogPart)->info("store-path ok={}", end.has_value());
-                    }
-                    m_store_lost = !end;
-                    m_try_store_at = Clock::now() + kStoreRetry;
-                    done(end);
-                  });
+                [this, finish](Result<Offset> end) {
+                  m_loop->Post([finish, end = std::move(end)] { finish(end); });
                 });
 }
 
@@ -87,7 +80,7 @@
   Entry entry{std::move(record), deadline, Clock::now() + kUnknownLimit, false,
               std::move(done)};
   // One request at a time finds out whether the store is back.
-  if (m_in_flight && m_store_lost && m_peers_lost) {
+  if (m_in_flight && m_path.m_lost && m_path.m_peers_lost) {
     GiveUp(entry, {ErrorCode::kUnavailable, "the store is away"});
     return;
   }
--- a/src/node/job_appender.h
+++ b/src/node/job_appender.h
@@ -10,7 +10,9 @@
 
 #include "hyssopspar/decision_loop.h"
 #include "hyssopspar/store/keyed_log.h"
+#include "node/group_commit.h"
 #include "node/peer_store.h"
+#include "node/store_path.h"
 
 namespace hyssopspar::node {
 
@@ -24,15 +26,15 @@
 /// All calls and callbacks on the loop's thread.
 class JobAppender {
  public:
-  /// While the store can't be reached from here, records go by way of
-  /// \p peers, first the node that \p owner_address yields.
+  /// While the store can't be reached from here or is slow, records go by way
+  /// of \p peers or of the node that \p owner_address yields.
   JobAppender(KeyedLog* log,
               DecisionLoop* loop,
               Partition partition,
               PeerStore* peers,
               std::function<std::string()> owner_address);
 
-  /// Stores records for another node, in one append.
+  /// Stores records for another node.
   void StoreForPeer(const std::vector<KeyedRecord>& records,
                     std::function<void(Result<Offset>)> done);
 
@@ -68,9 +70,8 @@
   std::function<std::string()> m_owner_address;
   bool m_in_flight = false;
   std::uint64_t m_round = 0;  ///< Number of the append in flight.
-  bool m_store_lost = false;  ///< The last append from here had no answer.
-  bool m_peers_lost = false;  ///< Nor did the last one by way of a peer.
-  TimePoint m_try_store_at;   ///< When the store is tried again.
+  StorePath m_path;
+  GroupCommit m_for_peers;
 };
 
 }  // namespace hyssopspar::node
--- a/src/node/job_appender_test.cpp
+++ b/src/node/job_appender_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <condition_variable>
+#include <future>
 #include <map>
 #include <mutex>
 
@@ -109,6 +110,25 @@
     });
   }
 
+  void StoreForPeer(const std::string& key) {
+    m_loop.Post([this, key] {
+      m_appender.StoreForPeer(
+          {{key, "value"}}, [this, key](const Result<Offset>& end) {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            m_outcomes[key] =
+                end ? StoreOutcome::kStored : StoreOutcome::kUnknown;
+            m_changed.notify_all();
+          });
+    });
+  }
+
+  /// Returns once everything that was posted so far has run.
+  void WaitForLoop() {
+    std::promise<void> ran;
+    m_loop.Post([&ran] { ran.set_value(); });
+    ran.get_future().wait();
+  }
+
   StoreOutcome WaitFor(const std::string& key) {
     std::unique_lock<std::mutex> lock(m_mutex);
     m_changed.wait(lock, [&] { return m_outcomes.count(key) > 0; });
@@ -139,23 +159,25 @@
   Store("c", kPatience);
   // The loop runs in order: once this has run, both are waiting.
   Store("d", kPatience);
-  std::mutex mutex;
-  std::condition_variable ran;
-  bool done = false;
-  m_loop.Post([&] {
-    std::lock_guard<std::mutex> lock(mutex);
-    done = true;
-    ran.notify_all();
-  });
-  {
-    std::unique_lock<std::mutex> lock(mutex);
-    ran.wait(lock, [&] { return done; });
-  }
+  WaitForLoop();
   m_log.AnswerHeld(Offset{1});
   EXPECT_EQ(WaitFor("d"), StoreOutcome::kStored);
   EXPECT_THAT(m_log.Batches(), testing::ElementsAre(1, 3));
 }
 
+TEST_F(JobAppenderTest, RecordsOfPeersShareAnAppend) {
+  m_log.Hold();
+  StoreForPeer("a");
+  m_log.WaitForHeld();
+  StoreForPeer("b");
+  StoreForPeer("c");
+  WaitForLoop();
+  m_log.AnswerHeld(Offset{1});
+  EXPECT_EQ(WaitFor("c"), StoreOutcome::kStored);
+  EXPECT_EQ(WaitFor("b"), StoreOutcome::kStored);
+  EXPECT_THAT(m_log.Batches(), testing::ElementsAre(1, 2));
+}
+
 TEST_F(JobAppenderTest, SaysNotStoredOnlyWhenNothingWasSent) {
   m_log.SetAnswer(Fail(ErrorCode::kUnavailable, "away"));
   Store("refused", milliseconds(350));
