Ask the adviser for tickets where a queue's starts need them

Cause: jobs of queues with advice were started without a ticket, so every start was refused and the job never ran. The adviser's address is a setting; its format is in platform/. Ruled out: asking before a step's turn (a second call for steps that may never come).

--- a/src/include/hyssopspar/jobs/action.h
+++ b/src/include/hyssopspar/jobs/action.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "hyssopspar/jobs/advice_port.h"
 #include "hyssopspar/jobs/worker.h"
 #include "hyssopspar/jobs/worker_port.h"
 #include "hyssopspar/store/keyed_log.h"
@@ -39,6 +40,13 @@
   HoldOrder m_order;
 };
 
+/// Question to the adviser.
+struct AdviseAction {
+  StepName m_step;
+  std::vector<AdviceCandidate> m_candidates;
+  TimePoint m_sent;
+};
+
 /// Append to the progress stream; batches are numbered without gaps.
 struct StoreAction {
   std::uint64_t m_batch = 0;
@@ -60,6 +68,7 @@
                             StopAction,
                             PaceAction,
                             HoldAction,
+                            AdviseAction,
                             StoreAction,
                             RetireAction,
                             ForgetAction>;
--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -17,6 +17,7 @@
 #include "hyssopspar/jobs/cell_settings.h"
 #include "hyssopspar/jobs/interference.h"
 #include "hyssopspar/jobs/job.h"
+#include "hyssopspar/jobs/placement.h"
 #include "hyssopspar/jobs/refusals.h"
 #include "hyssopspar/jobs/urgency.h"
 #include "hyssopspar/jobs/worker.h"
@@ -80,6 +81,10 @@
                     const Result<HoldReport>& answer,
                     TimePoint now);
 
+  void OnAdvice(const AdviseAction& action,
+                const Result<AdvisedWorkers>& answer,
+                TimePoint now);
+
   /// Does what is due. Call it after every event and at NextDeadline().
   void Tick(TimePoint now);
   TimePoint NextDeadline() const;
@@ -178,6 +183,15 @@
                  TimePoint now);
   void OrderPace(const TaskRef& ref, int percent, TimePoint now);
 
+  // cell_advice.cpp
+  /// Null when the queue's starts need no ticket.
+  StepAdvice* AdviceOf(Job* job, std::uint32_t occurrence, std::uint32_t step);
+  void AskAdviser(const Job& job,
+                  std::uint32_t occurrence,
+                  std::uint32_t step,
+                  const PlacementQuery& query,
+                  StepAdvice* advice);
+
   // cell_store.cpp
   void Flush(TimePoint now);
   void AckStoredEnds(TimePoint now);
@@ -222,6 +236,7 @@
   std::map<std::string, int> m_worker_index;
   std::vector<std::string> m_worker_names;
 
+  std::size_t m_asking = 0;  ///< Questions to the adviser under way.
   std::uint64_t m_job_numbers = 0;
   bool m_schedule_needed = false;
   TimePoint m_last_schedule;
--- a/src/include/hyssopspar/jobs/job.h
+++ b/src/include/hyssopspar/jobs/job.h
@@ -6,10 +6,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
 #include "hyssopspar/error.h"
+#include "hyssopspar/jobs/advice.h"
 #include "hyssopspar/jobs/job_plan.h"
 #include "hyssopspar/jobs/job_progress.h"
 #include "hyssopspar/jobs/task.h"
@@ -32,6 +34,7 @@
   std::size_t m_pending = 0;               ///< Tasks in kPending.
   std::uint32_t m_depth = 1;               ///< Steps of the longest chain.
   TimePoint m_terminal_since;
+  std::map<std::size_t, StepAdvice> m_advice;  ///< By occurrence and step.
 };
 
 /// A job without progress.
--- a/src/include/hyssopspar/jobs/job_plan.h
+++ b/src/include/hyssopspar/jobs/job_plan.h
@@ -57,6 +57,8 @@
   std::uint32_t m_max_attempts = 1;
   double m_stretch = 1;  ///< Objective, in lengths of the job's chain.
   milliseconds m_latency_target{0};
+  /// How long an adviser's tickets hold; 0: starts need none.
+  milliseconds m_ticket_validity{0};
 };
 
 /// An accepted job, as it lies in the store.
@@ -85,7 +87,7 @@
 template <class Archive, class T>
 void VisitFields(Archive& archive, T& queue, const QueuePolicy* /*tag*/) {
   archive(queue.m_name, queue.m_service, queue.m_priority, queue.m_max_attempts,
-          queue.m_stretch, queue.m_latency_target);
+          queue.m_stretch, queue.m_latency_target, queue.m_ticket_validity);
 }
 
 template <class Archive, class T>
--- a/src/include/hyssopspar/jobs/placement.h
+++ b/src/include/hyssopspar/jobs/placement.h
@@ -32,11 +32,12 @@
   /// Unlikeness of a serving task's image to those of the worker of an index.
   /// Asked for tasks that serve, on workers with others that do.
   std::function<double(std::size_t)> m_unlikeness;
+  const StepAdvice* m_advice = nullptr;  ///< Null: no ticket is needed.
   std::string m_rack;  ///< Preferred, of a gang that is best on one rack.
   TimePoint m_now;
 };
 
-/// True when the worker may take the task now.
+/// True when the worker may take the task now, but for a ticket.
 bool IsEligible(const Worker& worker,
                 std::uint32_t step_tasks,
                 const PlacementQuery& query);
--- a/src/include/hyssopspar/jobs/platform_adapter.h
+++ b/src/include/hyssopspar/jobs/platform_adapter.h
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "hyssopspar/error.h"
+#include "hyssopspar/jobs/advice_port.h"
 #include "hyssopspar/jobs/job_plan.h"
 #include "hyssopspar/jobs/job_progress.h"
 #include "hyssopspar/jobs/site_config.h"
@@ -32,6 +33,7 @@
 
   virtual KeyedLog& Log() = 0;
   virtual WorkerPort& Workers() = 0;
+  virtual AdvicePort& Adviser() = 0;
 
   /// Streams that operators and workers write.
   virtual Partition OperatorRecords() const = 0;
--- a/src/include/hyssopspar/jobs/site_config.h
+++ b/src/include/hyssopspar/jobs/site_config.h
@@ -18,7 +18,6 @@
   std::string m_host;
   std::string m_path_prefix;
   QueuePolicy m_policy;
-  bool m_needs_advice = false;  ///< Starts need a ticket.
 };
 
 struct SiteConfig {
--- a/src/include/hyssopspar/jobs/worker_port.h
+++ b/src/include/hyssopspar/jobs/worker_port.h
@@ -49,6 +49,7 @@
   std::uint32_t m_run = 0;
   std::string m_payload;
   std::string m_checkpoint;  ///< "" starts from the beginning.
+  std::string m_ticket;      ///< "" where starts need none.
   WorkerTime m_not_after;    ///< The worker refuses the order later.
   std::uint64_t m_epoch = 0;
 };
@@ -59,6 +60,7 @@
   kOldRun,  ///< The worker has seen this run, or a later one, end.
   kLate,    ///< Arrived after m_not_after.
   kNoRoom,
+  kNoTicket,   ///< The ticket is missing or no longer good.
   kRejected,   ///< Malformed for the worker.
   kUnhealthy,  ///< Nothing was done; try elsewhere.
   kOtherLife,  ///< The address belongs to another worker now.
--- a/src/libhyssopspar/jobs/cell_log.cpp
+++ b/src/libhyssopspar/jobs/cell_log.cpp
@@ -37,6 +37,8 @@
       return "late";
     case StartAnswer::kNoRoom:
       return "no-room";
+    case StartAnswer::kNoTicket:
+      return "no-ticket";
     case StartAnswer::kRejected:
       return "rejected";
     case StartAnswer::kUnhealthy:
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -152,6 +152,8 @@
   query.m_domains_out = &m_domains_out;
   query.m_step_tasks = &step_tasks;
   query.m_now = now;
+  StepAdvice* const advice = AdviceOf(job, occurrence, step);
+  query.m_advice = advice;
   const TailForecast forecast(m_interference, plan.m_image);
   std::vector<std::optional<TailEffect>> effects(m_workers.size());
   query.m_tail_effect = [&](std::size_t i) {
@@ -171,7 +173,11 @@
     const int worker = ChooseWorker(m_workers, query);
     if (worker == kNoWorker) {
       m_next_schedule = std::min(m_next_schedule, now + kRetryPause);
-      m_refusals.Add(service, plan);
+      if (advice == nullptr) {
+        m_refusals.Add(service, plan);
+      } else {
+        AskAdviser(*job, occurrence, step, query, advice);
+      }
       break;
     }
     const std::size_t chosen = static_cast<std::size_t>(worker);
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -185,6 +185,13 @@
   action.m_order.m_run = task.m_run;
   action.m_order.m_payload = job->m_submission.m_plan.m_payload;
   action.m_order.m_checkpoint = task.m_checkpoint;
+  const StepAdvice* const advice = AdviceOf(
+      job, action.m_order.m_task.m_occurrence, action.m_order.m_task.m_step);
+  if (advice != nullptr) {
+    action.m_order.m_ticket =
+        TicketFor(*advice, task.m_worker, worker.m_born_unix_ms, now)
+            .value_or("");
+  }
   action.m_order.m_not_after =
       WorkerTimeAt(worker, now) + m_settings.m_start_validity;
   action.m_order.m_epoch = m_settings.m_epoch;
@@ -266,7 +273,13 @@
     return;
   }
   Task& task = job->m_tasks[action.m_task.m_index];
-  if (answer == StartAnswer::kRejected) {
+  if (answer == StartAnswer::kNoTicket) {
+    StepAdvice* const advice = AdviceOf(job, action.m_order.m_task.m_occurrence,
+                                        action.m_order.m_task.m_step);
+    if (advice != nullptr) {
+      advice->m_tickets.erase(action.m_worker);
+    }
+  } else if (answer == StartAnswer::kRejected) {
     task.m_not_before = now + kRejectionBackoff;
   } else if (answer != StartAnswer::kLate && answer != StartAnswer::kOldRun) {
     m_workers[static_cast<std::size_t>(action.m_worker)].m_backoff_until =
--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -120,6 +120,14 @@
          kLeastIdle * static_cast<double>(step.m_size.m_cpu_milli);
 }
 
+bool HasTicket(const Worker& worker,
+               std::size_t index,
+               const PlacementQuery& query) {
+  return query.m_advice == nullptr ||
+         TicketFor(*query.m_advice, static_cast<int>(index),
+                   worker.m_born_unix_ms, query.m_now);
+}
+
 }  // namespace
 
 int ChooseWorker(const std::vector<Worker>& workers,
@@ -129,7 +137,8 @@
   const bool fills = query.m_step->m_fills_idle;
   for (std::size_t i = 0; i < workers.size(); ++i) {
     if (!IsEligible(workers[i], (*query.m_step_tasks)[i], query) ||
-        (fills && !HasIdleCpu(workers[i], *query.m_step))) {
+        (fills && !HasIdleCpu(workers[i], *query.m_step)) ||
+        !HasTicket(workers[i], i, query)) {
       continue;
     }
     const TailEffect effect = fills ? query.m_tail_effect(i) : TailEffect();
--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -87,6 +87,7 @@
   void Perform(jobs::StopAction action);
   void Perform(const jobs::PaceAction& action);
   void Perform(jobs::HoldAction action);
+  void Perform(jobs::AdviseAction action);
   void Perform(const jobs::StoreAction& action);
   void Perform(const jobs::RetireAction& action);
   void Perform(const jobs::ForgetAction& action);
--- a/src/node/cell_host_acting.cpp
+++ b/src/node/cell_host_acting.cpp
@@ -13,6 +13,8 @@
 /// Limits of one call to the store and of one order to a worker.
 constexpr milliseconds kStoreLimit{1500};
 constexpr milliseconds kOrderLimit{1000};
+/// Limit of one question to the adviser, which takes them in turn.
+constexpr milliseconds kAdviceLimit{5000};
 
 }  // namespace
 
@@ -138,6 +140,23 @@
           }));
 }
 
+void CellHost::Perform(jobs::AdviseAction action) {
+  m_metrics->Value("hyssopspar_advice_total").fetch_add(1);
+  std::vector<std::string> workers;
+  for (const jobs::AdviceCandidate& candidate : action.m_candidates) {
+    workers.push_back(candidate.m_id);
+  }
+  const jobs::StepName step = action.m_step;
+  m_platform->Adviser().Ask(
+      step, workers, Clock::now() + kAdviceLimit,
+      OnLoop<Result<jobs::AdvisedWorkers>>(
+          [this, action = std::move(action)](
+              const Result<jobs::AdvisedWorkers>& answer) {
+            m_cell->OnAdvice(action, answer, Clock::now());
+            Pump();
+          }));
+}
+
 void CellHost::Perform(const jobs::StoreAction& action) {
   m_metrics->Value("hyssopspar_batches_total").fetch_add(1);
   AppendGuard guard;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -50,7 +50,8 @@
   UseBufferedStdout();
   SetLogLevel(settings.m_log_level);
   node::NodeProcess process(
-      settings, std::make_unique<platform::Adapter>(settings.m_store_address));
+      settings, std::make_unique<platform::Adapter>(
+                    settings.m_store_address, settings.m_adviser_address));
   const Result<void> started = process.Start();
   if (!started) {
     Log("node")->error("start-failed error={}", ToString(started.error()));
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -54,6 +54,9 @@
       PeerAddresses(reader->String("seeds", ""), settings.m_internal_listen);
   SettingsReader store = reader->Table("store");
   settings.m_store_address = store.Address("address");
+  if (reader->Has("adviser")) {
+    settings.m_adviser_address = reader->Table("adviser").Address("address");
+  }
   SettingsReader workers = reader->Table("workers");
   const milliseconds longest = workers.Millis("longest_lease_ms", kLongestLease,
                                               milliseconds(1000), kMinute);
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -17,6 +17,7 @@
   std::string m_name;
   std::string m_failure_domain;
   std::string m_store_address;
+  std::string m_adviser_address;  ///< "" where there is no adviser.
   std::string m_front_listen;     ///< Callers.
   std::string m_ready_listen;     ///< The balancer's checks.
   std::string m_internal_listen;  ///< Other nodes, and metrics.
--- a/testsuite/job_state/job_state_test.cpp
+++ b/testsuite/job_state/job_state_test.cpp
@@ -46,6 +46,21 @@
   EXPECT_GT(world.Starts(), 100U);
 }
 
+class AdvisedWorldTest : public JobWorldTest,
+                         public testing::WithParamInterface<int> {};
+
+TEST_P(AdvisedWorldTest, JobsFinishOnTheWorkersThatMayRunThem) {
+  JobWorldOptions options;
+  options.m_seed = static_cast<std::uint64_t>(GetParam());
+  options.m_advised = true;
+  JobWorld world(options);
+  world.Run();
+  EXPECT_EQ(Join(world.Violations()), "") << "seed " << GetParam();
+  EXPECT_GT(world.Starts(), 100U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, AdvisedWorldTest, testing::Range(1, 31));
+
 INSTANTIATE_TEST_SUITE_P(Seeds, JobWorldSeedTest, testing::Range(1, 121));
 
 // Seeds that failed once. 28: an end that was given up as lapsed was reported
--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -19,6 +19,10 @@
 /// cancellation.
 constexpr milliseconds kCancelLimit{3000};
 constexpr std::uint32_t kAttempts = 4;
+constexpr milliseconds kTicketValidity{900};
+/// Time the adviser takes, and share of its answers that are lost.
+constexpr milliseconds kAdviceTime{60};
+constexpr double kAdviceLost = 0.1;
 
 }  // namespace
 
@@ -39,7 +43,8 @@
     : m_options(options),
       m_random(options.m_seed),
       m_now(std::chrono::hours(1)),
-      m_faults_end(m_now + kRunTime) {}
+      m_faults_end(m_now + kRunTime),
+      m_adviser(kTicketValidity) {}
 
 JobWorld::~JobWorld() = default;
 
@@ -94,6 +99,8 @@
   job.m_queue.m_name = "queue";
   job.m_queue.m_service = "pool";
   job.m_queue.m_max_attempts = kAttempts;
+  job.m_queue.m_ticket_validity =
+      m_options.m_advised ? kTicketValidity : milliseconds(0);
   const std::size_t steps = 1 + m_random() % 3;
   for (std::size_t s = 0; s < steps; ++s) {
     StepPlan step;
@@ -312,6 +319,10 @@
       [this, sim, order = action.m_order] {
         const std::string name = ToString(order.m_task);
         sim->Advance(m_now);
+        if (m_options.m_advised &&
+            !m_adviser.Admits(order, sim->Entry(), m_now)) {
+          return StartAnswer::kNoTicket;
+        }
         const bool there = sim->Runs().count(name) > 0;
         const StartAnswer answer =
             sim->Start(order, PlanOf(order.m_task), m_now);
@@ -325,6 +336,28 @@
       });
 }
 
+void JobWorld::Perform(Owner* owner, const AdviseAction& action) {
+  std::vector<WorkerEntry> workers;
+  for (const AdviceCandidate& candidate : action.m_candidates) {
+    const std::size_t index =
+        static_cast<std::size_t>(std::stoi(candidate.m_id.substr(1)));
+    workers.push_back(m_workers[index]->Entry());
+  }
+  const bool lost = m_now < m_faults_end && Chance(kAdviceLost);
+  const AdvisedWorkers advised = m_adviser.Ask(action.m_step, workers, m_now);
+  At(kAdviceTime + Trip(), [this, owner, action, lost, advised] {
+    if (!owner->m_alive) {
+      return;
+    }
+    if (lost) {
+      owner->m_cell->OnAdvice(action, Fail(ErrorCode::kTimeout, "lost"), m_now);
+    } else {
+      owner->m_cell->OnAdvice(action, advised, m_now);
+    }
+    Pump(owner);
+  });
+}
+
 void JobWorld::Perform(Owner* owner, const StopAction& action) {
   const int worker = std::stoi(action.m_target.m_id.substr(1));
   WorkerSim* const sim = m_workers[static_cast<std::size_t>(worker)].get();
--- a/testsuite/job_state/job_world.h
+++ b/testsuite/job_state/job_world.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "hyssopspar/jobs/cell.h"
+#include "job_state/adviser_sim.h"
 #include "job_state/worker_sim.h"
 
 namespace hyssopspar::jobs {
@@ -24,6 +25,7 @@
   int m_jobs = 40;
   bool m_faults = true;
   double m_late_share = 0.05;  ///< Orders carried out late, without an answer.
+  bool m_advised = false;      ///< Starts need tickets.
 };
 
 /// Runs until all jobs have ended. Violations are sentences; empty means that
@@ -62,6 +64,7 @@
   void Perform(Owner* owner, const StopAction& action);
   void Perform(Owner* owner, const PaceAction& action);
   void Perform(Owner* owner, const HoldAction& action);
+  void Perform(Owner* owner, const AdviseAction& action);
   void Perform(Owner* owner, const StoreAction& action);
   void Perform(Owner* owner, const RetireAction& action);
   void Perform(Owner* owner, const ForgetAction& action);
@@ -84,6 +87,7 @@
   std::multimap<TimePoint, std::function<void()>> m_events;
 
   std::vector<std::unique_ptr<WorkerSim>> m_workers;
+  AdviserSim m_adviser;
   std::map<int, TimePoint> m_cut_until;  ///< Workers that nobody reaches.
 
   // The store.
--- a/testsuite/platform/wire_test.cpp
+++ b/testsuite/platform/wire_test.cpp
@@ -130,5 +130,25 @@
             R"({"fencingToken":7,"run":2,"task":"5c0e7a21d94b36f8.0.1.17"})");
 }
 
+TEST(WireTest, AsksTheAdviserAndReadsItsTickets) {
+  EXPECT_EQ(EncodeAdvise({"5c0e7a21d94b36f8", 0, 1}, {"w1", "w2"}),
+            R"({"step":"5c0e7a21d94b36f8.0.1","workers":["w1","w2"]})");
+  const hs::Result<jobs::AdvisedWorkers> advised =
+      DecodeAdvice(R"({"good":[["w2","ticket"]]})");
+  ASSERT_TRUE(advised);
+  EXPECT_EQ(advised.value(), (jobs::AdvisedWorkers{{"w2", "ticket"}}));
+  EXPECT_FALSE(DecodeAdvice(R"({"good":[["w2"]]})"));
+  EXPECT_FALSE(DecodeAdvice("nonsense"));
+}
+
+TEST(WireTest, StartsCarryTheirTicket) {
+  jobs::StartOrder order;
+  EXPECT_EQ(EncodeStart(order).find("ticket"), std::string::npos);
+  order.m_ticket = "t-1";
+  EXPECT_NE(EncodeStart(order).find(R"("ticket":"t-1")"), std::string::npos);
+  EXPECT_EQ(DecodeRefusal(R"({"clockMs":1,"reason":"ticket"})").value(),
+            jobs::StartAnswer::kNoTicket);
+}
+
 }  // namespace
 }  // namespace platform
