Repeat lost connection attempts, and starts of gang members that never left

Cause: one start in some thousands was 'not-sent' after its second: the first packet of its connection was lost, and the kernel repeats it only after a second. The task was then placed again, but a gang's member is not placed alone, so the others waited their 3 s and ended 'alone' (GANG). Ruled out: refusals by the worker, the owner's time (started within 1 ms). Change: a connection that is not up after 300 ms is tried anew until the call's deadline; a gang's member whose start did not leave is sent again to the same worker under the same run number.

--- a/src/include/hyssopspar/jobs/action.h
+++ b/src/include/hyssopspar/jobs/action.h
@@ -19,6 +19,8 @@
   TaskRef m_task;
   WorkerTarget m_target;
   StartOrder m_order;
+  std::uint32_t m_resends =
+      0;  ///< Earlier orders of this run that didn't leave.
 };
 
 struct StopAction {
--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -133,7 +133,7 @@
               TimePoint now);
   void CountFailure(const TaskRef& ref, TimePoint now);
   void EndGang(const TaskRef& ref);
-  void SendStart(const TaskRef& ref, TimePoint now);
+  void SendStart(const TaskRef& ref, TimePoint now, std::uint32_t resends = 0);
   void SendStop(const TaskRef& ref, const char* reason, TimePoint now);
   /// True when this owner may start anything, on views that are young enough.
   bool MayAct(TimePoint now) const;
--- a/src/libhyssopspar/exchange.cpp
+++ b/src/libhyssopspar/exchange.cpp
@@ -1,5 +1,6 @@
 #include "pvt/exchange.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -17,6 +18,9 @@
 namespace {
 
 constexpr std::uint64_t kMaxAnswerBytes = 64ULL << 20;
+/// A connection that takes longer is tried anew: many round trips within a
+/// region, and less than the second after which a kernel repeats a lost SYN.
+constexpr milliseconds kConnectLimit{300};
 
 ErrorCode CodeAfterSend(const beast::error_code& ec) {
   if (ec == beast::error::timeout) {
@@ -95,9 +99,15 @@
     Finish(Fail(ErrorCode::kNotSent, "bad address " + m_impl->m_address));
     return;
   }
-  m_impl->m_stream.expires_at(m_impl->m_deadline);
+  m_impl->m_stream.expires_at(
+      std::min(m_impl->m_deadline, Clock::now() + kConnectLimit));
   m_impl->m_stream.async_connect(endpoint, [self = shared_from_this()](
                                                beast::error_code error) {
+    if (error == beast::error::timeout &&
+        Clock::now() < self->m_impl->m_deadline) {
+      self->Connect();
+      return;
+    }
     if (error) {
       self->Finish(Fail(ErrorCode::kNotSent, error.message()));
       return;
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t kFailuresToQuarantine = 2;
 /// At most this share of the workers is set aside at once.
 constexpr std::size_t kQuarantineShare = 3;
+/// Times that the start of a gang's member is sent again after it did not
+/// leave.
+constexpr std::uint32_t kMostResends = 4;
 /// Pause before a worker that refused a start gets another.
 constexpr milliseconds kRefusalBackoff{500};
 /// Pause before a task that a worker called malformed is tried again.
@@ -173,13 +176,14 @@
                   m_domains_out);
 }
 
-void Cell::SendStart(const TaskRef& ref, TimePoint now) {
+void Cell::SendStart(const TaskRef& ref, TimePoint now, std::uint32_t resends) {
   Job* const job = ref.m_job;
   Task& task = job->m_tasks[ref.m_index];
   Worker& worker = m_workers[static_cast<std::size_t>(task.m_worker)];
   StartAction action;
   action.m_worker = task.m_worker;
   action.m_task = ref;
+  action.m_resends = resends;
   action.m_target = TargetOf(task.m_worker);
   action.m_order.m_task = NameOfTask(*job, ref.m_index);
   action.m_order.m_run = task.m_run;
@@ -242,7 +246,12 @@
   if (!current) {
     return;
   }
-  if (!answer && answer.error().m_code == ErrorCode::kNotSent) {
+  const bool not_sent = !answer && answer.error().m_code == ErrorCode::kNotSent;
+  // The members that have started wait for this one.
+  if (not_sent && StepOf(*job, action.m_task.m_index).m_gang &&
+      action.m_resends < kMostResends && MayStart(*job, task, now)) {
+    SendStart(action.m_task, now, action.m_resends + 1);
+  } else if (not_sent) {
     m_workers[static_cast<std::size_t>(action.m_worker)].m_backoff_until =
         now + kRefusalBackoff;
     Release(action.m_task, "not-sent", now);
--- a/testsuite/job_state/job_state_test.cpp
+++ b/testsuite/job_state/job_state_test.cpp
@@ -46,6 +46,23 @@
   EXPECT_GT(world.Starts(), 100U);
 }
 
+class GangWorldTest : public JobWorldTest,
+                      public testing::WithParamInterface<int> {};
+
+TEST_P(GangWorldTest, GangsMeetThoughSomeStartsNeverLeave) {
+  JobWorldOptions options;
+  options.m_seed = static_cast<std::uint64_t>(GetParam());
+  options.m_faults = false;
+  options.m_gangs = true;
+  options.m_not_sent_share = 0.03;
+  JobWorld world(options);
+  world.Run();
+  EXPECT_EQ(Join(world.Violations()), "") << "seed " << GetParam();
+  EXPECT_GT(world.Completed(), 30U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, GangWorldTest, testing::Range(1, 21));
+
 class AdvisedWorldTest : public JobWorldTest,
                          public testing::WithParamInterface<int> {};
 
--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -19,6 +19,9 @@
 /// cancellation.
 constexpr milliseconds kCancelLimit{3000};
 constexpr std::uint32_t kAttempts = 4;
+/// Time that members of a gang wait for the others, and time they work.
+constexpr milliseconds kGangWait{3000};
+constexpr milliseconds kGangWork{800};
 constexpr milliseconds kTicketValidity{900};
 /// Time the adviser takes, and share of its answers that are lost.
 constexpr milliseconds kAdviceTime{60};
@@ -109,6 +112,11 @@
                    1000 + static_cast<std::int64_t>(m_random() % 8000), 0};
     step.m_fills_idle = Chance(0.3);
     step.m_per_worker = Chance(0.2) ? 2 : 0;
+    if (m_options.m_gangs && Chance(0.4)) {
+      step.m_gang = true;
+      step.m_fills_idle = false;
+      step.m_per_worker = 0;
+    }
     if (s > 0 && Chance(0.8)) {
       step.m_after.push_back(static_cast<std::uint32_t>(s - 1));
     }
@@ -122,7 +130,8 @@
   RunPlan plan;
   plan.m_room = RoomOf(step);
   plan.m_work = milliseconds(100 + m_random() % 2500);
-  plan.m_fails = Chance(0.05);
+  plan.m_fails = Chance(0.05) && !step.m_gang;
+  plan.m_lasts = step.m_gang;
   return plan;
 }
 
@@ -310,7 +319,50 @@
   });
 }
 
+std::map<std::string, WorkerSim*> JobWorld::GangOf(const StartOrder& order) {
+  std::map<std::string, WorkerSim*> members;
+  TaskName name = order.m_task;
+  const StepPlan& step = m_jobs.at(name.m_job).m_plan.m_steps[name.m_step];
+  for (name.m_index = 0; name.m_index < step.m_tasks; ++name.m_index) {
+    for (const std::unique_ptr<WorkerSim>& worker : m_workers) {
+      const auto run = worker->Runs().find(ToString(name));
+      if (run != worker->Runs().end() && run->second.m_run == order.m_run) {
+        members[run->first] = worker.get();
+      }
+    }
+  }
+  return members;
+}
+
+void JobWorld::JoinGang(const StartOrder& order) {
+  TaskName gang = order.m_task;
+  gang.m_index = 0;
+  const std::string name = ToString(gang) + "/" + std::to_string(order.m_run);
+  const StepPlan& step = m_jobs.at(gang.m_job).m_plan.m_steps[gang.m_step];
+  const std::map<std::string, WorkerSim*> members = GangOf(order);
+  if (members.size() == step.m_tasks) {
+    m_gangs_met.insert(name);
+    for (const auto& member : members) {
+      member.second->FinishAt(member.first, m_now + kGangWork);
+    }
+  } else if (members.size() == 1) {
+    At(kGangWait, [this, job = gang.m_job, name] {
+      if (m_gangs_met.count(name) == 0 && m_cancelled.count(job) == 0) {
+        Violate("gang waited in vain: " + name);
+      }
+    });
+  }
+}
+
 void JobWorld::Perform(Owner* owner, const StartAction& action) {
+  if (m_options.m_not_sent_share > 0 && Chance(m_options.m_not_sent_share)) {
+    At(kOrderLimit, [this, owner, action] {
+      owner->m_cell->OnStartAnswer(
+          action, Fail(ErrorCode::kNotSent, "no connection"), m_now);
+      Pump(owner);
+    });
+    return;
+  }
   WorkerSim* const sim = m_workers[static_cast<std::size_t>(std::stoi(
                                        action.m_target.m_id.substr(1)))]
                              .get();
@@ -328,6 +380,10 @@
             sim->Start(order, PlanOf(order.m_task), m_now);
         if (!there && sim->Runs().count(name) > 0) {
           CheckStart(sim, order);
+          const Submission& job = m_jobs.at(order.m_task.m_job);
+          if (job.m_plan.m_steps[order.m_task.m_step].m_gang) {
+            JoinGang(order);
+          }
         }
         return answer;
       },
--- a/testsuite/job_state/job_world.h
+++ b/testsuite/job_state/job_world.h
@@ -24,8 +24,10 @@
   int m_workers = 8;
   int m_jobs = 40;
   bool m_faults = true;
-  double m_late_share = 0.05;  ///< Orders carried out late, without an answer.
-  bool m_advised = false;      ///< Starts need tickets.
+  double m_late_share = 0.05;   ///< Orders carried out late, without an answer.
+  bool m_advised = false;       ///< Starts need tickets.
+  bool m_gangs = false;         ///< Some steps work only all together.
+  double m_not_sent_share = 0;  ///< Starts that never leave.
 };
 
 /// Runs until all jobs have ended. Violations are sentences; empty means that
@@ -75,6 +77,9 @@
              std::function<Answer()> deliver,
              std::function<void(const Result<Answer>&)> answered);
 
+  void JoinGang(const StartOrder& order);
+  /// Workers that run members of the order's gang, by the member's name.
+  std::map<std::string, WorkerSim*> GangOf(const StartOrder& order);
   void CheckStart(WorkerSim* worker, const StartOrder& order);
   void CheckRoom(const WorkerSim& worker);
   void CheckEnd();
@@ -106,6 +111,7 @@
   std::set<std::string> m_done;        ///< Tasks with a run that ended well.
   std::set<std::string> m_noted_done;  ///< Of these, taken note of.
   std::map<std::string, std::uint32_t> m_noted_failures;
+  std::set<std::string> m_gangs_met;  ///< Gangs with all members at work.
   std::size_t m_starts = 0;
   std::vector<std::string> m_violations;
 };
--- a/testsuite/job_state/worker_sim.cpp
+++ b/testsuite/job_state/worker_sim.cpp
@@ -125,6 +125,11 @@
   return report;
 }
 
+void WorkerSim::FinishAt(const std::string& name, TimePoint when) {
+  SimRun& run = m_runs.at(name);
+  run.m_ends = std::min(run.m_ends, when);
+}
+
 void WorkerSim::Crash() {
   m_up = false;
   m_runs.clear();
--- a/testsuite/job_state/worker_sim.h
+++ b/testsuite/job_state/worker_sim.h
@@ -49,6 +49,9 @@
   Result<void> Stop(const StopOrder& order, TimePoint now);
   Result<HoldReport> Hold(const HoldOrder& order, TimePoint now);
 
+  /// Lets a run end well at \p when.
+  void FinishAt(const std::string& name, TimePoint when);
+
   /// Kills everything it runs; Restart begins a new life under the same id.
   void Crash();
   void Restart(TimePoint now);
