Let records wait for a slow store's owner instead of refusing them

Cause: with the store slow, the owner's first append waits up to 2 s behind the nodes' own; the limits of 0.7 s (owner) and 0.8 s (node) gave it up, and requests behind it were refused after 0.5 s. Change: 1.5 s for the owner's append, 1.8 s for a node that knows the store as slow, which refuses nothing meanwhile.

--- a/src/node/group_commit.cpp
+++ b/src/node/group_commit.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Limit of one append: callers wait for at most two.
-constexpr milliseconds kAppendLimit{700};
+constexpr milliseconds kAppendLimit{1500};
 /// Records that wait for the next append; more are refused.
 constexpr std::size_t kMostWaiting = 512;
 
--- a/src/node/job_appender.cpp
+++ b/src/node/job_appender.cpp
@@ -13,6 +13,8 @@
 /// Limit of one append, and pause before the next after one that failed.
 constexpr milliseconds kAppendLimit{800};
 constexpr milliseconds kRetryPause{80};
+/// The same for a store that is slow: two appends of the owner's.
+constexpr milliseconds kSlowLimit{1800};
 /// With nothing stored for so long, requests that have not been sent are
 /// refused: they would only wait.
 constexpr milliseconds kRefuseAfter{500};
@@ -109,11 +111,12 @@
   const TimePoint sent = Clock::now();
   const std::uint64_t round = ++m_round;
   m_loop->PostAt(sent + kRefuseAfter, [this, round] {
-    if (m_in_flight && m_round == round) {
+    if (m_in_flight && m_round == round && !m_path.m_slow) {
       RefuseWaiting();
     }
   });
-  Send(records, std::min(last, sent + kAppendLimit),
+  Send(records,
+       std::min(last, sent + (m_path.m_slow ? kSlowLimit : kAppendLimit)),
        [this, sent, entries = std::move(entries)](const Result<Offset>& end) {
          OnAnswer(entries, sent, end);
        });
