Split the placement of a step; end a release that a step-down overtakes

ScheduleStep had grown past a hundred lines: what may be placed, the placing and the recording are functions of their own. A node that stops waits until its cell is released.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -207,6 +207,25 @@
                     std::uint32_t occurrence,
                     std::uint32_t step,
                     TimePoint now);
+  /// How a step's tasks lie while more are placed.
+  struct StepPlacement {
+    std::vector<std::uint32_t> m_on_worker;  ///< Tasks on each worker.
+    std::uint32_t m_highest_run = 0;
+  };
+  std::vector<std::size_t> PlaceableTasks(const Job& job,
+                                          std::size_t first,
+                                          const StepPlan& plan,
+                                          TimePoint now,
+                                          StepPlacement* placement);
+  std::vector<std::size_t> PlaceTasks(Job* job,
+                                      const std::vector<std::size_t>& pending,
+                                      PlacementQuery query,
+                                      StepPlacement* placement);
+  void RecordPlacements(Job* job,
+                        const StepPlan& plan,
+                        const std::vector<std::size_t>& placed,
+                        bool whole,
+                        std::uint32_t highest_run);
   void SortByUrgency(TimePoint now);
   std::int64_t UnixMillis(TimePoint now) const;
   void AddUnshownPressure(TimePoint now);
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -116,6 +116,29 @@
   }
 }
 
+/// Tasks of the step that may be placed now. Counts the step's placed tasks on
+/// each worker, and its highest run.
+std::vector<std::size_t> Cell::PlaceableTasks(const Job& job,
+                                              std::size_t first,
+                                              const StepPlan& plan,
+                                              TimePoint now,
+                                              StepPlacement* placement) {
+  std::vector<std::size_t> pending;
+  placement->m_on_worker.resize(m_workers.size());
+  for (std::size_t i = first; i < first + plan.m_tasks; ++i) {
+    const Task& task = job.m_tasks[i];
+    placement->m_highest_run = std::max(placement->m_highest_run, task.m_run);
+    if (IsPlaced(task)) {
+      ++placement->m_on_worker[static_cast<std::size_t>(task.m_worker)];
+    } else if (task.m_state == TaskState::kPending && task.m_not_before > now) {
+      m_next_schedule = std::min(m_next_schedule, task.m_not_before);
+    } else if (task.m_state == TaskState::kPending) {
+      pending.push_back(i);
+    }
+  }
+  return pending;
+}
+
 void Cell::ScheduleStep(Job* job,
                         std::uint32_t occurrence,
                         std::uint32_t step,
@@ -129,31 +152,41 @@
   const std::size_t first =
       std::size_t{occurrence} * job->m_tasks_per_occurrence +
       job->m_step_offset[step];
-  std::vector<std::size_t> pending;
-  std::vector<std::uint32_t> step_tasks(m_workers.size());
-  std::uint32_t run = 0;
-  for (std::size_t i = first; i < first + plan.m_tasks; ++i) {
-    const Task& task = job->m_tasks[i];
-    run = std::max(run, task.m_run);
-    if (IsPlaced(task)) {
-      ++step_tasks[static_cast<std::size_t>(task.m_worker)];
-    } else if (task.m_state == TaskState::kPending && task.m_not_before > now) {
-      m_next_schedule = std::min(m_next_schedule, task.m_not_before);
-    } else if (task.m_state == TaskState::kPending) {
-      pending.push_back(i);
-    }
-  }
+  StepPlacement placement;
+  const std::vector<std::size_t> pending =
+      PlaceableTasks(*job, first, plan, now, &placement);
   if (pending.empty() || (plan.m_gang && pending.size() < plan.m_tasks)) {
     return;
   }
+  StepAdvice* const advice = AdviceOf(job, occurrence, step);
   PlacementQuery query;
   query.m_step = &plan;
   query.m_service = &service;
   query.m_domains_out = &m_domains_out;
-  query.m_step_tasks = &step_tasks;
+  query.m_step_tasks = &placement.m_on_worker;
   query.m_now = now;
-  StepAdvice* const advice = AdviceOf(job, occurrence, step);
   query.m_advice = advice;
+  const std::vector<std::size_t> placed =
+      PlaceTasks(job, pending, query, &placement);
+  if (placed.size() < pending.size()) {
+    m_next_schedule = std::min(m_next_schedule, now + kRetryPause);
+    if (advice == nullptr) {
+      m_refusals.Add(service, plan);
+    } else {
+      AskAdviser(*job, occurrence, step, query, advice);
+    }
+  }
+  RecordPlacements(job, plan, placed, placed.size() == pending.size(),
+                   placement.m_highest_run);
+}
+
+/// Gives workers to tasks out of \p pending, up to the first that finds none.
+std::vector<std::size_t> Cell::PlaceTasks(
+    Job* job,
+    const std::vector<std::size_t>& pending,
+    PlacementQuery query,
+    StepPlacement* placement) {
+  const StepPlan& plan = *query.m_step;
   const TailForecast forecast(m_interference, plan.m_image);
   std::vector<std::optional<TailEffect>> effects(m_workers.size());
   query.m_tail_effect = [&](std::size_t i) {
@@ -172,12 +205,6 @@
     query.m_failed_on = &job->m_tasks[i].m_failed_on;
     const int worker = ChooseWorker(m_workers, query);
     if (worker == kNoWorker) {
-      m_next_schedule = std::min(m_next_schedule, now + kRetryPause);
-      if (advice == nullptr) {
-        m_refusals.Add(service, plan);
-      } else {
-        AskAdviser(*job, occurrence, step, query, advice);
-      }
       break;
     }
     const std::size_t chosen = static_cast<std::size_t>(worker);
@@ -187,13 +214,21 @@
                      &m_workers[chosen].m_expected_tails);
       effects[chosen].reset();
     }
-    ++step_tasks[chosen];
+    ++placement->m_on_worker[chosen];
     if (plan.m_same_rack && query.m_rack.empty()) {
       query.m_rack = m_workers[chosen].m_entry.m_rack;
     }
     placed.push_back(i);
   }
-  const bool whole = placed.size() == pending.size();
+  return placed;
+}
+
+/// Takes the placements to the store, those of a gang only when it is \p whole.
+void Cell::RecordPlacements(Job* job,
+                            const StepPlan& plan,
+                            const std::vector<std::size_t>& placed,
+                            bool whole,
+                            std::uint32_t highest_run) {
   for (const std::size_t i : placed) {
     Task& task = job->m_tasks[i];
     if (plan.m_gang && !whole) {
@@ -201,7 +236,7 @@
       continue;
     }
     // Members of a gang share a run number.
-    task.m_run = plan.m_gang ? run + 1 : task.m_run + 1;
+    task.m_run = plan.m_gang ? highest_run + 1 : task.m_run + 1;
     SetTaskState(job, i, TaskState::kRecording);
     MarkDirty(job);
   }
--- a/src/node/cell_host.cpp
+++ b/src/node/cell_host.cpp
@@ -359,10 +359,9 @@
   m_on_released = std::move(done);
   if (m_phase == Phase::kOwning) {
     Review();
-    return;
+  } else {
+    StepDown("stopping");
   }
-  StepDown("stopping");
-  std::exchange(m_on_released, nullptr)();
 }
 
 /// Stops acting and tells the others so.
@@ -370,16 +369,18 @@
   jobs::OwnerRecord released = m_claim;
   released.m_released = true;
   released.m_strongest = std::max(released.m_strongest, m_offered);
+  std::function<void()> done = std::exchange(m_on_released, nullptr);
   StepDown(reason);
-  AppendOwner(released, [this, released](const Result<Offset>& end) {
+  AppendOwner(released, [this, released,
+                         done = std::move(done)](const Result<Offset>& end) {
     Log(kLogPart)->info("released cell={} epoch={} stored={}", m_number,
                         m_claim.m_epoch, end.has_value());
     if (end) {
       m_owner_end = std::max(m_owner_end, end.value());
       jobs::NoteOwner(&m_owner, released, Clock::now());
     }
-    if (m_on_released) {
-      std::exchange(m_on_released, nullptr)();
+    if (done) {
+      done();
     }
     Review();
   });
@@ -401,6 +402,9 @@
     m_worker_stream->Stop();
   }
   m_loop->SetDeadline(TimePoint::max(), nullptr);
+  if (m_on_released) {
+    m_loop->Post(std::exchange(m_on_released, nullptr));
+  }
   // A report of one of the streams may be on the stack.
   m_loop->Post([job_stream = std::exchange(m_job_stream, nullptr),
                 worker_stream = std::exchange(m_worker_stream, nullptr),
