Let weak nodes yield from when the cell is seen free, not from the last renewal

The store was silent from 18.0 to 22.2 s; the first node that stored a record after that was killed, which was the owner (front-montevideo-1, 22.30 s). At 24.17 s all 39 nodes read the owner stream again, found 6.9 s of silence, more than the weak nodes' delay, and claimed at once; a weak one won, and was asked for the cell 3 s later, when all leases had lapsed while a failure domain was being emptied. Change: the delay of weak nodes begins when the cell is first seen to be free; a weak owner follows an offer after 1 s instead of 3 s. Test: OwnershipTest; the yield is separate from the silence.

--- a/src/include/hyssopspar/jobs/ownership.h
+++ b/src/include/hyssopspar/jobs/ownership.h
@@ -23,7 +23,7 @@
   milliseconds m_spread{250};
   /// Processors of this node. The work of an owner goes to strong nodes.
   double m_strength = 1;
-  /// Nodes much weaker than the strongest claim so much later.
+  /// Nodes much weaker than the strongest leave a free cell to others so long.
   milliseconds m_weaker_delay{1500};
 };
 
@@ -52,6 +52,9 @@
   /// The claim rests on silence, which counts only as far as the stream was
   /// read.
   bool m_needs_silence = false;
+  /// Time for which the cell is left to stronger nodes, from when it was first
+  /// seen to be free.
+  milliseconds m_yield{0};
 };
 
 /// When this node may claim the cell, if nothing changes in the stream.
--- a/src/libhyssopspar/jobs/ownership.cpp
+++ b/src/libhyssopspar/jobs/ownership.cpp
@@ -18,12 +18,8 @@
   const std::uint64_t hash =
       XXH64(settings.m_node.data(), settings.m_node.size(), epoch);
   constexpr std::uint64_t kSlots = 16;
-  const Duration spread = Duration(settings.m_spread) *
-                          static_cast<int>(hash % kSlots) /
-                          static_cast<int>(kSlots);
-  const bool weak = view.m_record && IsMuchWeaker(settings.m_strength,
-                                                  view.m_record->m_strongest);
-  return spread + (weak ? Duration(settings.m_weaker_delay) : Duration(0));
+  return Duration(settings.m_spread) * static_cast<int>(hash % kSlots) /
+         static_cast<int>(kSlots);
 }
 
 }  // namespace
@@ -56,15 +52,23 @@
 }
 
 ClaimTime NextClaim(const OwnerView& view, const OwnershipSettings& settings) {
-  const TimePoint spread = view.m_changed + SpreadOf(view, settings);
+  ClaimTime claim;
+  claim.m_at = view.m_changed + SpreadOf(view, settings);
+  if (view.m_record &&
+      IsMuchWeaker(settings.m_strength, view.m_record->m_strongest)) {
+    claim.m_yield = settings.m_weaker_delay;
+  }
   if (!view.m_record || view.m_record->m_released || view.m_unreachable) {
-    return {spread, false};
+    return claim;
   }
   // The node's own earlier life can't act any more.
   if (view.m_record->m_node == settings.m_node) {
-    return {view.m_changed, false};
+    claim.m_at = view.m_changed;
+    return claim;
   }
-  return {spread + settings.m_silence, true};
+  claim.m_at += settings.m_silence;
+  claim.m_needs_silence = true;
+  return claim;
 }
 
 OwnerRecord MakeClaim(const OwnerView& view,
--- a/src/libhyssopspar/jobs/ownership_test.cpp
+++ b/src/libhyssopspar/jobs/ownership_test.cpp
@@ -99,7 +99,8 @@
   released.m_strongest = 1;
   NoteOwner(&view, released, kStart);
   const OwnershipSettings weak = WeakSettings("b");
-  EXPECT_GE(NextClaim(view, weak).m_at, kStart + weak.m_weaker_delay);
+  EXPECT_EQ(NextClaim(view, weak).m_yield, weak.m_weaker_delay);
+  EXPECT_EQ(NextClaim(view, Settings("c")).m_yield, milliseconds(0));
   EXPECT_LE(NextClaim(view, Settings("c")).m_at, kStart + weak.m_spread);
 }
 
@@ -109,6 +110,7 @@
   released.m_released = true;
   released.m_strongest = 0.12;
   NoteOwner(&view, released, kStart);
+  EXPECT_EQ(NextClaim(view, WeakSettings("b")).m_yield, milliseconds(0));
   EXPECT_LE(NextClaim(view, WeakSettings("b")).m_at,
             kStart + WeakSettings("b").m_spread);
 }
--- a/src/node/cell_host.cpp
+++ b/src/node/cell_host.cpp
@@ -21,7 +21,7 @@
 constexpr milliseconds kWorkerReadPause{400};
 constexpr milliseconds kJobViewLimit{2500};
 /// An owner keeps the cell at least this long before it follows an offer.
-constexpr milliseconds kLeastTenure{3000};
+constexpr milliseconds kLeastTenure{1000};
 
 }  // namespace
 
@@ -127,11 +127,7 @@
                     m_owner.m_record->m_epoch == m_claim.m_epoch;
   switch (m_phase) {
     case Phase::kFollowing: {
-      const jobs::ClaimTime claim =
-          jobs::NextClaim(m_owner, m_settings.m_ownership);
-      const bool silent =
-          !claim.m_needs_silence || m_owner_stream->Verified() >= claim.m_at;
-      if (m_operators->HasConfig() && now >= claim.m_at && silent) {
+      if (MayClaim(now)) {
         Claim();
       }
       break;
@@ -157,13 +153,28 @@
   ArmReview();
 }
 
+bool CellHost::MayClaim(TimePoint now) {
+  const jobs::ClaimTime claim =
+      jobs::NextClaim(m_owner, m_settings.m_ownership);
+  const bool silent =
+      !claim.m_needs_silence || m_owner_stream->Verified() >= claim.m_at;
+  if (!m_operators->HasConfig() || now < claim.m_at || !silent) {
+    m_free_since.reset();
+    return false;
+  }
+  m_free_since = m_free_since.value_or(now);
+  return now >= *m_free_since + claim.m_yield;
+}
+
 void CellHost::ArmReview() {
   const TimePoint now = Clock::now();
   TimePoint at = now + kOwnerReadWait;
   if (m_phase == Phase::kOwning) {
     at = m_renewing ? at : m_renew_at;
   } else if (m_phase == Phase::kFollowing) {
-    at = jobs::NextClaim(m_owner, m_settings.m_ownership).m_at;
+    const jobs::ClaimTime claim =
+        jobs::NextClaim(m_owner, m_settings.m_ownership);
+    at = m_free_since ? *m_free_since + claim.m_yield : claim.m_at;
   }
   at = std::max(at, now + milliseconds(20));
   if (m_review_at > now && m_review_at <= at) {
--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -77,6 +77,8 @@
   void GiveUp(const char* reason);
   void StepDown(const char* reason);
   void ArmReview();
+  /// True when the cell is free and this node need not leave it to others.
+  bool MayClaim(TimePoint now);
 
   void EnterJobs(const std::vector<KeyedRecord>& records);
   void EnterWorkers(const std::vector<KeyedRecord>& records);
@@ -109,6 +111,8 @@
   std::uint64_t m_generation = 0;  ///< Changes with each claim and step down.
   jobs::OwnerView m_owner;
   jobs::OwnerRecord m_claim;
+  /// When the cell was first seen to be free since the owner's last sign.
+  std::optional<TimePoint> m_free_since;
   Offset m_owner_end = 0;
   TimePoint m_claim_sent;
   TimePoint m_last_renewal;  ///< Of the owner that the claim replaces.
