--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -19,6 +19,7 @@
 #include "hyssopspar/jobs/job.h"
 #include "hyssopspar/jobs/placement.h"
 #include "hyssopspar/jobs/refusals.h"
+#include "hyssopspar/jobs/tail_forecast.h"
 #include "hyssopspar/jobs/urgency.h"
 #include "hyssopspar/jobs/worker.h"
 
@@ -226,6 +227,8 @@
                         const std::vector<std::size_t>& placed,
                         bool whole,
                         std::uint32_t highest_run);
+  /// Looked up once for each filling image and pass.
+  const TailForecast& ForecastOf(const std::string& filling);
   void SortByUrgency(TimePoint now);
   std::int64_t UnixMillis(TimePoint now) const;
   void AddUnshownPressure(TimePoint now);
@@ -250,7 +253,8 @@
   std::set<std::string> m_domains_out;
   InterferenceModel m_interference;
   RunTimes m_run_times;
-  Refusals m_refusals;  ///< Of the present pass.
+  Refusals m_refusals;                              ///< Of the present pass.
+  std::map<std::string, TailForecast> m_forecasts;  ///< Of the present pass.
   std::vector<Worker> m_workers;
   std::map<std::string, int> m_worker_index;
   std::vector<std::string> m_worker_names;
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -32,9 +32,10 @@
   if (!MayAct(now)) {
     return;
   }
+  m_refusals.Clear();
+  m_forecasts.clear();
   AddUnshownPressure(now);
   SortByUrgency(now);
-  m_refusals.Clear();
   for (Job* const job : m_open) {
     if (job->m_pending > 0) {
       ScheduleJob(job, now);
@@ -98,6 +99,11 @@
   }
 }
 
+const TailForecast& Cell::ForecastOf(const std::string& filling) {
+  return m_forecasts.try_emplace(filling, m_interference, filling)
+      .first->second;
+}
+
 /// Reports do not yet show the tasks that were placed lately; adds what they
 /// press to the tails of their workers.
 void Cell::AddUnshownPressure(TimePoint now) {
@@ -109,7 +115,7 @@
                          now - task.m_confirmed > kUnshownTime;
       const StepPlan& step = StepOf(*ref.m_job, ref.m_index);
       if (!shown && step.m_fills_idle) {
-        TailForecast(m_interference, step.m_image)
+        ForecastOf(step.m_image)
             .Apply(ShareOf(step, worker), &worker.m_expected_tails);
       }
     }
@@ -187,12 +193,14 @@
     PlacementQuery query,
     StepPlacement* placement) {
   const StepPlan& plan = *query.m_step;
-  const TailForecast forecast(m_interference, plan.m_image);
-  std::vector<std::optional<TailEffect>> effects(m_workers.size());
+  const TailForecast* const forecast =
+      plan.m_fills_idle ? &ForecastOf(plan.m_image) : nullptr;
+  std::vector<std::optional<TailEffect>> effects(
+      plan.m_fills_idle ? m_workers.size() : 0);
   query.m_tail_effect = [&](std::size_t i) {
     if (!effects[i]) {
-      effects[i] = forecast.EffectOn(m_workers[i].m_expected_tails,
-                                     ShareOf(plan, m_workers[i]));
+      effects[i] = forecast->EffectOn(m_workers[i].m_expected_tails,
+                                      ShareOf(plan, m_workers[i]));
     }
     return *effects[i];
   };
@@ -209,9 +217,9 @@
     }
     const std::size_t chosen = static_cast<std::size_t>(worker);
     Occupy({job, i}, worker);
-    if (plan.m_fills_idle) {
-      forecast.Apply(ShareOf(plan, m_workers[chosen]),
-                     &m_workers[chosen].m_expected_tails);
+    if (forecast != nullptr) {
+      forecast->Apply(ShareOf(plan, m_workers[chosen]),
+                      &m_workers[chosen].m_expected_tails);
       effects[chosen].reset();
     }
     ++placement->m_on_worker[chosen];
--- a/src/libhyssopspar/jobs/ownership_test.cpp
+++ b/src/libhyssopspar/jobs/ownership_test.cpp
@@ -42,11 +42,18 @@
             kStart + milliseconds(800) + Settings("b").m_silence);
 }
 
-TEST(OwnershipTest, AReleasedCellIsFreeAtOnce) {
+/// A cell that was given up at kStart.
+OwnerView ReleasedView(double strongest) {
   OwnerView view;
   OwnerRecord released = Record(3, "a");
   released.m_released = true;
+  released.m_strongest = strongest;
   NoteOwner(&view, released, kStart);
+  return view;
+}
+
+TEST(OwnershipTest, AReleasedCellIsFreeAtOnce) {
+  const OwnerView view = ReleasedView(0);
   const ClaimTime claim = NextClaim(view, Settings("b"));
   EXPECT_FALSE(claim.m_needs_silence);
   EXPECT_LE(claim.m_at, kStart + Settings("b").m_spread);
@@ -93,11 +100,7 @@
 }
 
 TEST(OwnershipTest, WeakNodesLeaveAFreeCellToStrongOnesFirst) {
-  OwnerView view;
-  OwnerRecord released = Record(3, "a");
-  released.m_released = true;
-  released.m_strongest = 1;
-  NoteOwner(&view, released, kStart);
+  const OwnerView view = ReleasedView(1);
   const OwnershipSettings weak = WeakSettings("b");
   EXPECT_EQ(NextClaim(view, weak).m_yield, weak.m_weaker_delay);
   EXPECT_EQ(NextClaim(view, Settings("c")).m_yield, milliseconds(0));
@@ -105,11 +108,7 @@
 }
 
 TEST(OwnershipTest, EquallyWeakNodesDoNotWaitForEachOther) {
-  OwnerView view;
-  OwnerRecord released = Record(3, "a");
-  released.m_released = true;
-  released.m_strongest = 0.12;
-  NoteOwner(&view, released, kStart);
+  const OwnerView view = ReleasedView(0.12);
   EXPECT_EQ(NextClaim(view, WeakSettings("b")).m_yield, milliseconds(0));
   EXPECT_LE(NextClaim(view, WeakSettings("b")).m_at,
             kStart + WeakSettings("b").m_spread);
