Let a client that is still sending read why its request was refused

Ruled out: the limit itself, the order of header and body. Change: after the refusal the server reads and discards the rest of the request, at most 64 MiB and 5 s, and closes then.

--- a/src/libhyssopspar/http_server.cpp
+++ b/src/libhyssopspar/http_server.cpp
@@ -104,8 +104,10 @@
     }
   }
 
+  /// Answers a request that was not read to its end, and closes the connection.
   void Reject(HttpResponse response) {
     m_keep_alive = false;
+    m_has_unread_request = true;
     m_shared->m_in_flight.fetch_add(1);
     Write(std::move(response));
   }
@@ -152,12 +154,34 @@
     if (ec || !m_keep_alive) {
       beast::error_code ignored;
       m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+      if (!ec && m_has_unread_request) {
+        m_stream.expires_after(kMaxDiscardTime);
+        DiscardUnreadRequest();
+      }
       return;
     }
     WaitForRequest();
   }
 
+  /// Reads and discards the rest of the request. Closing a connection with
+  /// unread bytes resets it, and the client could lose the response.
+  void DiscardUnreadRequest() {
+    m_buffer.clear();
+    m_stream.async_read_some(
+        m_buffer.prepare(kDiscardReadBytes),
+        [self = shared_from_this()](beast::error_code ec, std::size_t bytes) {
+          self->m_discarded_bytes += bytes;
+          if (!ec && self->m_discarded_bytes < kMaxDiscardedBytes) {
+            self->DiscardUnreadRequest();
+          }
+        });
+  }
+
   static constexpr std::size_t kFirstReadBytes = 4096;
+  static constexpr std::size_t kDiscardReadBytes = 16 << 10;
+  /// Limits of what is read from a client after its request was rejected.
+  static constexpr std::size_t kMaxDiscardedBytes = 64 << 20;
+  static constexpr milliseconds kMaxDiscardTime{5000};
 
   beast::tcp_stream m_stream;
   std::shared_ptr<SharedState> m_shared;
@@ -165,6 +189,8 @@
   std::optional<http::request_parser<http::string_body>> m_parser;
   std::optional<http::response<http::string_body>> m_response;
   bool m_keep_alive = true;
+  bool m_has_unread_request = false;
+  std::size_t m_discarded_bytes = 0;
 };
 
 }  // namespace
--- /dev/null
+++ b/src/libhyssopspar/http_server_test.cpp
@@ -0,0 +1,73 @@
+#include "hyssopspar/http_server.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+
+namespace hyssopspar {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/// One connection of a client that sends all of a request before it reads.
+class Client {
+ public:
+  explicit Client(std::uint16_t port) : m_socket(m_io) {
+    m_socket.open(tcp::v4());
+    // Small, so that a large request can't wait in the client's buffer.
+    m_socket.set_option(asio::socket_base::send_buffer_size(64 << 10));
+    m_socket.connect({asio::ip::address_v4::loopback(), port});
+  }
+
+  /// Returns the error of the write, if any.
+  boost::system::error_code Send(const std::string& bytes) {
+    boost::system::error_code ec;
+    asio::write(m_socket, asio::buffer(bytes), ec);
+    return ec;
+  }
+
+  /// Reads until the server closes the connection.
+  std::string ReadAll() {
+    std::string text;
+    boost::system::error_code ec;
+    asio::read(m_socket, asio::dynamic_buffer(text), ec);
+    return text;
+  }
+
+ private:
+  asio::io_context m_io;
+  tcp::socket m_socket;
+};
+
+std::string PostWithBody(std::size_t bytes) {
+  return "POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: " +
+         std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'x');
+}
+
+HttpServerLimits SmallBodies() {
+  HttpServerLimits limits;
+  limits.m_max_request_body_bytes = 1000;
+  return limits;
+}
+
+// A server that closes a connection with unread bytes resets it, and the client
+// never sees why its request was refused.
+TEST(HttpServerTest, RefusalOfLargeBodyReachesClientThatIsStillSending) {
+  HttpServer server([](const HttpRequest&, const HttpReply&) {}, SmallBodies(),
+                    1);
+  ASSERT_TRUE(server.Start("127.0.0.1:0"));
+  Client client(server.Port());
+  const boost::system::error_code sent = client.Send(PostWithBody(32 << 20));
+  EXPECT_FALSE(sent) << sent.message();
+  EXPECT_EQ(client.ReadAll().substr(0, 12), "HTTP/1.1 413");
+  server.Stop();
+}
+
+}  // namespace
+}  // namespace hyssopspar
