Count a job as pending until a worker confirms a start

Ruled out: the count itself; the queue's name. Change: a job has started once a worker has answered a start, listed the run or listed its end. A restored placement is no start. An owner whose view of the job stream is too old to know answers 503, never a count. StartsWith stands once, in text.h. Tests: CellTest.CountsJobAsPendingUntilAWorkerConfirmsAStart and RestoredPlacementWithoutStartCountsAsPending.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -161,6 +161,8 @@
               const std::string& checkpoint,
               TimePoint now);
   void CountFailure(const TaskRef& ref, TimePoint now);
+  /// Handles the first confirmation that the task's current run has started.
+  void ConfirmStart(const TaskRef& ref, TimePoint now);
   void CompleteGang(const TaskRef& ref);
   void SendStart(const TaskRef& ref, TimePoint now, std::uint32_t resends = 0);
   void SendStop(const TaskRef& ref, const char* reason, TimePoint now);
--- a/src/include/hyssopspar/jobs/job.h
+++ b/src/include/hyssopspar/jobs/job.h
@@ -26,8 +26,8 @@
   JobState m_state = JobState::kQueued;
   JobState m_stored_state = JobState::kQueued;  ///< Last stored state.
   bool m_cancelled = false;                     ///< Cancellation requested.
-  bool m_has_started_task = false;              ///< Some task has been started.
-  std::vector<Task> m_tasks;  ///< Ordered by occurrence, step and index.
+  bool m_has_started_task = false;  ///< A worker confirmed the start of a task.
+  std::vector<Task> m_tasks;        ///< Ordered by occurrence, step and index.
   /// Index of the first task of each step within an occurrence.
   std::vector<std::uint32_t> m_first_task_of_step;
   /// Step of each task within an occurrence.
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -104,6 +104,9 @@
   if (cause == EndCause::kFailed) {
     CountFailure(ref, now);
   }
+  // A run whose lease expired may never have started.
+  job->m_has_started_task =
+      job->m_has_started_task || cause != EndCause::kLeaseExpired;
   if (worker_index != kNoWorker) {
     if (cause == EndCause::kDone) {
       m_run_times.Add(job->m_submission.m_queue.m_name,
@@ -132,6 +135,15 @@
   UpdateJobState(job, now);
 }
 
+void Cell::ConfirmStart(const TaskRef& ref, TimePoint now) {
+  Task& task = ref.m_job->m_tasks[ref.m_index];
+  SetTaskState(ref.m_job, ref.m_index, TaskState::kRunning);
+  task.m_start_status = StartStatus::kNone;
+  task.m_confirmed_at = now;
+  ref.m_job->m_has_started_task = true;
+  UpdateJobState(ref.m_job, now);
+}
+
 void Cell::CountFailure(const TaskRef& ref, TimePoint now) {
   Job* const job = ref.m_job;
   Task& task = job->m_tasks[ref.m_index];
@@ -209,8 +221,6 @@
   task.m_start_status = StartStatus::kNone;
   task.m_throttle_percent = kUnthrottledPercent;
   task.m_paused_since = TimePoint();
-  job->m_has_started_task = true;
-  UpdateJobState(job, now);
   CellLog()->info(
       "start task={} run={} worker={} view_age_ms={}",
       ToString(action.m_order.m_task), task.m_run, worker.m_entry.m_id,
@@ -269,8 +279,7 @@
     task.m_start_status_since = now;
     m_workers[static_cast<std::size_t>(action.m_worker)].m_next_heartbeat = now;
   } else if (answer.value() == StartAnswer::kStarted) {
-    SetTaskState(job, action.m_task.m_index, TaskState::kRunning);
-    task.m_confirmed_at = now;
+    ConfirmStart(action.m_task, now);
   } else {
     HandleRefusal(action, job, answer.value(), now);
   }
--- /dev/null
+++ b/src/libhyssopspar/jobs/cell_test.cpp
@@ -0,0 +1,150 @@
+#include "hyssopspar/jobs/cell.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace hyssopspar::jobs {
+namespace {
+
+constexpr std::int64_t kNowUnixMs = 1700000000000;
+
+/// Drives one cell whose workers and store answer at once.
+class CellTest : public testing::Test {
+ protected:
+  CellTest() : m_now(std::chrono::hours(1)), m_cell(Settings(m_now), m_now) {
+    m_cell.SetUnixTime(milliseconds(kNowUnixMs), m_now);
+    SetViewsCurrent();
+  }
+
+  static CellSettings Settings(TimePoint now) {
+    CellSettings settings;
+    settings.m_inherited_lease_deadline = now + std::chrono::seconds(10);
+    return settings;
+  }
+
+  void SetViewsCurrent() { m_cell.SetViewTimes(m_now, m_now); }
+
+  void AddWorker(const std::string& id) {
+    WorkerEntry entry;
+    entry.m_id = id;
+    entry.m_address = id;
+    entry.m_service = "pool";
+    entry.m_capacity = {16000, 64000, 0};
+    m_cell.SetWorker(entry, m_now);
+  }
+
+  static StepPlan Step(std::uint32_t tasks, std::int64_t cpu_milli) {
+    StepPlan step;
+    step.m_tasks = tasks;
+    step.m_size = {cpu_milli, 1000, 0};
+    return step;
+  }
+
+  static Submission MakeJob(const std::string& id, StepPlan step) {
+    Submission job;
+    job.m_id = id;
+    job.m_accepted_unix_ms = kNowUnixMs;
+    job.m_queue.m_name = step.m_long_running ? "services" : "quotes";
+    job.m_queue.m_service = "pool";
+    job.m_queue.m_max_attempts = 3;
+    job.m_plan.m_steps.push_back(std::move(step));
+    return job;
+  }
+
+  static StepPlan LongRunning(StepPlan step) {
+    step.m_long_running = true;
+    return step;
+  }
+
+  /// Answers all actions and advances the time by \p time in small steps.
+  void Run(milliseconds time) {
+    const TimePoint end = m_now + time;
+    while (m_now < end) {
+      m_now += milliseconds(25);
+      SetViewsCurrent();
+      m_cell.Tick(m_now);
+      for (Action& action : m_cell.TakeActions()) {
+        std::visit([this](auto& typed) { Answer(typed); }, action);
+      }
+    }
+  }
+
+  void Answer(const StartAction& action) {
+    m_starts.push_back(action.m_order);
+    if (m_starts_are_answered) {
+      m_running[action.m_target.m_id].push_back(
+          {action.m_order.m_task, action.m_order.m_run, "", 0, m_usage});
+      m_cell.OnStartAnswer(action, StartAnswer::kStarted, m_now);
+    }
+  }
+  void Answer(const StopAction& /*action*/) {}
+  void Answer(const ThrottleAction& action) {
+    m_throttles.push_back(action.m_order);
+  }
+  void Answer(const HeartbeatAction& action) {
+    HeartbeatReport report;
+    report.m_now = WorkerTime(milliseconds(ToMillis(m_now.time_since_epoch())));
+    report.m_incarnation_unix_ms = 1;
+    report.m_running = m_running[action.m_target.m_id];
+    m_cell.OnHeartbeatAnswer(action, report, m_now);
+  }
+  void Answer(const AdviseAction& /*action*/) {}
+  void Answer(const StoreAction& action) {
+    m_stored.insert(m_stored.end(), action.m_records.begin(),
+                    action.m_records.end());
+    m_cell.OnStored(action.m_batch, Offset{1}, m_now);
+  }
+  void Answer(const TombstoneJobsAction& /*action*/) {}
+  void Answer(const DropJobsAction& /*action*/) {}
+
+  std::size_t StartsOf(const std::string& job_id) const {
+    return static_cast<std::size_t>(std::count_if(
+        m_starts.begin(), m_starts.end(),
+        [&](const StartOrder& order) { return order.m_task.m_job == job_id; }));
+  }
+
+  TimePoint m_now;
+  Cell m_cell;
+  bool m_starts_are_answered = true;
+  double m_usage = 0;  ///< Reported for every run.
+  std::map<std::string, std::vector<RunningRun>> m_running;  ///< By worker.
+  std::vector<StartOrder> m_starts;
+  std::vector<ThrottleOrder> m_throttles;
+  std::vector<KeyedRecord> m_stored;
+};
+
+// A start order that a slow worker has not carried out is not a started task:
+// its job still waits.
+TEST_F(CellTest, CountsJobAsPendingUntilAWorkerConfirmsAStart) {
+  AddWorker("w0");
+  m_cell.Activate(m_now);
+  m_starts_are_answered = false;
+  m_cell.OnJob(MakeJob("a", Step(2, 1000)), m_now);
+  Run(milliseconds(200));
+  ASSERT_EQ(StartsOf("a"), 2U);
+  EXPECT_EQ(m_cell.CountPendingJobs("quotes"), 1U);
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kQueued);
+  // The worker's next report lists the run.
+  m_running["w0"].push_back({m_starts[0].m_task, 1, "", 0, 0});
+  Run(milliseconds(200));
+  EXPECT_EQ(m_cell.CountPendingJobs("quotes"), 0U);
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+}
+
+TEST_F(CellTest, RestoredPlacementWithoutStartCountsAsPending) {
+  JobProgress progress;
+  progress.m_task_states = {TaskState::kRecording};
+  progress.m_run_numbers = {1};
+  progress.m_failure_counts = {0};
+  progress.m_worker_slots = {1};
+  progress.m_workers = {"w0"};
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  ASSERT_TRUE(m_cell.RestoreJobProgress("a", progress));
+  m_cell.Activate(m_now);
+  EXPECT_EQ(m_cell.CountPendingJobs("quotes"), 1U);
+}
+
+}  // namespace
+}  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -248,10 +248,7 @@
     (*listed)[ref] = run.m_run;
     task.m_checkpoint = run.m_checkpoint;
     if (task.m_state == TaskState::kStarting) {
-      SetTaskState(job, ref.m_index, TaskState::kRunning);
-      task.m_start_status = StartStatus::kNone;
-      task.m_confirmed_at = now;
-      job->m_has_started_task = true;
+      ConfirmStart(ref, now);
       if (IsTerminal(job->m_state)) {
         SendStop(ref, "job-ended", now);
       }
--- a/src/libhyssopspar/jobs/job.cpp
+++ b/src/libhyssopspar/jobs/job.cpp
@@ -168,6 +168,8 @@
     return Fail(ErrorCode::kMalformed,
                 "stored progress and job differ in their number of tasks");
   }
+  // Run numbers don't tell: a stored placement may never have started.
+  job->m_has_started_task = progress.m_state != JobState::kQueued;
   for (std::size_t i = 0; i < tasks; ++i) {
     Task& task = job->m_tasks[i];
     task.m_run = progress.m_run_numbers[i];
@@ -175,7 +177,6 @@
     if (!progress.m_task_checkpoints.empty()) {
       task.m_checkpoint = progress.m_task_checkpoints[i];
     }
-    job->m_has_started_task = job->m_has_started_task || task.m_run > 0;
     const std::uint32_t slot = progress.m_worker_slots[i];
     const TaskState stored_state = progress.m_task_states[i];
     if (stored_state == TaskState::kDone ||
--- a/src/node/owner_client.cpp
+++ b/src/node/owner_client.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "hyssopspar/logging.h"
+#include "hyssopspar/text.h"
 
 namespace hyssopspar::node {
 
@@ -22,11 +23,10 @@
 bool ConsumePrefix(const std::string& path,
                    const char* prefix,
                    std::string* rest) {
-  const std::string expected = prefix;
-  if (path.compare(0, expected.size(), expected) != 0) {
+  if (!StartsWith(path, prefix)) {
     return false;
   }
-  *rest = path.substr(expected.size());
+  *rest = path.substr(std::string(prefix).size());
   return true;
 }
 
@@ -55,6 +55,13 @@
   return Fail(ErrorCode::kNotFound, "no job " + job_id);
 }
 
+Result<std::size_t> OwnerClient::LocalPending(const std::string& queue) const {
+  if (!m_cell_host->IsJobViewFresh()) {
+    return Fail(ErrorCode::kUnavailable, "the view of jobs is old");
+  }
+  return m_cell_host->OwnedCell()->CountPendingJobs(queue);
+}
+
 void OwnerClient::GetState(const std::string& job_id,
                            TimePoint deadline,
                            std::function<void(Result<jobs::JobState>)> done) {
@@ -83,7 +90,7 @@
                              TimePoint deadline,
                              std::function<void(Result<std::size_t>)> done) {
   if (m_cell_host->OwnedCell() != nullptr) {
-    done(m_cell_host->OwnedCell()->CountPendingJobs(queue));
+    done(LocalPending(queue));
     return;
   }
   QueryOwner(kPendingPath + queue, deadline,
@@ -143,8 +150,7 @@
 }
 
 HttpResponse OwnerClient::HandleOwnerQuery(const HttpRequest& request) const {
-  const jobs::Cell* const cell = m_cell_host->OwnedCell();
-  if (cell == nullptr) {
+  if (m_cell_host->OwnedCell() == nullptr) {
     return ErrorResponse(503, "not-owner", "this node does not own the cell");
   }
   std::string rest;
@@ -158,7 +164,10 @@
                          state.error().m_detail);
   }
   if (ConsumePrefix(request.m_target, kPendingPath, &rest)) {
-    return TextResponse(std::to_string(cell->CountPendingJobs(rest)));
+    const Result<std::size_t> pending = LocalPending(rest);
+    return pending
+               ? TextResponse(std::to_string(pending.value()))
+               : ErrorResponse(503, "unavailable", pending.error().m_detail);
   }
   if (ConsumePrefix(request.m_target, kOfferPath, &rest)) {
     m_cell_host->OnTakeoverOffer(std::strtod(rest.c_str(), nullptr));
--- a/src/node/owner_client.h
+++ b/src/node/owner_client.h
@@ -49,6 +49,10 @@
  private:
   /// State of a job of the cell, which this node must own.
   Result<jobs::JobState> LocalState(const std::string& job_id) const;
+  /// Number of pending jobs of a queue of the cell, which this node must own.
+  /// Fails with kUnavailable while the view of the job stream is too old to
+  /// count jobs that were just accepted.
+  Result<std::size_t> LocalPending(const std::string& queue) const;
   /// Sends a GET request for \p target to the owner and yields the body of its
   /// answer. An owner that refuses the connection is marked unreachable.
   void QueryOwner(const std::string& target,
--- a/src/sched/sched_api.cpp
+++ b/src/sched/sched_api.cpp
@@ -6,6 +6,7 @@
 
 #include "hyssopspar/config_doc.h"
 #include "hyssopspar/decision.h"
+#include "hyssopspar/text.h"
 
 namespace hyssopspar::sched {
 
@@ -253,10 +254,6 @@
                             .dump()));
 }
 
-bool StartsWith(const std::string& text, const std::string& prefix) {
-  return text.compare(0, prefix.size(), prefix) == 0;
-}
-
 }  // namespace
 
 ApiResult HandleApiRequest(const Scheduler& scheduler,
--- a/src/standin/platform_service.cpp
+++ b/src/standin/platform_service.cpp
@@ -6,6 +6,7 @@
 
 #include "hyssopspar/logging.h"
 #include "hyssopspar/platform_codec.h"
+#include "hyssopspar/text.h"
 
 namespace hyssopspar::standin {
 
@@ -14,10 +15,6 @@
 constexpr int kServerThreads = 4;
 constexpr const char* kLogComponent = "standin";
 
-bool StartsWith(const std::string& text, const std::string& start) {
-  return text.compare(0, start.size(), start) == 0;
-}
-
 /// The segment of \p path that follows \p prefix, up to the next slash.
 std::string PathSegmentAfter(const std::string& path,
                              const std::string& prefix) {
