Keep head-room for short jobs when long-running tasks are added

At equal priority a long-running job that waited also took each place that a short job returned, since it had arrived earlier. A task that has run before is restarted without it. Long-running jobs without a started task come after short jobs that can still be of use. Held-back jobs are accepted and wait in the queue.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -18,6 +18,7 @@
 #include "hyssopspar/jobs/cell_settings.h"
 #include "hyssopspar/jobs/interference.h"
 #include "hyssopspar/jobs/job.h"
+#include "hyssopspar/jobs/long_running_growth.h"
 #include "hyssopspar/jobs/placement.h"
 #include "hyssopspar/jobs/refusals.h"
 #include "hyssopspar/jobs/tail_forecast.h"
@@ -270,6 +271,15 @@
   /// Forecast of the effect of an image's best-effort tasks on tail latencies;
   /// cached for the current pass.
   const TailForecast& ForecastOf(const std::string& image);
+  /// Removes from \p pending the tasks that have to leave the head-room for
+  /// short jobs free.
+  void HoldBackGrowth(const Job& job,
+                      const StepPlan& plan,
+                      TimePoint now,
+                      std::vector<std::size_t>* pending);
+  /// CPU that first runs of the queue's long-running tasks may still take in
+  /// the current pass.
+  std::int64_t& GrowthBudgetOf(const QueuePolicy& queue);
   void SortByUrgency(TimePoint now);
   std::int64_t UnixMillis(TimePoint now) const;
   void AddUnreportedInterference(TimePoint now);
@@ -298,6 +308,12 @@
   std::set<std::string> m_excluded_domains;  ///< Excluded from new placements.
   InterferenceModel m_interference;
   RunTimeEstimates m_run_times;
+  ShortJobDemand m_short_job_demand;
+  /// By queue, in thousandths of a processor; valid in the current pass.
+  std::map<std::string, std::int64_t> m_growth_budgets;
+  /// Head-room and tasks held back for it in the last pass, for the log.
+  std::int64_t m_headroom_cpu_milli = 0;
+  std::size_t m_held_back_tasks = 0;
   UnschedulableStepCache m_unschedulable_steps;  ///< Valid in the current pass.
   /// By best-effort image; valid in the current pass.
   std::map<std::string, TailForecast> m_forecasts;
--- a/src/include/hyssopspar/jobs/urgency.h
+++ b/src/include/hyssopspar/jobs/urgency.h
@@ -18,6 +18,7 @@
 class RunTimeEstimates {
  public:
   void Add(const std::string& queue, Duration run_time);
+  Duration MeanRunTime(const std::string& queue) const;
   /// Estimated run time of the slowest task of a step.
   Duration EstimateStepTime(const std::string& queue) const;
 
@@ -30,6 +31,9 @@
 enum class DeadlineStatus {
   kMeetsObjective,   ///< The job can still meet the objective.
   kWithinLateLimit,  ///< The job misses it, but can meet the late limit.
+  /// A long-running job without a started task. It has no deadline, and keeps
+  /// the room that short jobs would return.
+  kNoDeadline,
   kBeyondLateLimit,  ///< The job misses the late limit too.
 };
 
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -53,6 +53,7 @@
   auto job = std::make_unique<Job>(MakeJob(submission));
   Job* const added = job.get();
   added->m_number = ++m_last_job_number;
+  RecordArrival(&m_short_job_demand, submission);
   m_jobs[submission.m_id] = std::move(job);
   m_open_jobs.push_back(added);
   m_schedule_needed = true;
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -36,6 +36,9 @@
   }
   m_unschedulable_steps.Clear();
   m_forecasts.clear();
+  m_growth_budgets.clear();
+  m_headroom_cpu_milli = 0;
+  m_held_back_tasks = 0;
   AddUnreportedInterference(now);
   SortByUrgency(now);
   for (Job* const job : m_open_jobs) {
@@ -148,6 +151,55 @@
   return pending;
 }
 
+std::int64_t& Cell::GrowthBudgetOf(const QueuePolicy& queue) {
+  const auto inserted = m_growth_budgets.emplace(queue.m_name, 0);
+  std::int64_t& budget = inserted.first->second;
+  if (!inserted.second) {
+    return budget;
+  }
+  std::vector<const Worker*> pool;
+  std::int64_t pool_cpu = 0;
+  for (const Worker& worker : m_workers) {
+    if (worker.m_entry.m_service == queue.m_service &&
+        IsUsable(worker, m_excluded_domains)) {
+      pool.push_back(&worker);
+      pool_cpu += worker.m_entry.m_capacity.m_cpu_milli;
+    }
+  }
+  const Headroom headroom =
+      HeadroomFor(m_short_job_demand, m_run_times, queue, pool_cpu);
+  for (const Worker* const worker : pool) {
+    budget += UsableCpuMilli(*worker, headroom);
+  }
+  budget -= headroom.m_cpu_milli;
+  m_headroom_cpu_milli = std::max(m_headroom_cpu_milli, headroom.m_cpu_milli);
+  return budget;
+}
+
+void Cell::HoldBackGrowth(const Job& job,
+                          const StepPlan& plan,
+                          TimePoint now,
+                          std::vector<std::size_t>* pending) {
+  const auto growth = std::stable_partition(
+      pending->begin(), pending->end(), [&](std::size_t i) {
+        return !IsLongRunningGrowth(plan, job.m_tasks[i]);
+      });
+  const std::int64_t cpu = plan.m_size.m_cpu_milli;
+  if (growth == pending->end() || cpu == 0) {
+    return;
+  }
+  std::int64_t& budget = GrowthBudgetOf(job.m_submission.m_queue);
+  const std::int64_t allowed =
+      std::clamp<std::int64_t>(budget / cpu, 0, pending->end() - growth);
+  budget -= allowed * cpu;
+  const auto held_back = growth + allowed;
+  if (held_back != pending->end()) {
+    m_held_back_tasks += static_cast<std::size_t>(pending->end() - held_back);
+    pending->erase(held_back, pending->end());
+    m_next_schedule = std::min(m_next_schedule, now + kPlacementRetryDelay);
+  }
+}
+
 void Cell::ScheduleStep(Job* job,
                         std::uint32_t occurrence,
                         std::uint32_t step,
@@ -162,8 +214,9 @@
       std::size_t{occurrence} * job->m_tasks_per_occurrence +
       job->m_first_task_of_step[step];
   StepPlacement placement;
-  const std::vector<std::size_t> pending =
+  std::vector<std::size_t> pending =
       PlaceableTasks(*job, first, plan, now, &placement);
+  HoldBackGrowth(*job, plan, now, &pending);
   if (pending.empty() || (plan.m_gang && pending.size() < plan.m_tasks)) {
     return;
   }
--- a/src/libhyssopspar/jobs/cell_test.cpp
+++ b/src/libhyssopspar/jobs/cell_test.cpp
@@ -146,5 +146,47 @@
   EXPECT_EQ(m_cell.CountPendingJobs("quotes"), 1U);
 }
 
+// Long-running tasks never return their CPU, so those that have not run yet
+// leave the CPU free that short jobs needed lately.
+TEST_F(CellTest, FirstRunsOfLongRunningTasksLeaveHeadroomForShortJobs) {
+  for (int i = 0; i < 10; ++i) {
+    AddWorker("w" + std::to_string(i));
+  }
+  m_cell.Activate(m_now);
+  Run(milliseconds(100));
+  // 8 of 160 processors for 2 s, the run time of an unknown queue.
+  m_cell.OnJob(MakeJob("short", Step(8, 1000)), m_now);
+  Run(milliseconds(100));
+  m_cell.OnJob(MakeJob("long", LongRunning(Step(40, 4000))), m_now);
+  Run(milliseconds(300));
+  EXPECT_LT(StartsOf("long"), 38U);
+  EXPECT_GE(StartsOf("long"), 34U);
+}
+
+TEST_F(CellTest, LongRunningTasksTakeAllRoomWithoutShortJobs) {
+  AddWorker("w0");
+  m_cell.Activate(m_now);
+  m_cell.OnJob(MakeJob("long", LongRunning(Step(4, 4000))), m_now);
+  Run(milliseconds(300));
+  EXPECT_EQ(StartsOf("long"), 4U);
+}
+
+// A service that has run is restarted even when short jobs need its room.
+TEST_F(CellTest, LongRunningTaskThatRanBeforeIsRestartedWithoutHeadroom) {
+  AddWorker("w0");
+  JobProgress progress;
+  progress.m_state = JobState::kRunning;
+  progress.m_task_states = {TaskState::kPending};
+  progress.m_run_numbers = {3};
+  progress.m_failure_counts = {0};
+  progress.m_worker_slots = {0};
+  m_cell.OnJob(MakeJob("long", LongRunning(Step(1, 12000))), m_now);
+  m_cell.OnJob(MakeJob("short", Step(12, 1000)), m_now);
+  ASSERT_TRUE(m_cell.RestoreJobProgress("long", progress));
+  m_cell.Activate(m_now);
+  Run(milliseconds(300));
+  EXPECT_EQ(StartsOf("long"), 1U);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/urgency.cpp
+++ b/src/libhyssopspar/jobs/urgency.cpp
@@ -46,11 +46,14 @@
   }
 }
 
-Duration RunTimeEstimates::EstimateStepTime(const std::string& queue) const {
+Duration RunTimeEstimates::MeanRunTime(const std::string& queue) const {
   const auto it = m_mean_by_queue.find(queue);
-  return std::chrono::duration_cast<Duration>(
-      (it == m_mean_by_queue.end() ? kDefaultRunTime : it->second) *
-      kSlowestTaskFactor);
+  return it == m_mean_by_queue.end() ? kDefaultRunTime : it->second;
+}
+
+Duration RunTimeEstimates::EstimateStepTime(const std::string& queue) const {
+  return std::chrono::duration_cast<Duration>(MeanRunTime(queue) *
+                                              kSlowestTaskFactor);
 }
 
 Urgency UrgencyOf(const Job& job,
@@ -58,9 +61,12 @@
                   std::int64_t unix_now) {
   const Submission& submission = job.m_submission;
   const std::int64_t accepted = submission.m_accepted_unix_ms;
-  if (IsLongRunning(job) || submission.m_plan.m_occurrences > 0) {
-    return {submission.m_queue.m_priority, DeadlineStatus::kMeetsObjective,
-            accepted, job.m_number};
+  const bool long_running = IsLongRunning(job);
+  if (long_running || submission.m_plan.m_occurrences > 0) {
+    const DeadlineStatus status = long_running && !job.m_has_started_task
+                                      ? DeadlineStatus::kNoDeadline
+                                      : DeadlineStatus::kMeetsObjective;
+    return {submission.m_queue.m_priority, status, accepted, job.m_number};
   }
   const std::int64_t step_time =
       ToMillis(run_times.EstimateStepTime(submission.m_queue.m_name));
