Let a new owner adopt the throttles that its predecessor set

The successor took every run for unthrottled: its first order to a task at 40 % could say 70 %, tails rose above their targets for 1.8 s, and then everything on the worker was paused. It also ignored the tails of inherited serving tasks for their first 600 ms. Weighed: storing throttles with the progress (one more write for each order); asking the predecessor (may be dead). Change: the throttle of an inherited run is estimated from the CPU use in the worker's first report; a run without use gets an explicit order; an inherited serving run counts as old enough for its tail to count. Test: CellTest.AdoptsThrottleOfRunsThatAnEarlierOwnerStarted.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -222,6 +222,10 @@
                                const HeartbeatReport& report,
                                const std::vector<TaskRef>& refs,
                                TimePoint now);
+  /// Estimates the throttle of a run that an earlier owner started. Assuming
+  /// full speed, the next order could speed the task up while tail latencies
+  /// require the opposite.
+  void AdoptThrottle(const TaskRef& ref, const RunningRun& run, TimePoint now);
   void ApplyThrottle(const TaskRef& ref, int percent, TimePoint now);
 
   // cell_advice.cpp
--- a/src/include/hyssopspar/jobs/pacing.h
+++ b/src/include/hyssopspar/jobs/pacing.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,12 @@
   int m_new_percent = kUnthrottledPercent;
 };
 
+/// Throttle percentage that explains the reported CPU use of a best-effort task
+/// that reserves \p cpu_milli. At least the lowest percentage that does not
+/// pause a task. Too low when the worker has less CPU left than the task may
+/// use.
+int EstimateThrottlePercent(double used_cpu_milli, std::int64_t cpu_milli);
+
 /// Sets m_new_percent of each task so that the model predicts no tail latency
 /// above its target. Throttles the tasks with the highest interference first,
 /// and relaxes the throttles of those with the lowest interference first. With
--- a/src/libhyssopspar/jobs/cell_pacing.cpp
+++ b/src/libhyssopspar/jobs/cell_pacing.cpp
@@ -126,6 +126,26 @@
   }
 }
 
+void Cell::AdoptThrottle(const TaskRef& ref,
+                         const RunningRun& run,
+                         TimePoint now) {
+  const StepPlan& step = StepOf(*ref.m_job, ref.m_index);
+  if (!step.m_is_best_effort) {
+    return;
+  }
+  Task& task = ref.m_job->m_tasks[ref.m_index];
+  const int percent =
+      EstimateThrottlePercent(run.m_usage, step.m_size.m_cpu_milli);
+  if (run.m_usage > 0) {
+    task.m_throttle_percent = percent;
+    return;
+  }
+  // Paused, or started just before the report: an order removes the doubt.
+  task.m_throttle_percent = 0;
+  task.m_paused_since = now;
+  ApplyThrottle(ref, percent, now);
+}
+
 void Cell::ApplyThrottle(const TaskRef& ref, int percent, TimePoint now) {
   Job* const job = ref.m_job;
   Task& task = job->m_tasks[ref.m_index];
--- a/src/libhyssopspar/jobs/cell_test.cpp
+++ b/src/libhyssopspar/jobs/cell_test.cpp
@@ -188,5 +188,55 @@
   EXPECT_EQ(StartsOf("long"), 1U);
 }
 
+// A new owner that took a throttled task for an unthrottled one would speed it
+// up with its first order, while the tails are too high already.
+TEST_F(CellTest, AdoptsThrottleOfRunsThatAnEarlierOwnerStarted) {
+  AddWorker("w0");
+  StepPlan serving = Step(1, 4000);
+  serving.m_long_running = true;
+  serving.m_image = "web";
+  serving.m_tail_latency_target = milliseconds(100);
+  JobProgress serving_progress;
+  serving_progress.m_state = JobState::kRunning;
+  serving_progress.m_task_states = {TaskState::kRunning};
+  serving_progress.m_run_numbers = {1};
+  serving_progress.m_failure_counts = {0};
+  serving_progress.m_worker_slots = {1};
+  serving_progress.m_workers = {"w0"};
+  m_cell.OnJob(MakeJob("s", serving), m_now);
+  ASSERT_TRUE(m_cell.RestoreJobProgress("s", serving_progress));
+  StepPlan step = Step(2, 4000);
+  step.m_is_best_effort = true;
+  step.m_image = "mould";
+  JobProgress progress;
+  progress.m_state = JobState::kRunning;
+  progress.m_task_states = {TaskState::kRunning, TaskState::kRunning};
+  progress.m_run_numbers = {1, 1};
+  progress.m_failure_counts = {0, 0};
+  progress.m_worker_slots = {1, 1};
+  progress.m_workers = {"w0"};
+  m_cell.OnJob(MakeJob("a", step), m_now);
+  ASSERT_TRUE(m_cell.RestoreJobProgress("a", progress));
+  m_cell.Activate(m_now);
+  m_running["w0"].push_back({{"s", 0, 0, 0}, 1, "", 0, 75});
+  m_running["w0"].push_back({{"a", 0, 0, 0}, 1, "", 0, 1200});
+  m_running["w0"].push_back({{"a", 0, 0, 1}, 1, "", 0, 0});
+  m_cell.Tick(m_now);
+  for (Action& action : m_cell.TakeActions()) {
+    std::visit([this](auto& typed) { Answer(typed); }, action);
+  }
+  const Job* const job = m_cell.FindJob("a");
+  EXPECT_EQ(job->m_tasks[0].m_throttle_percent, 30);
+  // Without use, the task may be paused or just started: an order decides.
+  m_cell.Tick(m_now);
+  for (Action& action : m_cell.TakeActions()) {
+    std::visit([this](auto& typed) { Answer(typed); }, action);
+  }
+  ASSERT_FALSE(m_throttles.empty());
+  EXPECT_EQ(m_throttles[0].m_task.m_index, 1U);
+  EXPECT_GT(m_throttles[0].m_percent, 0);
+  EXPECT_LT(m_throttles[0].m_percent, 30);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -22,6 +22,10 @@
 /// Most ended runs that a worker lists in one report. A report with this many
 /// may be incomplete.
 constexpr std::size_t kMaxListedEnds = 500;
+/// Assumed age of a run that an earlier owner started. Its first report counts
+/// in full: without its tail latencies, the throttles beside it would be
+/// relaxed at each takeover.
+constexpr milliseconds kMinInheritedRunAge{1500};
 /// An unanswered stop of a run that is still reported is sent again after this
 /// long.
 constexpr milliseconds kStopRetryDelay{500};
@@ -248,7 +252,12 @@
     (*listed)[ref] = run.m_run;
     task.m_checkpoint = run.m_checkpoint;
     if (task.m_state == TaskState::kStarting) {
+      const bool inherited = task.m_start_status == StartStatus::kInherited;
       ConfirmStart(ref, now);
+      if (inherited) {
+        task.m_confirmed_at = now - kMinInheritedRunAge;
+        AdoptThrottle(ref, run, now);
+      }
       if (IsTerminal(job->m_state)) {
         SendStop(ref, "job-ended", now);
       }
--- a/src/libhyssopspar/jobs/pacing.cpp
+++ b/src/libhyssopspar/jobs/pacing.cpp
@@ -91,6 +91,16 @@
 
 }  // namespace
 
+int EstimateThrottlePercent(double used_cpu_milli, std::int64_t cpu_milli) {
+  if (cpu_milli <= 0) {
+    return kUnthrottledPercent;
+  }
+  const double percent =
+      kUnthrottledPercent * used_cpu_milli / static_cast<double>(cpu_milli);
+  return std::clamp(static_cast<int>(std::lround(percent)), kMinRunningPercent,
+                    kUnthrottledPercent);
+}
+
 void ChooseThrottlePercents(const InterferenceModel& model,
                             const std::vector<ServingTailLatency>& tails,
                             bool pause_all,
