Hand a cell over through a peer when its owner alone has lost the store

At the first start 58 of 97 nodes claimed at once: the delays that differ by node counted from a time that had passed for all of them when the configuration arrived, and a node that the store refused claimed again each second. Claim delays count from when a node first sees the cell free, are distributed exponentially towards 200 ms, so that about two nodes claim whatever the fleet's size, and favour strong nodes at the first start. A node whose reads are refused doesn't claim.

--- a/src/include/hyssopspar/jobs/ownership.h
+++ b/src/include/hyssopspar/jobs/ownership.h
@@ -23,12 +23,13 @@
   milliseconds m_renewal_interval{800};  ///< Interval between renewals.
   /// Upper bound of the claim delay that differs by node, so that nodes do not
   /// all claim a free cell at once.
-  milliseconds m_claim_jitter{250};
+  milliseconds m_claim_jitter{200};
   /// CPU capacity of this node, in processors. Nodes with more capacity are
   /// preferred as owners.
   double m_cpu_capacity = 1;
   /// Time for which nodes with much less CPU capacity than the largest node
-  /// leave a free cell to other nodes.
+  /// leave a free cell to other nodes. A cell that never had an owner is left
+  /// to larger nodes for a part of it, which shrinks with the node's capacity.
   milliseconds m_low_capacity_delay{1500};
 };
 
@@ -63,8 +64,9 @@
   /// The claim relies on the absence of a renewal, so the view of the owner
   /// stream must be current as of m_at.
   bool m_requires_current_view = false;
-  /// Additional wait in favor of nodes with more CPU capacity, starting when
-  /// this node first saw the cell free.
+  /// Additional waits, starting when this node first saw the cell free: one
+  /// that differs by node, and one in favor of nodes with more CPU capacity.
+  Duration m_jitter{0};
   milliseconds m_low_capacity_wait{0};
 };
 
--- a/src/include/hyssopspar/store/stream_follower.h
+++ b/src/include/hyssopspar/store/stream_follower.h
@@ -48,6 +48,8 @@
 
   /// True once a snapshot has been delivered.
   bool IsLoaded() const { return m_loaded; }
+  /// True unless the last call to the store failed.
+  bool IsConnected() const { return m_store_connected; }
   /// Time as of which the view is current: all records appended earlier have
   /// been delivered.
   TimePoint CurrentAsOf() const { return m_current_as_of; }
--- a/src/libhyssopspar/jobs/ownership.cpp
+++ b/src/libhyssopspar/jobs/ownership.cpp
@@ -3,6 +3,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace hyssopspar::jobs {
 
@@ -12,15 +14,37 @@
 /// At higher ratios a takeover costs more than it gains.
 constexpr double kLowCapacityRatio = 0.6;
 
+/// Number of nodes up to which few nodes have nearly the shortest delay.
+constexpr double kMaxNodes = 1024;
+
 /// Delay of this node's claim relative to other nodes; constant within an
-/// epoch.
+/// epoch. The delays of all nodes are distributed exponentially towards the
+/// upper bound, so that few nodes claim before they can read the first claim,
+/// however many nodes there are.
 Duration ClaimJitter(const OwnerView& view, const OwnershipSettings& settings) {
   const std::uint64_t epoch = view.m_record ? view.m_record->m_epoch : 0;
   const std::uint64_t hash =
       XXH64(settings.m_node.data(), settings.m_node.size(), epoch);
-  constexpr std::uint64_t kSlots = 16;
-  return Duration(settings.m_claim_jitter) * static_cast<int>(hash % kSlots) /
-         static_cast<int>(kSlots);
+  const double uniform =
+      (static_cast<double>(hash) + 1) /
+      static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  const double share = 1 + std::log(uniform) / std::log(kMaxNodes);
+  return std::chrono::duration_cast<Duration>(settings.m_claim_jitter *
+                                              std::clamp(share, 0.0, 1.0));
+}
+
+/// Wait in favor of nodes with more CPU capacity.
+milliseconds LowCapacityWait(const OwnerView& view,
+                             const OwnershipSettings& settings) {
+  if (!view.m_record) {
+    return std::chrono::duration_cast<milliseconds>(
+        settings.m_low_capacity_delay *
+        (1 - std::min(1.0, settings.m_cpu_capacity)));
+  }
+  return HasMuchLessCpuCapacity(settings.m_cpu_capacity,
+                                view.m_record->m_max_cpu_capacity)
+             ? settings.m_low_capacity_delay
+             : milliseconds(0);
 }
 
 }  // namespace
@@ -59,18 +83,15 @@
 
 ClaimTime NextClaim(const OwnerView& view, const OwnershipSettings& settings) {
   ClaimTime claim;
-  claim.m_at = view.m_last_record_at + ClaimJitter(view, settings);
-  if (view.m_record &&
-      HasMuchLessCpuCapacity(settings.m_cpu_capacity,
-                             view.m_record->m_max_cpu_capacity)) {
-    claim.m_low_capacity_wait = settings.m_low_capacity_delay;
-  }
+  claim.m_at = view.m_last_record_at;
+  claim.m_jitter = ClaimJitter(view, settings);
+  claim.m_low_capacity_wait = LowCapacityWait(view, settings);
   if (!view.m_record || view.m_record->m_released || view.m_unreachable) {
     return claim;
   }
   // The owner is an earlier process of this node, which no longer runs.
   if (view.m_record->m_node == settings.m_node) {
-    claim.m_at = view.m_last_record_at;
+    claim.m_jitter = Duration::zero();
     return claim;
   }
   claim.m_at += settings.m_takeover_timeout;
--- a/src/node/cell_host.cpp
+++ b/src/node/cell_host.cpp
@@ -32,12 +32,14 @@
                    jobs::PlatformAdapter* platform,
                    DecisionLoop* loop,
                    const OperatorView* operator_view,
+                   PeerHandover* peer_handover,
                    Metrics* metrics)
     : m_settings(settings),
       m_cell_number(cell),
       m_platform(platform),
       m_loop(loop),
       m_operator_view(operator_view),
+      m_peer_handover(peer_handover),
       m_metrics(metrics) {}
 
 CellHost::~CellHost() = default;
@@ -167,12 +169,14 @@
   // A renewal that has not been read yet may have extended the owner's lease.
   const bool expiry_confirmed = !claim.m_requires_current_view ||
                                 m_owner_stream->CurrentAsOf() >= claim.m_at;
-  if (!m_operator_view->HasConfig() || now < claim.m_at || !expiry_confirmed) {
+  // A node that can't read the store could not store a claim either.
+  if (!m_operator_view->HasConfig() || !m_owner_stream->IsConnected() ||
+      now < claim.m_at || !expiry_confirmed) {
     m_free_since.reset();
     return false;
   }
   m_free_since = m_free_since.value_or(now);
-  return now >= *m_free_since + claim.m_low_capacity_wait;
+  return now >= *m_free_since + claim.m_jitter + claim.m_low_capacity_wait;
 }
 
 void CellHost::ScheduleReevaluation() {
@@ -183,7 +187,9 @@
   } else if (m_phase == Phase::kNotOwner) {
     const jobs::ClaimTime claim =
         jobs::NextClaim(m_owner, m_settings.m_ownership);
-    at = m_free_since ? *m_free_since + claim.m_low_capacity_wait : claim.m_at;
+    at = m_free_since
+             ? *m_free_since + claim.m_jitter + claim.m_low_capacity_wait
+             : claim.m_at;
   }
   // A time in the past must not keep the loop busy.
   at = std::max(at, now + milliseconds(20));
@@ -352,6 +358,7 @@
              m_claim.m_epoch, ToMillis(now - m_claim_sent_at));
   m_renew_at = now;
   m_owning_since = now;
+  m_store_contact = jobs::StoreContact();
   m_cell->SetOwnershipLeaseDeadline(m_claim_sent_at +
                                     m_settings.m_ownership_lease);
   m_cell->Activate(now);
@@ -370,6 +377,10 @@
   m_renew_at = sent + m_settings.m_ownership.m_renewal_interval;
   AppendOwner(renewed, [this, sent, renewed](const Result<Offset>& end) {
     m_renewing = false;
+    OnStoreCall(end.has_value(), sent);
+    if (m_phase != Phase::kOwning) {
+      return;
+    }
     if (end) {
       m_owner_stream_end = std::max(m_owner_stream_end, end.value());
       jobs::ApplyOwnerRecord(&m_owner, renewed, Clock::now());
@@ -385,6 +396,68 @@
   });
 }
 
+bool CellHost::CanStoreReleaseOf(std::uint64_t epoch) const {
+  return m_phase == Phase::kNotOwner && m_owner_stream->IsLoaded() &&
+         m_owner_stream->IsConnected() && m_owner.m_record &&
+         m_owner.m_record->m_epoch == epoch && !m_owner.m_record->m_released;
+}
+
+void CellHost::StoreReleaseForPeer(const jobs::OwnerRecord& release,
+                                   std::function<void(Result<Offset>)> done) {
+  if (!release.m_released || !CanStoreReleaseOf(release.m_epoch) ||
+      release.m_process != m_owner.m_record->m_process) {
+    done(Fail(ErrorCode::kConflict, "the cell has another owner"));
+    return;
+  }
+  Log(kLogComponent)
+      ->info("release-relayed cell={} epoch={} node={}", m_cell_number,
+             release.m_epoch, release.m_node);
+  AppendGuard guard;
+  guard.m_expected_end = m_owner_stream_end;
+  m_platform->Log().Append(
+      PartitionOf(jobs::kOwnerStream),
+      {{kOwnerKey, jobs::EncodeOwner(release)}}, guard,
+      Clock::now() + kStoreTimeout,
+      [loop = m_loop, done = std::move(done)](Result<Offset> end) {
+        loop->Post([done, end = std::move(end)] { done(end); });
+      });
+}
+
+void CellHost::OnStoreCall(bool succeeded, TimePoint sent) {
+  const TimePoint now = Clock::now();
+  jobs::RecordStoreCall(&m_store_contact, succeeded, sent);
+  if (m_phase != Phase::kOwning || m_releasing ||
+      !jobs::ShouldAskPeers(m_store_contact, m_owning_since, now)) {
+    return;
+  }
+  jobs::RecordQuestion(&m_store_contact, now);
+  m_peer_handover->FindPeer(m_claim.m_epoch, [this, generation = m_generation](
+                                                 const std::string& peer) {
+    // The store may have answered since.
+    const bool is_still_failing =
+        m_store_contact.m_failing_since != TimePoint::max();
+    if (generation == m_generation && m_phase == Phase::kOwning &&
+        is_still_failing) {
+      HandOverThrough(peer);
+    }
+  });
+}
+
+void CellHost::HandOverThrough(const std::string& peer) {
+  jobs::OwnerRecord release = m_claim;
+  release.m_released = true;
+  StepDown("store-lost");
+  m_peer_handover->StoreRelease(
+      peer, release, [this, peer, release](const Result<void>& stored) {
+        Log(kLogComponent)
+            ->info("handed-over cell={} epoch={} peer={} stored={}",
+                   m_cell_number, release.m_epoch, peer, stored.has_value());
+        if (stored) {
+          jobs::ApplyOwnerRecord(&m_owner, release, Clock::now());
+        }
+      });
+}
+
 void CellHost::Release(std::function<void()> done) {
   m_releasing = true;
   m_on_released = std::move(done);
--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -18,10 +18,12 @@
 #include "hyssopspar/jobs/ownership.h"
 #include "hyssopspar/jobs/platform_adapter.h"
 #include "hyssopspar/jobs/records.h"
+#include "hyssopspar/jobs/store_contact.h"
 #include "hyssopspar/metrics.h"
 #include "hyssopspar/store/stream_follower.h"
 #include "node/node_settings.h"
 #include "node/operator_view.h"
+#include "node/peer_handover.h"
 
 namespace hyssopspar::node {
 
@@ -35,6 +37,7 @@
            jobs::PlatformAdapter* platform,
            DecisionLoop* loop,
            const OperatorView* operator_view,
+           PeerHandover* peer_handover,
            Metrics* metrics);
   ~CellHost();
 
@@ -53,6 +56,14 @@
   /// CPU capacity than this node.
   void SetTakeoverOfferHandler(std::function<void()> handler);
 
+  /// True when this node reaches the store and sees the cell owned by another
+  /// node in \p epoch. It can then store the release of that epoch.
+  bool CanStoreReleaseOf(std::uint64_t epoch) const;
+  /// Stores the release of an owner that has lost the store, unless the cell
+  /// has changed hands since. Yields kConflict then.
+  void StoreReleaseForPeer(const jobs::OwnerRecord& release,
+                           std::function<void(Result<Offset>)> done);
+
   /// Applies the current operator view to the cell.
   void OnOperatorChange();
 
@@ -100,6 +111,12 @@
   void RenewOwnership();
   /// Steps down and stores that the cell is free.
   void ReleaseOwnership(const char* reason);
+  /// Records the outcome of a call to the store that was sent at \p sent.
+  /// When the store is lost to this node alone, hands the cell over through a
+  /// peer.
+  void OnStoreCall(bool succeeded, TimePoint sent);
+  /// Stops deciding and stores through \p peer that the cell is free.
+  void HandOverThrough(const std::string& peer);
   /// Stops deciding for the cell, without a record in the store.
   void StepDown(const char* reason);
   /// Sets the timer for the next Reevaluate().
@@ -140,6 +157,7 @@
   jobs::PlatformAdapter* m_platform;
   DecisionLoop* m_loop;
   const OperatorView* m_operator_view;
+  PeerHandover* m_peer_handover;
   Metrics* m_metrics;
 
   Phase m_phase = Phase::kNotOwner;
@@ -157,6 +175,7 @@
   TimePoint m_renew_at;  ///< When the next renewal is due.
   bool m_renewing = false;
   TimePoint m_owning_since;
+  jobs::StoreContact m_store_contact;
   /// CPU capacity, in processors, of the largest node that offered to take the
   /// cell over; 0 without an offer.
   double m_offered_cpu_capacity = 0;
--- a/src/node/cell_host_acting.cpp
+++ b/src/node/cell_host_acting.cpp
@@ -174,8 +174,10 @@
       PartitionOf(jobs::kProgressStream), action.m_records, guard,
       Clock::now() + kStoreTimeout,
       BindToGeneration<Result<Offset>>(
-          [this, batch = action.m_batch](const Result<Offset>& end) {
+          [this, batch = action.m_batch,
+           sent = Clock::now()](const Result<Offset>& end) {
             m_cell->OnStored(batch, end, Clock::now());
+            OnStoreCall(end.has_value(), sent);
             TickAndDispatch();
           }));
 }
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -1,5 +1,6 @@
 #include "node/node_process.h"
 
+#include <cstdlib>
 #include <future>
 #include <thread>
 #include <utility>
@@ -8,6 +9,7 @@
 #include "hyssopspar/jobs/records.h"
 #include "hyssopspar/logging.h"
 #include "hyssopspar/store/record_batch.h"
+#include "hyssopspar/text.h"
 
 namespace hyssopspar::node {
 
@@ -45,11 +47,13 @@
       m_platform(std::move(platform)),
       m_loop(kMaxQueuedRequests),
       m_operator_view(m_platform.get(), &m_loop),
+      m_peer_handover(settings.m_peers, &m_loop),
       m_cell_host(settings,
                   kCell,
                   m_platform.get(),
                   &m_loop,
                   &m_operator_view,
+                  &m_peer_handover,
                   &m_metrics),
       m_owner_client(&m_cell_host, &m_loop),
       m_peer_store(settings.m_peers, &m_loop),
@@ -119,11 +123,16 @@
   m_platform->Stop();
   m_owner_client.Stop();
   m_peer_store.Stop();
+  m_peer_handover.Stop();
   m_loop.Stop();
 }
 
 void NodeProcess::HandlePeerRequest(const HttpRequest& request,
                                     const HttpReply& reply) {
+  if (StartsWith(request.m_target, kHandoverPath)) {
+    HandleHandover(request, reply);
+    return;
+  }
   if (request.m_target != kRecordsPath) {
     reply(m_owner_client.HandleOwnerQuery(request));
     return;
@@ -147,6 +156,31 @@
   });
 }
 
+void NodeProcess::HandleHandover(const HttpRequest& request,
+                                 const HttpReply& reply) {
+  if (request.m_method == "GET") {
+    const std::string epoch =
+        request.m_target.substr(std::string(kHandoverPath).size());
+    const bool can_store = m_cell_host.CanStoreReleaseOf(
+        std::strtoull(epoch.c_str(), nullptr, 10));
+    reply(can_store ? JsonResponse(200, "{}")
+                    : ErrorResponse(503, "unavailable", "can't store it"));
+    return;
+  }
+  const Result<jobs::OwnerRecord> release = jobs::DecodeOwner(request.m_body);
+  if (!release) {
+    reply(ErrorResponse(400, "malformed", release.error().m_detail));
+    return;
+  }
+  m_cell_host.StoreReleaseForPeer(
+      release.value(), [reply](const Result<Offset>& end) {
+        reply(end ? JsonResponse(200, "{}")
+                  : ErrorResponse(503,
+                                  std::string(ToString(end.error().m_code)),
+                                  end.error().m_detail));
+      });
+}
+
 std::string NodeProcess::OwnerAddress() const {
   const jobs::OwnerView& owner = m_cell_host.Owner();
   const bool is_other_node = owner.m_record && !owner.m_record->m_released &&
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -42,6 +42,7 @@
   void HandleFrontRequest(HttpRequest request, HttpReply reply);
   void HandleReadinessCheck(const HttpRequest& request, const HttpReply& reply);
   void HandleInternalRequest(HttpRequest request, HttpReply reply);
+  void HandleHandover(const HttpRequest& request, const HttpReply& reply);
   void HandlePeerRequest(const HttpRequest& request, const HttpReply& reply);
   /// Internal address of the cell's owner if that is another node, else "".
   std::string OwnerAddress() const;
@@ -55,6 +56,7 @@
   Metrics m_metrics;
   DecisionLoop m_loop;
   OperatorView m_operator_view;
+  PeerHandover m_peer_handover;
   CellHost m_cell_host;
   OwnerClient m_owner_client;
   PeerStore m_peer_store;
