Count suspended time in leases, view ages and deadlines

After the wake-up an ownership lease, the age of a view and the deadline of an order looked valid, and the time was read once for a whole pass. Change: Clock reads CLOCK_BOOTTIME. Start orders and heartbeats carry the end of their permission (ownership lease, age of the views), which is compared with the clock again right before the send; an exchange whose deadline has passed isn't sent. Expired orders are counted in hyssopspar_expired_orders_total. A worker refuses a start that arrives after its not-after time, as before.

--- a/src/include/hyssopspar/jobs/action.h
+++ b/src/include/hyssopspar/jobs/action.h
@@ -20,6 +20,9 @@
   TaskRef m_task;
   WorkerTarget m_target;
   StartOrder m_order;
+  /// The views and the ownership lease permit the start until then. A process
+  /// may be paused between the decision and the sending.
+  TimePoint m_send_before;
   /// Number of earlier orders of this run that could not be sent.
   std::uint32_t m_resends = 0;
 };
@@ -41,6 +44,7 @@
   TimePoint m_sent;
   WorkerTarget m_target;
   HeartbeatRequest m_order;
+  TimePoint m_send_before;  ///< End of the ownership lease.
 };
 
 /// Asks the adviser which of the candidates may run a step.
--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -170,6 +170,8 @@
   /// True while the ownership lease is valid and the views are recent enough to
   /// place and start tasks.
   bool MayPlaceTasks(TimePoint now) const;
+  /// Last time at which MayPlaceTasks() is true with the current views.
+  TimePoint PlacementDeadline() const;
   bool MayStart(const Job& job, const Task& task, TimePoint now) const;
   void HandleRefusal(const StartAction& action,
                      Job* job,
--- a/src/include/hyssopspar/time.h
+++ b/src/include/hyssopspar/time.h
@@ -9,10 +9,20 @@
 
 namespace hyssopspar {
 
-/// Monotonic clock of one process. Code that makes decisions takes the current
-/// time as a TimePoint parameter; only `main` and the transports read the
-/// clock.
-using Clock = std::chrono::steady_clock;
+/// Monotonic clock of one machine that also counts the time for which the
+/// machine was suspended, which std::chrono::steady_clock does not: a lease or
+/// deadline that others rely on expires during a suspension as well. Code that
+/// makes decisions takes the current time as a TimePoint parameter; only `main`
+/// and the transports read the clock.
+struct Clock {
+  using rep = std::int64_t;
+  using period = std::nano;
+  using duration = std::chrono::nanoseconds;
+  using time_point = std::chrono::time_point<Clock, duration>;
+  static constexpr bool is_steady = true;  // NOLINT: required of a clock.
+
+  static time_point now() noexcept;  // NOLINT: required of a clock.
+};
 using TimePoint = Clock::time_point;
 using Duration = Clock::duration;
 
--- a/src/libhyssopspar/decision_loop.cpp
+++ b/src/libhyssopspar/decision_loop.cpp
@@ -4,10 +4,11 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <thread>
 #include <utility>
 
+#include "pvt/clock_timer.h"
+
 namespace hyssopspar {
 
 namespace asio = boost::asio;
@@ -18,7 +19,7 @@
   asio::io_context m_io{1};
   asio::executor_work_guard<asio::io_context::executor_type> m_work_guard{
       m_io.get_executor()};
-  asio::steady_timer m_deadline_timer{m_io};
+  pvt::ClockTimer m_deadline_timer{m_io};
   TimePoint m_deadline = TimePoint::max();
   std::thread m_thread;
 };
@@ -50,7 +51,7 @@
 }
 
 void DecisionLoop::PostAt(TimePoint at, std::function<void()> event) {
-  const auto timer = std::make_shared<asio::steady_timer>(m_impl->m_io, at);
+  const auto timer = std::make_shared<pvt::ClockTimer>(m_impl->m_io, at);
   timer->async_wait(
       [timer, event = std::move(event)](boost::system::error_code ec) {
         if (!ec) {
--- a/src/libhyssopspar/exchange.cpp
+++ b/src/libhyssopspar/exchange.cpp
@@ -24,6 +24,10 @@
 /// the kernel sends a lost SYN again.
 constexpr milliseconds kConnectTimeout{300};
 
+Duration RemainingTime(TimePoint deadline) {
+  return std::max(Duration::zero(), deadline - Clock::now());
+}
+
 /// The error code for a failure after at least one byte was sent.
 ErrorCode ErrorCodeAfterSend(const beast::error_code& ec) {
   if (ec == beast::error::timeout) {
@@ -102,8 +106,8 @@
     Finish(Fail(ErrorCode::kNotSent, "bad address " + m_impl->m_address));
     return;
   }
-  m_impl->m_stream.expires_at(
-      std::min(m_impl->m_deadline, Clock::now() + kConnectTimeout));
+  m_impl->m_stream.expires_after(
+      std::min<Duration>(RemainingTime(m_impl->m_deadline), kConnectTimeout));
   m_impl->m_stream.async_connect(endpoint, [self = shared_from_this()](
                                                beast::error_code error) {
     if (error == beast::error::timeout &&
@@ -123,7 +127,13 @@
 }
 
 void Exchange::Write() {
-  m_impl->m_stream.expires_at(m_impl->m_deadline);
+  // The process may have been suspended since the request was made. Whatever
+  // permitted it may have ended meanwhile.
+  if (Clock::now() >= m_impl->m_deadline) {
+    Finish(Fail(ErrorCode::kNotSent, "deadline passed before the request"));
+    return;
+  }
+  m_impl->m_stream.expires_after(RemainingTime(m_impl->m_deadline));
   http::async_write(
       m_impl->m_stream, m_impl->m_request,
       [self = shared_from_this()](beast::error_code ec, std::size_t bytes) {
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -182,9 +182,13 @@
 }
 
 bool Cell::MayPlaceTasks(TimePoint now) const {
-  const TimePoint oldest = now - m_settings.m_max_view_age;
-  return now <= m_ownership_lease_deadline &&
-         m_operators_current_at >= oldest && m_workers_current_at >= oldest;
+  return now <= PlacementDeadline();
+}
+
+TimePoint Cell::PlacementDeadline() const {
+  return std::min(m_ownership_lease_deadline,
+                  std::min(m_operators_current_at, m_workers_current_at) +
+                      m_settings.m_max_view_age);
 }
 
 bool Cell::MayStart(const Job& job, const Task& task, TimePoint now) const {
@@ -216,6 +220,7 @@
   action.m_order.m_not_after =
       WorkerTimeAt(worker, now) + m_settings.m_start_validity;
   action.m_order.m_epoch = m_settings.m_epoch;
+  action.m_send_before = PlacementDeadline();
   ExtendLeaseDeadline(&worker, action.m_order.m_not_after);
   SetTaskState(job, ref.m_index, TaskState::kStarting);
   task.m_start_status = StartStatus::kNone;
--- a/src/libhyssopspar/jobs/cell_test.cpp
+++ b/src/libhyssopspar/jobs/cell_test.cpp
@@ -73,6 +73,7 @@
 
   void Answer(const StartAction& action) {
     m_starts.push_back(action.m_order);
+    m_send_before.push_back(action.m_send_before);
     if (m_starts_are_answered) {
       m_running[action.m_target.m_id].push_back(
           {action.m_order.m_task, action.m_order.m_run, "", 0, m_usage});
@@ -111,6 +112,7 @@
   double m_usage = 0;  ///< Reported for every run.
   std::map<std::string, std::vector<RunningRun>> m_running;  ///< By worker.
   std::vector<StartOrder> m_starts;
+  std::vector<TimePoint> m_send_before;  ///< Of m_starts.
   std::vector<ThrottleOrder> m_throttles;
   std::vector<KeyedRecord> m_stored;
 };
@@ -133,6 +135,24 @@
   EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
 }
 
+// The sender compares the time again, since the process may be paused between
+// the decision and the sending.
+TEST_F(CellTest, StartsNameTheEndOfTheirPermission) {
+  AddWorker("w0");
+  m_cell.Activate(m_now);
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  const TimePoint lease_deadline = m_now + milliseconds(700);
+  m_cell.SetOwnershipLeaseDeadline(lease_deadline);
+  Run(milliseconds(300));
+  ASSERT_EQ(m_send_before.size(), 1U);
+  EXPECT_EQ(m_send_before[0], lease_deadline);
+  m_cell.SetOwnershipLeaseDeadline(TimePoint::max());
+  m_cell.OnJob(MakeJob("b", Step(1, 1000)), m_now);
+  Run(milliseconds(300));
+  ASSERT_EQ(m_send_before.size(), 2U);
+  EXPECT_LE(m_send_before[1], m_now + CellSettings().m_max_view_age);
+}
+
 TEST_F(CellTest, RestoredPlacementWithoutStartCountsAsPending) {
   JobProgress progress;
   progress.m_task_states = {TaskState::kRecording};
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -92,6 +92,7 @@
   action.m_target = TargetOf(worker_index);
   action.m_sent = now;
   action.m_order.m_epoch = m_settings.m_epoch;
+  action.m_send_before = m_ownership_lease_deadline;
   // An unreachable worker may return as a new incarnation, which counts its
   // ended runs anew: acknowledging an old number could discard new ends.
   action.m_order.m_acked_up_to =
--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -134,6 +134,8 @@
   void TickAndDispatch();
   /// Adds the jobs that have ended to the metrics.
   void RecordCompletions();
+  /// True, and counted, if an order may not be sent any more.
+  bool IsExpired(TimePoint send_before);
   void Execute(jobs::StartAction action);
   void Execute(jobs::StopAction action);
   void Execute(const jobs::ThrottleAction& action);
--- a/src/node/cell_host_acting.cpp
+++ b/src/node/cell_host_acting.cpp
@@ -91,19 +91,32 @@
   }
 }
 
+bool CellHost::IsExpired(TimePoint send_before) {
+  if (Clock::now() <= send_before) {
+    return false;
+  }
+  m_metrics->Value("hyssopspar_expired_orders_total").fetch_add(1);
+  return true;
+}
+
 void CellHost::Execute(jobs::StartAction action) {
   m_metrics->Value("hyssopspar_starts_total").fetch_add(1);
   const TimePoint deadline = Clock::now() + kOrderTimeout;
+  const TimePoint send_before = action.m_send_before;
   const jobs::WorkerTarget target = action.m_target;
   const jobs::StartOrder order = action.m_order;
-  m_platform->Workers().Start(target, order, deadline,
-                              BindToGeneration<Result<jobs::StartAnswer>>(
-                                  [this, action = std::move(action)](
-                                      const Result<jobs::StartAnswer>& answer) {
-                                    m_cell->OnStartAnswer(action, answer,
-                                                          Clock::now());
-                                    TickAndDispatch();
-                                  }));
+  const std::function<void(Result<jobs::StartAnswer>)> answered =
+      BindToGeneration<Result<jobs::StartAnswer>>(
+          [this, action = std::move(action)](
+              const Result<jobs::StartAnswer>& answer) {
+            m_cell->OnStartAnswer(action, answer, Clock::now());
+            TickAndDispatch();
+          });
+  if (IsExpired(send_before)) {
+    answered(Fail(ErrorCode::kNotSent, "the permission to start has expired"));
+    return;
+  }
+  m_platform->Workers().Start(target, order, deadline, answered);
 }
 
 void CellHost::Execute(jobs::StopAction action) {
@@ -135,16 +148,21 @@
   m_metrics->Value("hyssopspar_holds_total").fetch_add(1);
   const TimePoint deadline =
       Clock::now() + kOrderTimeout + action.m_order.m_wait;
+  const TimePoint send_before = action.m_send_before;
   const jobs::WorkerTarget target = action.m_target;
   const jobs::HeartbeatRequest order = action.m_order;
-  m_platform->Workers().ExchangeHeartbeat(
-      target, order, deadline,
+  const std::function<void(Result<jobs::HeartbeatReport>)> answered =
       BindToGeneration<Result<jobs::HeartbeatReport>>(
           [this, action = std::move(action)](
               const Result<jobs::HeartbeatReport>& answer) {
             m_cell->OnHeartbeatAnswer(action, answer, Clock::now());
             TickAndDispatch();
-          }));
+          });
+  if (IsExpired(send_before)) {
+    answered(Fail(ErrorCode::kNotSent, "the ownership lease has expired"));
+    return;
+  }
+  m_platform->Workers().ExchangeHeartbeat(target, order, deadline, answered);
 }
 
 void CellHost::Execute(jobs::AdviseAction action) {
