Keep a process running when one event or record fails unexpectedly

A job of 5,000 tasks with 10,000 occurrences was accepted and would have taken the memory of each owner in turn. Change: each loop catches, logs and goes on. The caller of a failed handler gets 504 "unknown". After an error in the decision loop the owner releases the cell, whose state may be half changed, and leaves it to other nodes for 5 s; a job record that can't be applied is set aside with its key. The limits of a job's plan are checked in one place, at submission and when a stored record is read; a job has at most 50,000 tasks in all occurrences together and no task larger than a million processors.

--- a/src/include/hyssopspar/decision_loop.h
+++ b/src/include/hyssopspar/decision_loop.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "hyssopspar/time.h"
 
@@ -16,8 +17,12 @@
 class DecisionLoop {
  public:
   /// At most \p max_queued events posted by TryPost wait at a time. The events
-  /// of Post and PostAt do not count.
-  explicit DecisionLoop(std::size_t max_queued);
+  /// of Post and PostAt do not count. \p on_error, which may be empty, runs on
+  /// the loop's thread with the message of an exception out of an event; the
+  /// loop goes on with the next event.
+  explicit DecisionLoop(
+      std::size_t max_queued,
+      std::function<void(const std::string&)> on_error = nullptr);
   ~DecisionLoop();
   DecisionLoop(const DecisionLoop&) = delete;
   DecisionLoop& operator=(const DecisionLoop&) = delete;
--- a/src/include/hyssopspar/http_server.h
+++ b/src/include/hyssopspar/http_server.h
@@ -22,6 +22,12 @@
 /// unless other threads remain to serve the other connections.
 using HttpHandler = std::function<void(HttpRequest, HttpReply)>;
 
+/// Calls \p handler. When it throws before it has replied, the client is told
+/// that the outcome is unknown. Later replies are ignored.
+void HandleWithReply(const HttpHandler& handler,
+                     HttpRequest request,
+                     HttpReply reply);
+
 /// Limits of a server, on the requests it receives and on its connections.
 struct HttpServerLimits {
   std::size_t m_max_request_body_bytes = 1 << 20;
--- a/src/include/hyssopspar/jobs/job_plan.h
+++ b/src/include/hyssopspar/jobs/job_plan.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "hyssopspar/error.h"
 #include "hyssopspar/resources.h"
 #include "hyssopspar/time.h"
 
@@ -54,6 +55,11 @@
   milliseconds m_interval{0};            ///< Time between occurrences.
 };
 
+/// Checks the limits of a job that this program can schedule: the numbers of
+/// steps and tasks, sizes, and dependencies on earlier steps only. Fails with
+/// kInvalidArgument.
+Result<void> ValidatePlan(const JobPlan& plan);
+
 /// Policy of a queue at the time at which the job was accepted.
 struct QueuePolicy {
   std::string m_name;
--- a/src/libhyssopspar/decision_loop.cpp
+++ b/src/libhyssopspar/decision_loop.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "pvt/clock_timer.h"
+#include "pvt/run_loop.h"
 
 namespace hyssopspar {
 
@@ -21,13 +22,18 @@
       m_io.get_executor()};
   pvt::ClockTimer m_deadline_timer{m_io};
   TimePoint m_deadline = TimePoint::max();
+  std::function<void(const std::string&)> m_on_error;
   std::thread m_thread;
 };
 
-DecisionLoop::DecisionLoop(std::size_t max_queued)
+DecisionLoop::DecisionLoop(std::size_t max_queued,
+                           std::function<void(const std::string&)> on_error)
     : m_impl(std::make_unique<Impl>()) {
   m_impl->m_max_queued = max_queued;
-  m_impl->m_thread = std::thread([impl = m_impl.get()] { impl->m_io.run(); });
+  m_impl->m_on_error = std::move(on_error);
+  m_impl->m_thread = std::thread([impl = m_impl.get()] {
+    pvt::RunGuarded(&impl->m_io, "decision", impl->m_on_error);
+  });
 }
 
 DecisionLoop::~DecisionLoop() {
--- a/src/libhyssopspar/http_server.cpp
+++ b/src/libhyssopspar/http_server.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <exception>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -14,7 +16,9 @@
 #include <utility>
 #include <vector>
 
+#include "hyssopspar/logging.h"
 #include "pvt/net.h"
+#include "pvt/run_loop.h"
 
 namespace hyssopspar {
 
@@ -25,7 +29,7 @@
 
 namespace {
 
-class Session;
+constexpr const char* kLogComponent = "http";
 
 /// State that all sessions of one server share.
 struct SharedState {
@@ -121,13 +125,14 @@
     request.m_headers = pvt::CopyHeaders(message);
     request.m_body = std::move(message.body());
     m_shared->m_in_flight.fetch_add(1);
-    m_shared->m_handler(
-        std::move(request), [self = shared_from_this()](HttpResponse response) {
-          asio::post(self->m_stream.get_executor(),
-                     [self, response = std::move(response)]() mutable {
-                       self->Write(std::move(response));
-                     });
-        });
+    HandleWithReply(m_shared->m_handler, std::move(request),
+                    [self = shared_from_this()](HttpResponse response) {
+                      asio::post(
+                          self->m_stream.get_executor(),
+                          [self, response = std::move(response)]() mutable {
+                            self->Write(std::move(response));
+                          });
+                    });
   }
 
   void Write(HttpResponse response) {
@@ -195,6 +200,26 @@
 
 }  // namespace
 
+void HandleWithReply(const HttpHandler& handler,
+                     HttpRequest request,
+                     HttpReply reply) {
+  const auto has_replied = std::make_shared<std::atomic<bool>>(false);
+  const HttpReply reply_once =
+      [has_replied, reply = std::move(reply)](HttpResponse response) {
+        if (!has_replied->exchange(true)) {
+          reply(std::move(response));
+        }
+      };
+  const std::string target = request.m_target;
+  try {
+    handler(std::move(request), reply_once);
+  } catch (const std::exception& e) {
+    Log(kLogComponent)
+        ->critical("unexpected-error target={} error=\"{}\"", target, e.what());
+    reply_once(ErrorResponse(504, "unknown", "internal error"));
+  }
+}
+
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
   asio::io_context m_io;
   tcp::acceptor m_acceptor{m_io};
@@ -259,7 +284,8 @@
   }
   m_impl->Accept();
   for (int i = 0; i < m_impl->m_thread_count; ++i) {
-    m_impl->m_threads.emplace_back([impl = m_impl] { impl->m_io.run(); });
+    m_impl->m_threads.emplace_back(
+        [impl = m_impl] { pvt::RunGuarded(&impl->m_io, "server", nullptr); });
   }
   return Ok();
 }
--- a/src/libhyssopspar/http_server_test.cpp
+++ b/src/libhyssopspar/http_server_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <stdexcept>
 #include <string>
 
 namespace hyssopspar {
@@ -69,5 +70,47 @@
   server.Stop();
 }
 
+std::string Get(const std::string& path) {
+  return "GET " + path + " HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+}
+
+// An error in one request's handler leaves its outcome unknown, and does not
+// concern other requests.
+TEST(HttpServerTest, HandlerThatThrowsFailsItsOwnRequestOnly) {
+  HttpServer server(
+      [](const HttpRequest& request, const HttpReply& reply) {
+        if (request.m_target == "/bad") {
+          throw std::runtime_error("planted");
+        }
+        reply(JsonResponse(200, "{}"));
+      },
+      HttpServerLimits(), 1);
+  ASSERT_TRUE(server.Start("127.0.0.1:0"));
+  Client bad(server.Port());
+  bad.Send(Get("/bad"));
+  EXPECT_EQ(bad.ReadAll().substr(0, 12), "HTTP/1.1 504");
+  Client good(server.Port());
+  good.Send(Get("/good"));
+  EXPECT_EQ(good.ReadAll().substr(0, 12), "HTTP/1.1 200");
+  server.Stop();
+}
+
+TEST(HttpServerTest, FirstReplyCounts) {
+  int status = 0;
+  HandleWithReply(
+      [](const HttpRequest&, const HttpReply& reply) {
+        reply(JsonResponse(200, "{}"));
+        throw std::runtime_error("planted");
+      },
+      HttpRequest(),
+      [&status](const HttpResponse& response) { status = response.m_status; });
+  EXPECT_EQ(status, 200);
+}
+
+// Parsers quote the text that they reject.
+TEST(HttpServerTest, ErrorResponseTakesDetailsThatAreNotUtf8) {
+  EXPECT_NO_THROW(ErrorResponse(400, "malformed", "last read: '\xff\xfe'"));
+}
+
 }  // namespace
 }  // namespace hyssopspar
--- a/src/libhyssopspar/jobs/cell_loader.cpp
+++ b/src/libhyssopspar/jobs/cell_loader.cpp
@@ -1,5 +1,6 @@
 #include "hyssopspar/jobs/cell_loader.h"
 
+#include <exception>
 #include <utility>
 
 #include "hyssopspar/jobs/records.h"
@@ -50,7 +51,13 @@
                     ToString(job.error()));
     return;
   }
-  cell->OnJob(job.value(), now);
+  // One record that can't be applied must not stop every owner in turn.
+  try {
+    cell->OnJob(job.value(), now);
+  } catch (const std::exception& e) {
+    CellLog()->critical("job-set-aside key={} error=\"{}\"", record.m_key,
+                        e.what());
+  }
 }
 
 void CellLoader::Finish(Cell* cell, TimePoint now) {
--- /dev/null
+++ b/src/libhyssopspar/jobs/job_plan.cpp
@@ -0,0 +1,77 @@
+#include "hyssopspar/jobs/job_plan.h"
+
+#include <algorithm>
+
+namespace hyssopspar::jobs {
+
+namespace {
+
+constexpr std::size_t kMaxPayloadBytes = 4000;
+constexpr std::size_t kMaxSteps = 64;
+/// Limits of the tasks of one occurrence, and of all occurrences together. The
+/// owner keeps about 200 bytes for each.
+constexpr std::uint64_t kMaxTasks = 10000;
+constexpr std::uint64_t kMaxTasksOfAllOccurrences = 50000;
+/// Limit of each resource of a task: a million processors or a petabyte. Sums
+/// over all tasks stay far below the range of the type.
+constexpr std::int64_t kMaxTaskResource = 1000000000;
+
+bool IsPossibleSize(const Resources& size) {
+  return IsNonNegative(size) && size.m_cpu_milli <= kMaxTaskResource &&
+         size.m_memory_mib <= kMaxTaskResource &&
+         size.m_accelerators <= kMaxTaskResource;
+}
+
+/// Returns the first rule that the step with the number \p index breaks, or
+/// null.
+const char* FindStepError(const StepPlan& step, std::size_t index) {
+  if (step.m_tasks == 0) {
+    return "a step needs a task";
+  }
+  if (!IsPossibleSize(step.m_size)) {
+    return "a task's size is negative or too large";
+  }
+  const bool depends_on_earlier = std::all_of(
+      step.m_depends_on.begin(), step.m_depends_on.end(),
+      [index](std::uint32_t dependency) { return dependency < index; });
+  return depends_on_earlier ? nullptr
+                            : "a step may depend on earlier steps only";
+}
+
+/// Returns the first rule that \p plan breaks, or null.
+const char* FindPlanError(const JobPlan& plan) {
+  if (plan.m_payload.size() > kMaxPayloadBytes) {
+    return "the specification of the tasks is too long";
+  }
+  if (plan.m_steps.empty() || plan.m_steps.size() > kMaxSteps) {
+    return "a job needs 1 to 64 steps";
+  }
+  std::uint64_t tasks = 0;
+  for (std::size_t i = 0; i < plan.m_steps.size(); ++i) {
+    const char* const error = FindStepError(plan.m_steps[i], i);
+    if (error != nullptr) {
+      return error;
+    }
+    tasks += plan.m_steps[i].m_tasks;
+  }
+  if (tasks > kMaxTasks) {
+    return "a job may have at most 10000 tasks";
+  }
+  if (tasks * std::max<std::uint64_t>(1, plan.m_occurrences) >
+      kMaxTasksOfAllOccurrences) {
+    return "a job may have at most 50000 tasks in all occurrences together";
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+Result<void> ValidatePlan(const JobPlan& plan) {
+  const char* const error = FindPlanError(plan);
+  if (error != nullptr) {
+    return Fail(ErrorCode::kInvalidArgument, error);
+  }
+  return Ok();
+}
+
+}  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/records.cpp
+++ b/src/libhyssopspar/jobs/records.cpp
@@ -31,7 +31,12 @@
 }
 
 Result<Submission> DecodeSubmission(const std::string& bytes) {
-  return pvt::Decode<Submission>(bytes);
+  Result<Submission> job = pvt::Decode<Submission>(bytes);
+  if (!job) {
+    return job;
+  }
+  BOOST_OUTCOME_TRY(ValidatePlan(job.value().m_plan));
+  return job;
 }
 
 std::string EncodeProgress(const JobProgress& progress) {
--- a/src/libhyssopspar/peer_link.cpp
+++ b/src/libhyssopspar/peer_link.cpp
@@ -14,6 +14,7 @@
 #include "hyssopspar/logging.h"
 #include "hyssopspar/time.h"
 #include "pvt/net.h"
+#include "pvt/run_loop.h"
 
 namespace hyssopspar {
 
@@ -162,7 +163,8 @@
   }
   m_impl->m_timer = std::make_unique<boost::asio::steady_timer>(m_impl->m_io);
   boost::asio::post(m_impl->m_io, [this] { m_impl->ReconnectPeers(); });
-  m_impl->m_thread = std::thread([this] { m_impl->m_io.run(); });
+  m_impl->m_thread =
+      std::thread([this] { pvt::RunGuarded(&m_impl->m_io, "peer", nullptr); });
   return Ok();
 }
 
--- a/src/libhyssopspar/upstream_pool.cpp
+++ b/src/libhyssopspar/upstream_pool.cpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "pvt/exchange.h"
+#include "pvt/run_loop.h"
 
 namespace hyssopspar {
 
@@ -77,7 +78,8 @@
     : m_impl(std::make_shared<Impl>()) {
   m_impl->m_max_idle = max_idle;
   for (int i = 0; i < threads; ++i) {
-    m_impl->m_threads.emplace_back([impl = m_impl] { impl->m_io.run(); });
+    m_impl->m_threads.emplace_back(
+        [impl = m_impl] { pvt::RunGuarded(&impl->m_io, "client", nullptr); });
   }
 }
 
--- a/src/node/cell_host.cpp
+++ b/src/node/cell_host.cpp
@@ -25,6 +25,9 @@
 /// An owner ignores takeover offers for this long after it has loaded the cell.
 constexpr milliseconds kMinTenure{1000};
 
+/// Time for which a node leaves the cell to others after an unexpected error.
+constexpr milliseconds kClaimPauseAfterError{5000};
+
 }  // namespace
 
 CellHost::CellHost(const NodeSettings& settings,
@@ -171,7 +174,7 @@
                                 m_owner_stream->CurrentAsOf() >= claim.m_at;
   // A node that can't read the store could not store a claim either.
   if (!m_operator_view->HasConfig() || !m_owner_stream->IsConnected() ||
-      now < claim.m_at || !expiry_confirmed) {
+      now < claim.m_at || now < m_no_claim_before || !expiry_confirmed) {
     m_free_since.reset();
     return false;
   }
@@ -396,6 +399,18 @@
   });
 }
 
+void CellHost::OnUnexpectedError() {
+  if (m_phase == Phase::kNotOwner) {
+    return;
+  }
+  m_no_claim_before = Clock::now() + kClaimPauseAfterError;
+  if (m_phase == Phase::kOwning) {
+    ReleaseOwnership("unexpected-error");
+  } else {
+    StepDown("unexpected-error");
+  }
+}
+
 bool CellHost::CanStoreReleaseOf(std::uint64_t epoch) const {
   return m_phase == Phase::kNotOwner && m_owner_stream->IsLoaded() &&
          m_owner_stream->IsConnected() && m_owner.m_record &&
--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -67,6 +67,10 @@
   /// Applies the current operator view to the cell.
   void OnOperatorChange();
 
+  /// Gives the cell up, whose state may be half changed by an event that ended
+  /// with an exception. Another node, or later this one, loads it anew.
+  void OnUnexpectedError();
+
   /// Last known owner of the cell.
   const jobs::OwnerView& Owner() const { return m_owner; }
   /// Records that the owner of \p epoch refuses connections. The cell may then
@@ -177,6 +181,7 @@
   TimePoint m_renew_at;  ///< When the next renewal is due.
   bool m_renewing = false;
   TimePoint m_owning_since;
+  TimePoint m_no_claim_before;  ///< After an unexpected error.
   jobs::StoreContact m_store_contact;
   /// CPU capacity, in processors, of the largest node that offered to take the
   /// cell over; 0 without an offer.
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -45,7 +45,12 @@
                          std::unique_ptr<jobs::PlatformAdapter> platform)
     : m_settings(settings),
       m_platform(std::move(platform)),
-      m_loop(kMaxQueuedRequests),
+      m_loop(
+          kMaxQueuedRequests,
+          [this](const std::string& /*message*/) {
+            m_metrics.Value("hyssopspar_unexpected_errors_total").fetch_add(1);
+            m_cell_host.OnUnexpectedError();
+          }),
       m_operator_view(m_platform.get(), &m_loop),
       m_peer_handover(settings.m_peers, &m_loop),
       m_cell_host(settings,
@@ -209,7 +214,12 @@
   const HttpReply refuse = reply;
   const bool queued = m_loop.TryPost(
       [this, request = std::move(request), reply = std::move(reply)] {
-        m_front.Handle(request, WithRequestMetrics(request.m_method, reply));
+        HandleWithReply(
+            [this](const HttpRequest& received, const HttpReply& answer) {
+              m_front.Handle(received,
+                             WithRequestMetrics(received.m_method, answer));
+            },
+            request, reply);
       });
   if (!queued) {
     refuse(ErrorResponse(503, "not-run", "too many requests waiting"));
@@ -232,7 +242,11 @@
     return;
   }
   m_loop.Post([this, request = std::move(request), reply = std::move(reply)] {
-    HandlePeerRequest(request, reply);
+    HandleWithReply(
+        [this](const HttpRequest& received, const HttpReply& answer) {
+          HandlePeerRequest(received, answer);
+        },
+        request, reply);
   });
 }
 
