Let a peer verify that it reaches the store before it takes a release

Ruled out: the takeover itself; the leases' length. Change: the peer reads from the store before it answers. The owner steps down only once its release is stored; until then it extends leases and, without the store, starts nothing. Head-room ends 20 s after the last arrival of a short job: it was kept for ever when traffic ended. LongRunningGrowthTest.HeadroomFollowsTheHighestRecentDemand.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -285,7 +285,7 @@
                       std::vector<std::size_t>* pending);
   /// CPU that first runs of the queue's long-running tasks may still take in
   /// the current pass.
-  std::int64_t& GrowthBudgetOf(const QueuePolicy& queue);
+  std::int64_t& GrowthBudgetOf(const QueuePolicy& queue, TimePoint now);
   void SortByUrgency(TimePoint now);
   std::int64_t UnixMillis(TimePoint now) const;
   void AddUnreportedInterference(TimePoint now);
--- a/src/include/hyssopspar/jobs/long_running_growth.h
+++ b/src/include/hyssopspar/jobs/long_running_growth.h
@@ -49,11 +49,12 @@
 /// Head-room towards long-running tasks of \p queue: CPU for the highest demand
 /// of recent seconds by short jobs of the same pool and the same or a more
 /// urgent priority, with a margin for bursts. \p pool_cpu_milli is the CPU of
-/// all workers of the pool.
+/// all workers of the pool, and \p unix_now the time in milliseconds.
 Headroom HeadroomFor(const ShortJobDemand& demand,
                      const RunTimeEstimates& run_times,
                      const QueuePolicy& queue,
-                     std::int64_t pool_cpu_milli);
+                     std::int64_t pool_cpu_milli,
+                     std::int64_t unix_now);
 
 /// CPU of the worker in which whole tasks of the size that \p headroom names
 /// fit.
--- a/src/include/hyssopspar/jobs/ownership.h
+++ b/src/include/hyssopspar/jobs/ownership.h
@@ -24,6 +24,10 @@
   /// Upper bound of the claim delay that differs by node, so that nodes do not
   /// all claim a free cell at once.
   milliseconds m_claim_jitter{200};
+  /// A new owner keeps the cell for this long when it has lost the store, so
+  /// that a store that refuses calls of all nodes now and then does not move
+  /// the cell around.
+  milliseconds m_min_tenure{3000};
   /// CPU capacity of this node, in processors. Nodes with more capacity are
   /// preferred as owners.
   double m_cpu_capacity = 1;
--- a/src/include/hyssopspar/jobs/store_contact.h
+++ b/src/include/hyssopspar/jobs/store_contact.h
@@ -19,10 +19,10 @@
 /// Records the outcome of a call that was sent at \p sent.
 void RecordStoreCall(StoreContact* contact, bool succeeded, TimePoint sent);
 
-/// True if the owner should ask its peers now. It became owner at
-/// \p owning_since.
+/// True if the owner should ask its peers now. A new owner keeps the cell until
+/// \p tenure_end.
 bool ShouldAskPeers(const StoreContact& contact,
-                    TimePoint owning_since,
+                    TimePoint tenure_end,
                     TimePoint now);
 
 /// Records that the peers are asked at \p now.
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -151,7 +151,7 @@
   return pending;
 }
 
-std::int64_t& Cell::GrowthBudgetOf(const QueuePolicy& queue) {
+std::int64_t& Cell::GrowthBudgetOf(const QueuePolicy& queue, TimePoint now) {
   const auto inserted = m_growth_budgets.emplace(queue.m_name, 0);
   std::int64_t& budget = inserted.first->second;
   if (!inserted.second) {
@@ -166,8 +166,8 @@
       pool_cpu += worker.m_entry.m_capacity.m_cpu_milli;
     }
   }
-  const Headroom headroom =
-      HeadroomFor(m_short_job_demand, m_run_times, queue, pool_cpu);
+  const Headroom headroom = HeadroomFor(m_short_job_demand, m_run_times, queue,
+                                        pool_cpu, UnixMillis(now));
   for (const Worker* const worker : pool) {
     budget += UsableCpuMilli(*worker, headroom);
   }
@@ -188,7 +188,7 @@
   if (growth == pending->end() || cpu == 0) {
     return;
   }
-  std::int64_t& budget = GrowthBudgetOf(job.m_submission.m_queue);
+  std::int64_t& budget = GrowthBudgetOf(job.m_submission.m_queue, now);
   const std::int64_t allowed =
       std::clamp<std::int64_t>(budget / cpu, 0, pending->end() - growth);
   budget -= allowed * cpu;
--- a/src/libhyssopspar/jobs/long_running_growth.cpp
+++ b/src/libhyssopspar/jobs/long_running_growth.cpp
@@ -98,12 +98,17 @@
 Headroom HeadroomFor(const ShortJobDemand& demand,
                      const RunTimeEstimates& run_times,
                      const QueuePolicy& queue,
-                     std::int64_t pool_cpu_milli) {
+                     std::int64_t pool_cpu_milli,
+                     std::int64_t unix_now) {
   Headroom headroom;
+  const std::int64_t oldest = unix_now / 1000 - kWindowSeconds;
   double highest = 0;
   std::int64_t cpu = 0;
   std::uint64_t tasks = 0;
   for (const ShortJobDemand::Second& second : demand.m_seconds) {
+    if (second.m_unix_second <= oldest) {
+      continue;
+    }
     highest = std::max(
         highest, DemandOfSpan(demand, run_times, queue, second.m_unix_second));
     for (const auto& entry : second.m_by_queue) {
--- a/src/libhyssopspar/jobs/long_running_growth_test.cpp
+++ b/src/libhyssopspar/jobs/long_running_growth_test.cpp
@@ -38,27 +38,28 @@
 constexpr std::int64_t kPoolCpuMilli = 1000000;
 
 TEST(LongRunningGrowthTest, NoHeadroomWithoutShortJobs) {
-  const Headroom headroom = HeadroomFor(ShortJobDemand(), RunTimeEstimates(),
-                                        LongRunningQueue(), kPoolCpuMilli);
+  const Headroom headroom =
+      HeadroomFor(ShortJobDemand(), RunTimeEstimates(), LongRunningQueue(),
+                  kPoolCpuMilli, 1000);
   EXPECT_EQ(headroom.m_cpu_milli, 0);
 }
 
 TEST(LongRunningGrowthTest, HeadroomFollowsTheHighestRecentDemand) {
   ShortJobDemand demand;
-  const RunTimeEstimates run_times = RunTimes(milliseconds(500));
+  const auto headroom_at = [&demand](std::int64_t unix_now) {
+    return HeadroomFor(demand, RunTimes(milliseconds(500)), LongRunningQueue(),
+                       kPoolCpuMilli, unix_now);
+  };
   RecordArrival(&demand, ShortJob(100000, 10, 2000));
-  const std::int64_t calm =
-      HeadroomFor(demand, run_times, LongRunningQueue(), kPoolCpuMilli)
-          .m_cpu_milli;
+  const std::int64_t calm = headroom_at(101000).m_cpu_milli;
+  EXPECT_GT(calm, 0);
   RecordArrival(&demand, ShortJob(105000, 40, 2000));
-  const Headroom burst =
-      HeadroomFor(demand, run_times, LongRunningQueue(), kPoolCpuMilli);
-  EXPECT_EQ(burst.m_cpu_milli, 4 * calm);
-  EXPECT_EQ(burst.m_task_cpu_milli, 2000);
+  EXPECT_EQ(headroom_at(106000).m_cpu_milli, 4 * calm);
+  EXPECT_EQ(headroom_at(106000).m_task_cpu_milli, 2000);
   RecordArrival(&demand, ShortJob(140000, 10, 2000));
-  EXPECT_EQ(HeadroomFor(demand, run_times, LongRunningQueue(), kPoolCpuMilli)
-                .m_cpu_milli,
-            calm);
+  EXPECT_EQ(headroom_at(141000).m_cpu_milli, calm);
+  // Without arrivals the head-room ends.
+  EXPECT_EQ(headroom_at(165000).m_cpu_milli, 0);
 }
 
 TEST(LongRunningGrowthTest, IgnoresJobsThatDoNotCompete) {
@@ -77,19 +78,19 @@
        {other_pool, less_urgent, best_effort, long_running}) {
     RecordArrival(&demand, job);
   }
-  EXPECT_EQ(
-      HeadroomFor(demand, RunTimeEstimates(), LongRunningQueue(), kPoolCpuMilli)
-          .m_cpu_milli,
-      0);
+  EXPECT_EQ(HeadroomFor(demand, RunTimeEstimates(), LongRunningQueue(),
+                        kPoolCpuMilli, 1000)
+                .m_cpu_milli,
+            0);
 }
 
 TEST(LongRunningGrowthTest, HeadroomIsBounded) {
   ShortJobDemand demand;
   RecordArrival(&demand, ShortJob(1000, 10000, 64000));
-  EXPECT_LE(
-      HeadroomFor(demand, RunTimeEstimates(), LongRunningQueue(), kPoolCpuMilli)
-          .m_cpu_milli,
-      kPoolCpuMilli / 2);
+  EXPECT_LE(HeadroomFor(demand, RunTimeEstimates(), LongRunningQueue(),
+                        kPoolCpuMilli, 1000)
+                .m_cpu_milli,
+            kPoolCpuMilli / 2);
 }
 
 /// A pool of workers to which long-running tasks come and stay, beside short
@@ -113,7 +114,7 @@
       }
       m_waiting_long += tick % 2;
       PlaceShortTasks(tick);
-      PlaceLongTasks();
+      PlaceLongTasks(tick);
     }
     return static_cast<double>(m_in_time) /
            static_cast<double>(
@@ -168,11 +169,11 @@
     }
   }
 
-  void PlaceLongTasks() {
+  void PlaceLongTasks(std::int64_t tick) {
     std::int64_t budget = 0;
     const Headroom headroom =
         HeadroomFor(m_demand, RunTimes(milliseconds(kShortTicks * kTickMs)),
-                    LongRunningQueue(), kWorkers * 64000);
+                    LongRunningQueue(), kWorkers * 64000, tick * kTickMs);
     for (const Worker& worker : m_workers) {
       budget += UsableCpuMilli(worker, headroom);
     }
--- a/src/libhyssopspar/jobs/store_contact.cpp
+++ b/src/libhyssopspar/jobs/store_contact.cpp
@@ -10,9 +10,6 @@
 constexpr milliseconds kMinFailingTime{250};
 /// Time between questions to the peers.
 constexpr milliseconds kQuestionInterval{400};
-/// A node that has just become the owner keeps the cell, so that a store that
-/// refuses calls of all nodes now and then does not move the cell around.
-constexpr milliseconds kMinTenure{3000};
 
 }  // namespace
 
@@ -22,11 +19,11 @@
 }
 
 bool ShouldAskPeers(const StoreContact& contact,
-                    TimePoint owning_since,
+                    TimePoint tenure_end,
                     TimePoint now) {
   return contact.m_failing_since < now &&
          now - contact.m_failing_since >= kMinFailingTime &&
-         now >= contact.m_next_question && now - owning_since >= kMinTenure;
+         now >= contact.m_next_question && now >= tenure_end;
 }
 
 void RecordQuestion(StoreContact* contact, TimePoint now) {
--- a/src/libhyssopspar/jobs/store_contact_test.cpp
+++ b/src/libhyssopspar/jobs/store_contact_test.cpp
@@ -35,7 +35,7 @@
 TEST(StoreContactTest, NewOwnerKeepsTheCell) {
   StoreContact contact;
   RecordStoreCall(&contact, false, kStart);
-  EXPECT_FALSE(ShouldAskPeers(contact, kStart - milliseconds(500),
+  EXPECT_FALSE(ShouldAskPeers(contact, kStart + milliseconds(2500),
                               kStart + milliseconds(500)));
 }
 
--- a/src/node/cell_host.cpp
+++ b/src/node/cell_host.cpp
@@ -25,6 +25,9 @@
 /// An owner ignores takeover offers for this long after it has loaded the cell.
 constexpr milliseconds kMinTenure{1000};
 
+/// Time limit of the call by which a node finds out for an owner whether it
+/// reaches the store.
+constexpr milliseconds kStoreCheckTimeout{200};
 /// Time for which a node leaves the cell to others after an unexpected error.
 constexpr milliseconds kClaimPauseAfterError{5000};
 
@@ -35,14 +38,14 @@
                    jobs::PlatformAdapter* platform,
                    DecisionLoop* loop,
                    const OperatorView* operator_view,
-                   PeerHandover* peer_handover,
+                   HandoverPort* handover,
                    Metrics* metrics)
     : m_settings(settings),
       m_cell_number(cell),
       m_platform(platform),
       m_loop(loop),
       m_operator_view(operator_view),
-      m_peer_handover(peer_handover),
+      m_handover(handover),
       m_metrics(metrics) {}
 
 CellHost::~CellHost() = default;
@@ -411,15 +414,30 @@
   }
 }
 
-bool CellHost::CanStoreReleaseOf(std::uint64_t epoch) const {
+bool CellHost::SeesOtherOwner(std::uint64_t epoch) const {
   return m_phase == Phase::kNotOwner && m_owner_stream->IsLoaded() &&
          m_owner_stream->IsConnected() && m_owner.m_record &&
          m_owner.m_record->m_epoch == epoch && !m_owner.m_record->m_released;
 }
 
+void CellHost::CheckStoreForRelease(std::uint64_t epoch,
+                                    std::function<void(bool)> done) {
+  if (!SeesOtherOwner(epoch)) {
+    done(false);
+    return;
+  }
+  // The last read may have succeeded before the store went down.
+  m_platform->Log().Read(
+      PartitionOf(jobs::kOwnerStream), m_owner_stream_end, milliseconds(0),
+      Clock::now() + kStoreCheckTimeout,
+      [loop = m_loop, done = std::move(done)](const Result<KeyedSlice>& slice) {
+        loop->Post([done, reached = slice.has_value()] { done(reached); });
+      });
+}
+
 void CellHost::StoreReleaseForPeer(const jobs::OwnerRecord& release,
                                    std::function<void(Result<Offset>)> done) {
-  if (!release.m_released || !CanStoreReleaseOf(release.m_epoch) ||
+  if (!release.m_released || !SeesOtherOwner(release.m_epoch) ||
       release.m_process != m_owner.m_record->m_process) {
     done(Fail(ErrorCode::kConflict, "the cell has another owner"));
     return;
@@ -442,12 +460,14 @@
   const TimePoint now = Clock::now();
   jobs::RecordStoreCall(&m_store_contact, succeeded, sent);
   if (m_phase != Phase::kOwning || m_releasing ||
-      !jobs::ShouldAskPeers(m_store_contact, m_owning_since, now)) {
+      !jobs::ShouldAskPeers(
+          m_store_contact, m_owning_since + m_settings.m_ownership.m_min_tenure,
+          now)) {
     return;
   }
   jobs::RecordQuestion(&m_store_contact, now);
-  m_peer_handover->FindPeer(m_claim.m_epoch, [this, generation = m_generation](
-                                                 const std::string& peer) {
+  m_handover->FindPeer(m_claim.m_epoch, [this, generation = m_generation](
+                                            const std::string& peer) {
     // The store may have answered since.
     const bool is_still_failing =
         m_store_contact.m_failing_since != TimePoint::max();
@@ -461,15 +481,18 @@
 void CellHost::HandOverThrough(const std::string& peer) {
   jobs::OwnerRecord release = m_claim;
   release.m_released = true;
-  StepDown("store-lost");
-  m_peer_handover->StoreRelease(
-      peer, release, [this, peer, release](const Result<void>& stored) {
+  m_handover->StoreRelease(
+      peer, release,
+      [this, peer, release,
+       generation = m_generation](const Result<void>& stored) {
         Log(kLogComponent)
             ->info("handed-over cell={} epoch={} peer={} stored={}",
                    m_cell_number, release.m_epoch, peer, stored.has_value());
-        if (stored) {
-          jobs::ApplyOwnerRecord(&m_owner, release, Clock::now());
+        if (!stored || generation != m_generation) {
+          return;
         }
+        jobs::ApplyOwnerRecord(&m_owner, release, Clock::now());
+        StepDown("store-lost");
       });
 }
 
--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -21,9 +21,9 @@
 #include "hyssopspar/jobs/store_contact.h"
 #include "hyssopspar/metrics.h"
 #include "hyssopspar/store/stream_follower.h"
+#include "node/handover_port.h"
 #include "node/node_settings.h"
 #include "node/operator_view.h"
-#include "node/peer_handover.h"
 
 namespace hyssopspar::node {
 
@@ -37,7 +37,7 @@
            jobs::PlatformAdapter* platform,
            DecisionLoop* loop,
            const OperatorView* operator_view,
-           PeerHandover* peer_handover,
+           HandoverPort* handover,
            Metrics* metrics);
   ~CellHost();
 
@@ -56,9 +56,11 @@
   /// CPU capacity than this node.
   void SetTakeoverOfferHandler(std::function<void()> handler);
 
-  /// True when this node reaches the store and sees the cell owned by another
-  /// node in \p epoch. It can then store the release of that epoch.
-  bool CanStoreReleaseOf(std::uint64_t epoch) const;
+  /// Yields whether this node reaches the store, by a call to it, and sees the
+  /// cell owned by another node in \p epoch. It can then store the release of
+  /// that epoch.
+  void CheckStoreForRelease(std::uint64_t epoch,
+                            std::function<void(bool)> done);
   /// Stores the release of an owner that has lost the store, unless the cell
   /// has changed hands since. Yields kConflict then.
   void StoreReleaseForPeer(const jobs::OwnerRecord& release,
@@ -119,8 +121,12 @@
   /// When the store is lost to this node alone, hands the cell over through a
   /// peer.
   void OnStoreCall(bool succeeded, TimePoint sent);
-  /// Stops deciding and stores through \p peer that the cell is free.
+  /// Stores through \p peer that the cell is free, and stops deciding once that
+  /// is stored. Until then this node extends the workers' leases; without the
+  /// store it starts nothing.
   void HandOverThrough(const std::string& peer);
+  /// True when this node sees the cell owned by another node in \p epoch.
+  bool SeesOtherOwner(std::uint64_t epoch) const;
   /// Stops deciding for the cell, without a record in the store.
   void StepDown(const char* reason);
   /// Sets the timer for the next Reevaluate().
@@ -163,7 +169,7 @@
   jobs::PlatformAdapter* m_platform;
   DecisionLoop* m_loop;
   const OperatorView* m_operator_view;
-  PeerHandover* m_peer_handover;
+  HandoverPort* m_handover;
   Metrics* m_metrics;
 
   Phase m_phase = Phase::kNotOwner;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -166,10 +166,12 @@
   if (request.m_method == "GET") {
     const std::string epoch =
         request.m_target.substr(std::string(kHandoverPath).size());
-    const bool can_store = m_cell_host.CanStoreReleaseOf(
-        std::strtoull(epoch.c_str(), nullptr, 10));
-    reply(can_store ? JsonResponse(200, "{}")
+    m_cell_host.CheckStoreForRelease(
+        std::strtoull(epoch.c_str(), nullptr, 10), [reply](bool can_store) {
+          reply(can_store
+                    ? JsonResponse(200, "{}")
                     : ErrorResponse(503, "unavailable", "can't store it"));
+        });
     return;
   }
   const Result<jobs::OwnerRecord> release = jobs::DecodeOwner(request.m_body);
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -17,6 +17,7 @@
 #include "node/node_settings.h"
 #include "node/operator_view.h"
 #include "node/owner_client.h"
+#include "node/peer_handover.h"
 #include "node/peer_store.h"
 
 namespace hyssopspar::node {
