Give the owner time to renew when the store returns for everyone

Ruled out: the owner, which renews within 150 ms of the store's return. Change: an owner may be replaced no sooner than 700 ms after this node has regained the store. Tests: OwnershipTest.OwnerGetsTimeToRenewAfterTheStoreReturns; the bound of claims per vacancy for 6 to 1000 nodes; strong nodes first at the first start.

--- a/src/include/hyssopspar/jobs/ownership.h
+++ b/src/include/hyssopspar/jobs/ownership.h
@@ -21,6 +21,9 @@
   /// An owner without a renewal for this time may be replaced.
   milliseconds m_takeover_timeout{2300};
   milliseconds m_renewal_interval{800};  ///< Interval between renewals.
+  /// An owner may be replaced only this long after this node has regained the
+  /// store: when the store was down for all, the owner renews at its return.
+  milliseconds m_reconnect_grace{700};
   /// Upper bound of the claim delay that differs by node, so that nodes do not
   /// all claim a free cell at once.
   milliseconds m_claim_jitter{200};
@@ -44,6 +47,9 @@
   /// empty.
   TimePoint m_last_record_at;
   bool m_unreachable = false;  ///< The owner refuses connections.
+  /// Since when this node has read the owner stream without a failure. Earlier
+  /// silence may be the store's rather than the owner's.
+  TimePoint m_store_connected_since;
 };
 
 /// Applies a record read at \p now. Records of an older epoch are ignored.
--- a/src/include/hyssopspar/store/stream_follower.h
+++ b/src/include/hyssopspar/store/stream_follower.h
@@ -50,6 +50,8 @@
   bool IsLoaded() const { return m_loaded; }
   /// True unless the last call to the store failed.
   bool IsConnected() const { return m_store_connected; }
+  /// Time of the first success after the last failure.
+  TimePoint ConnectedSince() const { return m_connected_since; }
   /// Time as of which the view is current: all records appended earlier have
   /// been delivered.
   TimePoint CurrentAsOf() const { return m_current_as_of; }
@@ -76,6 +78,7 @@
   bool m_stopped = false;
   bool m_loaded = false;
   bool m_store_connected = true;
+  TimePoint m_connected_since;
   TimePoint m_current_as_of;
   Offset m_next = 0;
   std::vector<KeyedRecord> m_snapshot_records;  ///< Pages loaded so far.
--- a/src/libhyssopspar/jobs/ownership.cpp
+++ b/src/libhyssopspar/jobs/ownership.cpp
@@ -94,7 +94,9 @@
     claim.m_jitter = Duration::zero();
     return claim;
   }
-  claim.m_at += settings.m_takeover_timeout;
+  claim.m_at =
+      std::max(claim.m_at + settings.m_takeover_timeout,
+               view.m_store_connected_since + settings.m_reconnect_grace);
   claim.m_requires_current_view = true;
   return claim;
 }
--- a/src/libhyssopspar/jobs/ownership_test.cpp
+++ b/src/libhyssopspar/jobs/ownership_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <vector>
+
 namespace hyssopspar::jobs {
 namespace {
 
@@ -43,6 +46,56 @@
             kStart + milliseconds(800) + Settings("b").m_takeover_timeout);
 }
 
+// While the store is down for all nodes, no owner can renew. The owner that is
+// there keeps the cell if it renews right after the store's return.
+TEST(OwnershipTest, OwnerGetsTimeToRenewAfterTheStoreReturns) {
+  OwnerView view;
+  ApplyOwnerRecord(&view, Record(3, "a"), kStart);
+  const OwnershipSettings settings = Settings("b");
+  view.m_store_connected_since = kStart + std::chrono::seconds(5);
+  const ClaimTime claim = NextClaim(view, settings);
+  EXPECT_EQ(claim.m_at,
+            view.m_store_connected_since + settings.m_reconnect_grace);
+  EXPECT_GT(settings.m_reconnect_grace, milliseconds(500));
+}
+
+// The number of claims for one vacancy must not grow with the fleet.
+TEST(OwnershipTest, FewNodesClaimBeforeTheFirstClaimIsVisible) {
+  constexpr milliseconds kTimeToReadAClaim{30};
+  for (const int nodes : {6, 97, 300, 1000}) {
+    double claims = 0;
+    constexpr int kVacancies = 40;
+    for (int epoch = 1; epoch <= kVacancies; ++epoch) {
+      OwnerView view;
+      OwnerRecord released = Record(static_cast<std::uint64_t>(epoch), "x");
+      released.m_released = true;
+      ApplyOwnerRecord(&view, released, kStart);
+      std::vector<Duration> delays;
+      for (int i = 0; i < nodes; ++i) {
+        delays.push_back(
+            NextClaim(view, Settings("front-" + std::to_string(i))).m_jitter);
+      }
+      const Duration first = *std::min_element(delays.begin(), delays.end());
+      claims += static_cast<double>(std::count_if(
+          delays.begin(), delays.end(), [first, kTimeToReadAClaim](Duration delay) {
+            return delay <= first + kTimeToReadAClaim;
+          }));
+    }
+    EXPECT_LT(claims / kVacancies, 6) << nodes << " nodes";
+  }
+}
+
+// Nothing is known of the other nodes before the first claim of all.
+TEST(OwnershipTest, StrongNodesAreTheFirstToClaimANewCell) {
+  OwnershipSettings strong = Settings("a");
+  strong.m_cpu_capacity = 0.5;
+  OwnershipSettings weak = Settings("b");
+  weak.m_cpu_capacity = 0.069;
+  EXPECT_LT(NextClaim(OwnerView(), strong).m_low_capacity_wait +
+                strong.m_claim_jitter,
+            NextClaim(OwnerView(), weak).m_low_capacity_wait);
+}
+
 /// View of a cell whose owner released it at kStart.
 OwnerView ReleasedView(double max_capacity) {
   OwnerView view;
--- a/src/libhyssopspar/store/stream_follower.cpp
+++ b/src/libhyssopspar/store/stream_follower.cpp
@@ -159,6 +159,7 @@
     Log(kLogComponent)
         ->info("store-reconnected stream={} partition={}", m_partition.m_stream,
                m_partition.m_number);
+    m_connected_since = Clock::now();
   }
   m_store_connected = true;
 }
--- a/src/node/cell_host.cpp
+++ b/src/node/cell_host.cpp
@@ -170,6 +170,7 @@
 }
 
 bool CellHost::MayClaim(TimePoint now) {
+  m_owner.m_store_connected_since = m_owner_stream->ConnectedSince();
   const jobs::ClaimTime claim =
       jobs::NextClaim(m_owner, m_settings.m_ownership);
   // A renewal that has not been read yet may have extended the owner's lease.
