Move best-effort tasks with checkpoints instead of pausing them

Change: a task with checkpoints that has to be paused is paused and stopped at once; it resumes from its checkpoint on another worker. Test: CellTest.MovesTaskWithCheckpointsInsteadOfPausingIt.

--- a/src/libhyssopspar/jobs/cell_pacing.cpp
+++ b/src/libhyssopspar/jobs/cell_pacing.cpp
@@ -18,9 +18,9 @@
 constexpr milliseconds kMaxTimeOverTarget{1800};
 /// Minimum time between changes of throttling on a worker.
 constexpr milliseconds kThrottleInterval{600};
-/// A task that is paused for longer is stopped and placed anew. The limit is
-/// shorter for tasks that write checkpoints, which lose no work by a stop.
-constexpr milliseconds kMaxPauseWithCheckpoints{1200};
+/// A task without checkpoints that is paused for longer is stopped and placed
+/// anew. A task with checkpoints loses no work by a stop and is moved at once:
+/// its job's step waits for it.
 constexpr milliseconds kMaxPauseWithoutCheckpoints{5000};
 
 /// Returns the tail with the highest ratio of each image.
@@ -149,19 +149,13 @@
 void Cell::ApplyThrottle(const TaskRef& ref, int percent, TimePoint now) {
   Job* const job = ref.m_job;
   Task& task = job->m_tasks[ref.m_index];
-  if (percent == 0 && task.m_throttle_percent == 0) {
-    const bool has_checkpoints =
-        StepOf(*job, ref.m_index).m_supports_checkpoints;
-    if (now - task.m_paused_since > (has_checkpoints
-                                         ? kMaxPauseWithCheckpoints
-                                         : kMaxPauseWithoutCheckpoints)) {
+  if (percent == task.m_throttle_percent) {
+    if (percent == 0 &&
+        now - task.m_paused_since > kMaxPauseWithoutCheckpoints) {
       SendStop(ref, "paused-too-long", now);
     }
     return;
   }
-  if (percent == task.m_throttle_percent) {
-    return;
-  }
   if (percent == 0) {
     task.m_paused_since = now;
   }
@@ -175,6 +169,10 @@
       ThrottleAction{TargetOf(task.m_worker),
                      {NameOfTask(*job, ref.m_index), task.m_run, percent,
                       m_settings.m_epoch}});
+  // The pause takes effect before the stop does.
+  if (percent == 0 && StepOf(*job, ref.m_index).m_supports_checkpoints) {
+    SendStop(ref, "moved", now);
+  }
 }
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_test.cpp
+++ b/src/libhyssopspar/jobs/cell_test.cpp
@@ -80,7 +80,7 @@
       m_cell.OnStartAnswer(action, StartAnswer::kStarted, m_now);
     }
   }
-  void Answer(const StopAction& /*action*/) {}
+  void Answer(const StopAction& action) { m_stops.push_back(action.m_order); }
   void Answer(const ThrottleAction& action) {
     m_throttles.push_back(action.m_order);
   }
@@ -114,6 +114,7 @@
   std::vector<StartOrder> m_starts;
   std::vector<TimePoint> m_send_before;  ///< Of m_starts.
   std::vector<ThrottleOrder> m_throttles;
+  std::vector<StopOrder> m_stops;
   std::vector<KeyedRecord> m_stored;
 };
 
@@ -258,5 +259,36 @@
   EXPECT_LT(m_throttles[0].m_percent, 30);
 }
 
+// A step ends with its slowest task. A paused one would hold it up for the time
+// of the pause and then be moved anyway.
+TEST_F(CellTest, MovesTaskWithCheckpointsInsteadOfPausingIt) {
+  AddWorker("w0");
+  m_cell.Activate(m_now);
+  StepPlan serving = Step(1, 4000);
+  serving.m_long_running = true;
+  serving.m_image = "web";
+  serving.m_tail_latency_target = milliseconds(100);
+  m_cell.OnJob(MakeJob("s", serving), m_now);
+  m_usage = 50;
+  Run(milliseconds(100));
+  StepPlan movable = Step(1, 4000);
+  movable.m_is_best_effort = true;
+  movable.m_supports_checkpoints = true;
+  movable.m_image = "mould";
+  m_cell.OnJob(MakeJob("a", movable), m_now);
+  StepPlan pinned = movable;
+  pinned.m_supports_checkpoints = false;
+  m_cell.OnJob(MakeJob("b", pinned), m_now);
+  m_usage = 4000;
+  Run(milliseconds(1000));
+  ASSERT_EQ(StartsOf("a"), 1U);
+  ASSERT_EQ(StartsOf("b"), 1U);
+  // The tail latency is far above its target.
+  m_running["w0"][0].m_usage = 900;
+  Run(milliseconds(700));
+  ASSERT_EQ(m_stops.size(), 1U);
+  EXPECT_EQ(m_stops[0].m_task.m_job, "a");
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
