Estimate step times from the slowest tasks seen

Cause: whether a job can still meet its objective was judged by 1.5 times the mean run time. Of 38 tasks the slowest takes more than twice the mean, so jobs that could not make it kept their place, and many ended just late. Change: the time of a step is learnt from the longest run of each step that ends; the rest of a partly done step needs the mean run time.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -165,6 +165,8 @@
   /// Handles the first confirmation that the task's current run has started.
   void ConfirmStart(const TaskRef& ref, TimePoint now);
   void CompleteGang(const TaskRef& ref);
+  /// Adds a successful run to the estimates of run times.
+  void RecordRunTime(const TaskRef& ref, TimePoint now);
   void SendStart(const TaskRef& ref, TimePoint now, std::uint32_t resends = 0);
   void SendStop(const TaskRef& ref, const char* reason, TimePoint now);
   /// True while the ownership lease is valid and the views are recent enough to
--- a/src/include/hyssopspar/jobs/job.h
+++ b/src/include/hyssopspar/jobs/job.h
@@ -35,6 +35,8 @@
   std::uint32_t m_tasks_per_occurrence = 0;
   /// Number of tasks in kDone, by occurrence and step.
   std::vector<std::uint32_t> m_done_tasks_of_step;
+  /// Longest run time seen among the tasks in kDone, by occurrence and step.
+  std::vector<Duration> m_slowest_run_of_step;
   std::size_t m_pending = 0;  ///< Number of tasks in kPending.
   /// Number of steps in the longest chain of dependencies.
   std::uint32_t m_critical_path_steps = 1;
--- a/src/include/hyssopspar/jobs/urgency.h
+++ b/src/include/hyssopspar/jobs/urgency.h
@@ -13,17 +13,20 @@
 
 namespace hyssopspar::jobs {
 
-/// Moving average of observed task run times by queue. Declared estimates are
+/// Moving averages of observed task run times by queue. Declared estimates are
 /// not used because they are far from the actual run times.
 class RunTimeEstimates {
  public:
   void Add(const std::string& queue, Duration run_time);
+  /// Adds the longest run time among the tasks of a step that has ended.
+  void AddSlowestOfStep(const std::string& queue, Duration run_time);
   Duration MeanRunTime(const std::string& queue) const;
   /// Estimated run time of the slowest task of a step.
   Duration EstimateStepTime(const std::string& queue) const;
 
  private:
   std::map<std::string, Duration> m_mean_by_queue;
+  std::map<std::string, Duration> m_slowest_by_queue;
 };
 
 /// Whether a job can still meet its queue's completion objective, or at least
--- a/src/libhyssopspar/jobs/job.cpp
+++ b/src/libhyssopspar/jobs/job.cpp
@@ -37,6 +37,7 @@
   job.m_tasks.resize(occurrences * job.m_tasks_per_occurrence);
   job.m_done_tasks_of_step.resize(occurrences *
                                   job.m_submission.m_plan.m_steps.size());
+  job.m_slowest_run_of_step.resize(job.m_done_tasks_of_step.size());
   job.m_pending = job.m_tasks.size();
   return job;
 }
--- a/src/libhyssopspar/jobs/ownership_test.cpp
+++ b/src/libhyssopspar/jobs/ownership_test.cpp
@@ -76,10 +76,11 @@
             NextClaim(view, Settings("front-" + std::to_string(i))).m_jitter);
       }
       const Duration first = *std::min_element(delays.begin(), delays.end());
-      claims += static_cast<double>(std::count_if(
-          delays.begin(), delays.end(), [first, kTimeToReadAClaim](Duration delay) {
-            return delay <= first + kTimeToReadAClaim;
-          }));
+      claims += static_cast<double>(
+          std::count_if(delays.begin(), delays.end(),
+                        [first, kTimeToReadAClaim](Duration delay) {
+                          return delay <= first + kTimeToReadAClaim;
+                        }));
     }
     EXPECT_LT(claims / kVacancies, 6) << nodes << " nodes";
   }
--- a/src/libhyssopspar/jobs/urgency.cpp
+++ b/src/libhyssopspar/jobs/urgency.cpp
@@ -10,7 +10,10 @@
 constexpr Duration kDefaultRunTime = std::chrono::seconds(2);
 /// Weight of a new run time in the exponential moving average.
 constexpr double kNewSampleWeight = 0.02;
-/// Run time of the slowest task of a step relative to the mean.
+/// Weight of the slowest run time of a new step.
+constexpr double kNewStepWeight = 0.1;
+/// Run time of the slowest task of a step relative to the mean, until a step of
+/// the queue has ended.
 constexpr double kSlowestTaskFactor = 1.5;
 /// Late limit as a multiple of the objective: a job that ends later has no
 /// value.
@@ -29,31 +32,70 @@
              std::min<std::uint32_t>(done, job.m_critical_path_steps));
 }
 
+/// True if some, but not all, tasks of a step are done. The others of that step
+/// need about the mean run time rather than that of the slowest of all.
+bool HasPartlyDoneStep(const Job& job) {
+  const std::vector<StepPlan>& steps = job.m_submission.m_plan.m_steps;
+  for (std::size_t i = 0; i < steps.size(); ++i) {
+    const std::uint32_t done = job.m_done_tasks_of_step[i];
+    if (done > 0 && done < steps[i].m_tasks) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool IsLongRunning(const Job& job) {
   const std::vector<StepPlan>& steps = job.m_submission.m_plan.m_steps;
   return std::any_of(steps.begin(), steps.end(),
                      [](const StepPlan& step) { return step.m_long_running; });
 }
 
-}  // namespace
+/// Time of the job's remaining steps when none of them has to wait.
+Duration RemainingRunTime(const Job& job, const RunTimeEstimates& run_times) {
+  const std::string& queue = job.m_submission.m_queue.m_name;
+  const Duration step_time = run_times.EstimateStepTime(queue);
+  const std::uint32_t steps = RemainingSteps(job);
+  if (!HasPartlyDoneStep(job)) {
+    return steps * step_time;
+  }
+  return (steps - 1) * step_time +
+         std::min(step_time, run_times.MeanRunTime(queue));
+}
 
-void RunTimeEstimates::Add(const std::string& queue, Duration run_time) {
-  const auto inserted = m_mean_by_queue.emplace(queue, run_time);
+void AddSample(std::map<std::string, Duration>* means,
+               const std::string& queue,
+               double weight,
+               Duration sample) {
+  const auto inserted = means->emplace(queue, sample);
   if (!inserted.second) {
     Duration& mean = inserted.first->second;
-    mean += std::chrono::duration_cast<Duration>((run_time - mean) *
-                                                 kNewSampleWeight);
+    mean += std::chrono::duration_cast<Duration>((sample - mean) * weight);
   }
 }
 
+}  // namespace
+
+void RunTimeEstimates::Add(const std::string& queue, Duration run_time) {
+  AddSample(&m_mean_by_queue, queue, kNewSampleWeight, run_time);
+}
+
+void RunTimeEstimates::AddSlowestOfStep(const std::string& queue,
+                                        Duration run_time) {
+  AddSample(&m_slowest_by_queue, queue, kNewStepWeight, run_time);
+}
+
 Duration RunTimeEstimates::MeanRunTime(const std::string& queue) const {
   const auto it = m_mean_by_queue.find(queue);
   return it == m_mean_by_queue.end() ? kDefaultRunTime : it->second;
 }
 
 Duration RunTimeEstimates::EstimateStepTime(const std::string& queue) const {
-  return std::chrono::duration_cast<Duration>(MeanRunTime(queue) *
-                                              kSlowestTaskFactor);
+  const auto it = m_slowest_by_queue.find(queue);
+  return it != m_slowest_by_queue.end()
+             ? it->second
+             : std::chrono::duration_cast<Duration>(MeanRunTime(queue) *
+                                                    kSlowestTaskFactor);
 }
 
 Urgency UrgencyOf(const Job& job,
@@ -75,7 +117,8 @@
           submission.m_queue.m_stretch *
           static_cast<double>(job.m_critical_path_steps * step_time)) +
       submission.m_queue.m_latency_target.count();
-  const std::int64_t earliest_end = unix_now + RemainingSteps(job) * step_time;
+  const std::int64_t earliest_end =
+      unix_now + ToMillis(RemainingRunTime(job, run_times));
   DeadlineStatus status = DeadlineStatus::kMeetsObjective;
   std::int64_t deadline = accepted + objective;
   if (earliest_end > deadline) {
