Tell refused callers to return after about the length of the outage

Cause: Retry-After was always one second. While the store is out of reach, callers used up their few retries within four seconds, all at the same times.

--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -7,6 +7,7 @@
 
 #include "hyssopspar/jobs/records.h"
 #include "hyssopspar/logging.h"
+#include "node/retry_after.h"
 
 namespace hyssopspar::node {
 
@@ -22,8 +23,6 @@
 constexpr milliseconds kAnswerMargin{300};
 /// Time limit of a query to the cell's owner.
 constexpr milliseconds kOwnerQueryTimeout{1000};
-/// Seconds after which a refused caller may retry.
-constexpr const char* kRetryAfterSeconds = "1";
 
 bool IsJobId(const std::string& text) {
   return text.size() == kJobIdDigits &&
@@ -51,9 +50,11 @@
   return now + std::max(timeout - kAnswerMargin, kAnswerMargin);
 }
 
-HttpResponse Unavailable(const std::string& detail) {
+HttpResponse Unavailable(
+    const std::string& detail,
+    std::chrono::seconds retry_after = std::chrono::seconds(1)) {
   HttpResponse response = ErrorResponse(503, "not-run", detail);
-  response.m_headers["retry-after"] = kRetryAfterSeconds;
+  response.m_headers["retry-after"] = std::to_string(retry_after.count());
   return response;
 }
 
@@ -140,15 +141,18 @@
 void Front::Store(KeyedRecord record,
                   const HttpRequest& request,
                   const HttpReply& reply) {
+  const std::string key = record.m_key;
   m_appender->Store(
       std::move(record), DeadlineOf(request, Clock::now()),
-      [reply](StoreOutcome outcome) {
+      [this, key, reply](StoreOutcome outcome) {
         switch (outcome) {
           case StoreOutcome::kStored:
             reply(EmptyJsonResponse());
             break;
           case StoreOutcome::kNotStored:
-            reply(Unavailable("the store can't be reached"));
+            reply(Unavailable(
+                "the store can't be reached",
+                RetryAfter(m_appender->FailingSince(), key, Clock::now())));
             break;
           case StoreOutcome::kUnknown:
             reply(ErrorResponse(504, "unknown",
--- a/src/node/job_appender.cpp
+++ b/src/node/job_appender.cpp
@@ -63,6 +63,7 @@
     const StorePathStatus before = m_path_status;
     RecordAppendResult(&m_path_status, route, end.has_value(), sent,
                        Clock::now());
+    m_failing_since = end ? TimePoint::max() : std::min(m_failing_since, sent);
     if (before.m_store_unreachable != m_path_status.m_store_unreachable ||
         before.m_slow != m_path_status.m_slow) {
       Log(kLogComponent)
--- a/src/node/job_appender.h
+++ b/src/node/job_appender.h
@@ -48,6 +48,10 @@
              TimePoint deadline,
              std::function<void(StoreOutcome)> done);
 
+  /// Send time of the first of the failed appends since the last success;
+  /// max(): the last append succeeded.
+  TimePoint FailingSince() const { return m_failing_since; }
+
  private:
   struct Entry {
     KeyedRecord m_record;
@@ -81,6 +85,7 @@
   bool m_in_flight = false;  ///< Also set during the delay after a failure.
   std::uint64_t m_append_number = 0;  ///< Number of the last append sent.
   StorePathStatus m_path_status;
+  TimePoint m_failing_since = TimePoint::max();
   GroupCommit m_peer_commit;  ///< Records relayed by other nodes.
 };
 
