--- a/src/libhyssopspar/jobs/ownership_test.cpp
+++ b/src/libhyssopspar/jobs/ownership_test.cpp
@@ -71,6 +71,7 @@
       released.m_released = true;
       ApplyOwnerRecord(&view, released, kStart);
       std::vector<Duration> delays;
+      delays.reserve(static_cast<std::size_t>(nodes));
       for (int i = 0; i < nodes; ++i) {
         delays.push_back(
             NextClaim(view, Settings("front-" + std::to_string(i))).m_jitter);
