--- a/src/node/cell_host_acting.cpp
+++ b/src/node/cell_host_acting.cpp
@@ -5,14 +5,13 @@
 
 #include "hyssopspar/logging.h"
 #include "node/cell_host.h"
+#include "node/cell_host_limits.h"
 
 namespace hyssopspar::node {
 
 namespace {
 
-constexpr const char* kLogComponent = "owner";
-/// Time limits of one call to the store and of one order to a worker.
-constexpr milliseconds kStoreTimeout{1500};
+/// Time limit of one order to a worker.
 constexpr milliseconds kOrderTimeout{1000};
 /// Time limit of one request to the adviser; long, since the adviser handles
 /// requests one at a time.
@@ -37,7 +36,7 @@
       continue;
     }
     if (record.m_value) {
-      Log(kLogComponent)
+      Log(kOwnerLogComponent)
           ->warn("worker-record-ignored key={} error={}", record.m_key,
                  ToString(entry.error()));
     }
@@ -137,7 +136,7 @@
       action.m_target, action.m_order, Clock::now() + kOrderTimeout,
       [id = action.m_target.m_id](const Result<void>& answer) {
         if (!answer) {
-          Log(kLogComponent)
+          Log(kOwnerLogComponent)
               ->warn("throttle-failed worker={} error={}", id,
                      ToString(answer.error()));
         }
@@ -222,7 +221,7 @@
       PartitionOf(jobs::kJobStream), records, AppendGuard(),
       Clock::now() + kStoreTimeout, [](const Result<Offset>& end) {
         if (!end) {
-          Log(kLogComponent)
+          Log(kOwnerLogComponent)
               ->warn("compaction-failed error={}", ToString(end.error()));
         }
       });
