Don't hold a large long-running task back for ever on a small pool

Cause (read in the code): a first run was held back unless the room beside the head-room held the whole task. A task that needs most of a small pool would have waited as long as short jobs come, however few. Change: while any room is left beside the head-room, one more task is placed if it fits; the head-room is overdrawn by less than one task. Test: CellTest.LargeLongRunningTaskIsNotHeldBackForEver, failed before.

--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -189,8 +189,9 @@
     return;
   }
   std::int64_t& budget = GrowthBudgetOf(job.m_submission.m_queue, now);
-  const std::int64_t allowed =
-      std::clamp<std::int64_t>(budget / cpu, 0, pending->end() - growth);
+  // Rounded up: a task that is larger than the budget must not wait for ever.
+  const std::int64_t allowed = std::clamp<std::int64_t>(
+      (budget + cpu - 1) / cpu, 0, pending->end() - growth);
   budget -= allowed * cpu;
   const auto held_back = growth + allowed;
   if (held_back != pending->end()) {
--- a/src/libhyssopspar/jobs/cell_test.cpp
+++ b/src/libhyssopspar/jobs/cell_test.cpp
@@ -192,6 +192,19 @@
   EXPECT_EQ(StartsOf("long"), 4U);
 }
 
+// On a small pool one long-running task may need more than the pool has beside
+// the head-room.
+TEST_F(CellTest, LargeLongRunningTaskIsNotHeldBackForEver) {
+  AddWorker("w0");
+  m_cell.Activate(m_now);
+  Run(milliseconds(100));
+  m_cell.OnJob(MakeJob("short", Step(4, 1000)), m_now);
+  Run(milliseconds(100));
+  m_cell.OnJob(MakeJob("long", LongRunning(Step(1, 12000))), m_now);
+  Run(milliseconds(300));
+  EXPECT_EQ(StartsOf("long"), 1U);
+}
+
 // A service that has run is restarted even when short jobs need its room.
 TEST_F(CellTest, LongRunningTaskThatRanBeforeIsRestartedWithoutHeadroom) {
   AddWorker("w0");
