Learn run times only from runs whose start was confirmed

Cause (read in the diff): when a worker lists the end of a run before its start was confirmed (lost answers, orders carried out late), the run time was taken from an unset or an earlier start time, an hour or more. The mean run time of the queue, and with it every objective, the order of jobs and the head-room, were then far off. Change: only a run that is known to run counts.

--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -109,7 +109,10 @@
       job->m_has_started_task || cause != EndCause::kLeaseExpired;
   if (worker_index != kNoWorker) {
     if (cause == EndCause::kDone) {
-      RecordRunTime(ref, now);
+      // The start of other runs was not confirmed, or they were to be stopped.
+      if (task.m_state == TaskState::kRunning) {
+        RecordRunTime(ref, now);
+      }
       m_workers[static_cast<std::size_t>(worker_index)].m_failed_jobs.clear();
     }
     UnassignWorker(ref);
--- a/src/libhyssopspar/jobs/cell_test.cpp
+++ b/src/libhyssopspar/jobs/cell_test.cpp
@@ -89,6 +89,7 @@
     report.m_now = WorkerTime(milliseconds(ToMillis(m_now.time_since_epoch())));
     report.m_incarnation_unix_ms = 1;
     report.m_running = m_running[action.m_target.m_id];
+    report.m_ended = m_ended[action.m_target.m_id];
     m_cell.OnHeartbeatAnswer(action, report, m_now);
   }
   void Answer(const AdviseAction& /*action*/) {}
@@ -111,6 +112,7 @@
   bool m_starts_are_answered = true;
   double m_usage = 0;  ///< Reported for every run.
   std::map<std::string, std::vector<RunningRun>> m_running;  ///< By worker.
+  std::map<std::string, std::vector<EndedRun>> m_ended;      ///< By worker.
   std::vector<StartOrder> m_starts;
   std::vector<TimePoint> m_send_before;  ///< Of m_starts.
   std::vector<ThrottleOrder> m_throttles;
@@ -184,6 +186,32 @@
   EXPECT_GE(StartsOf("long"), 34U);
 }
 
+// A run whose start was never confirmed has no known run time. Taken from an
+// unset start time, it would raise the head-room to its limit.
+TEST_F(CellTest, UnconfirmedRunDoesNotCountAsRunTime) {
+  for (int i = 0; i < 10; ++i) {
+    AddWorker("w" + std::to_string(i));
+  }
+  m_cell.Activate(m_now);
+  Run(milliseconds(100));
+  m_starts_are_answered = false;
+  m_cell.OnJob(MakeJob("lost", Step(1, 1000)), m_now);
+  Run(milliseconds(100));
+  ASSERT_EQ(m_starts.size(), 1U);
+  for (int i = 0; i < 10; ++i) {
+    const std::string worker = "w" + std::to_string(i);
+    m_ended[worker].push_back({1, m_starts[0].m_task, 1, EndCause::kDone, ""});
+  }
+  Run(milliseconds(100));
+  ASSERT_EQ(m_cell.StateOf("lost"), JobState::kCompleted);
+  m_starts_are_answered = true;
+  m_cell.OnJob(MakeJob("short", Step(8, 1000)), m_now);
+  Run(milliseconds(100));
+  m_cell.OnJob(MakeJob("long", LongRunning(Step(40, 4000))), m_now);
+  Run(milliseconds(300));
+  EXPECT_GE(StartsOf("long"), 34U);
+}
+
 TEST_F(CellTest, LongRunningTasksTakeAllRoomWithoutShortJobs) {
   AddWorker("w0");
   m_cell.Activate(m_now);
