--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -16,11 +16,13 @@
 #include "hyssopspar/error.h"
 #include "hyssopspar/jobs/action.h"
 #include "hyssopspar/jobs/cell_settings.h"
+#include "hyssopspar/jobs/cell_work.h"
 #include "hyssopspar/jobs/interference.h"
 #include "hyssopspar/jobs/job.h"
 #include "hyssopspar/jobs/long_running_growth.h"
 #include "hyssopspar/jobs/placement.h"
 #include "hyssopspar/jobs/refusals.h"
+#include "hyssopspar/jobs/stage_times.h"
 #include "hyssopspar/jobs/tail_forecast.h"
 #include "hyssopspar/jobs/urgency.h"
 #include "hyssopspar/jobs/worker.h"
@@ -114,6 +116,10 @@
   /// Returns the jobs whose final state was stored since the last call.
   std::vector<JobEnd> TakeJobEnds();
 
+  /// Returns the stage times recorded since the last call.
+  StageTimes TakeStageTimes();
+  const CellWork& Work() const { return m_work; }
+
   /// State of a job, or nullopt for an unknown job. A job that has completed or
   /// failed is reported as running until its final state is stored.
   std::optional<JobState> StateOf(const std::string& job_id) const;
@@ -275,7 +281,8 @@
                         const StepPlan& plan,
                         const std::vector<std::size_t>& placed,
                         bool complete,
-                        std::uint32_t highest_run);
+                        std::uint32_t highest_run,
+                        TimePoint now);
   /// Forecast of the effect of an image's best-effort tasks on tail latencies;
   /// cached for the current pass.
   const TailForecast& ForecastOf(const std::string& image);
@@ -291,6 +298,9 @@
   void SortByUrgency(TimePoint now);
   std::int64_t UnixMillis(TimePoint now) const;
   void AddUnreportedInterference(TimePoint now);
+  /// Ends the task's current stage, which began at m_stage_since, and begins
+  /// the next one.
+  void EndStage(const TaskRef& ref, Stage stage, TimePoint now);
   /// True when the occurrence may start. Otherwise schedules a pass for the
   /// time at which it is due.
   bool IsDue(const Job& job, std::uint32_t occurrence, TimePoint now);
@@ -348,6 +358,8 @@
   TimePoint m_batch_retry_at = TimePoint::max();
   std::vector<Action> m_actions;
   std::vector<JobEnd> m_job_ends;  ///< For the next TakeJobEnds().
+  StageTimes m_stage_times;        ///< For the next TakeStageTimes().
+  mutable CellWork m_work;
 };
 
 }  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/jobs/job.h
+++ b/src/include/hyssopspar/jobs/job.h
@@ -35,6 +35,8 @@
   std::uint32_t m_tasks_per_occurrence = 0;
   /// Number of tasks in kDone, by occurrence and step.
   std::vector<std::uint32_t> m_done_tasks_of_step;
+  /// First pass that found the step ready, by occurrence and step.
+  std::vector<TimePoint> m_ready_since_of_step;
   /// Longest run time seen among the tasks in kDone, by occurrence and step.
   std::vector<Duration> m_slowest_run_of_step;
   std::size_t m_pending = 0;  ///< Number of tasks in kPending.
--- a/src/include/hyssopspar/jobs/task.h
+++ b/src/include/hyssopspar/jobs/task.h
@@ -39,6 +39,7 @@
   std::uint64_t m_placement_batch = 0;
   StartStatus m_start_status = StartStatus::kNone;
   TimePoint m_start_status_since;
+  TimePoint m_stage_since;   ///< When the task entered its current stage.
   TimePoint m_confirmed_at;  ///< First confirmation that the run started.
   TimePoint m_not_before;    ///< The task is not placed before this.
   TimePoint m_stop_sent_at;
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -58,6 +58,8 @@
   m_open_jobs.push_back(added);
   m_schedule_needed = true;
   if (m_active) {
+    AddStageTime(&m_stage_times, submission.m_queue.m_name, Stage::kRead,
+                 milliseconds(UnixMillis(now) - submission.m_accepted_unix_ms));
     CellLog()->info("job id={} queue={} tasks={}", submission.m_id,
                     submission.m_queue.m_name, added->m_tasks.size());
   }
@@ -270,6 +272,10 @@
   return std::exchange(m_job_ends, {});
 }
 
+StageTimes Cell::TakeStageTimes() {
+  return std::exchange(m_stage_times, {});
+}
+
 std::vector<Action> Cell::TakeActions() {
   return std::exchange(m_actions, {});
 }
@@ -298,6 +304,7 @@
   } else if (!m_dirty_jobs.empty()) {
     next = std::min(next, m_next_flush);
   }
+  m_work.m_worker_visits += m_workers.size();
   for (const Worker& worker : m_workers) {
     if (NeedsHeartbeat(worker)) {
       next = std::min(next, worker.m_next_heartbeat);
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -39,6 +39,9 @@
   m_growth_budgets.clear();
   m_headroom_cpu_milli = 0;
   m_held_back_tasks = 0;
+  ++m_work.m_passes;
+  m_work.m_jobs_ordered += m_open_jobs.size();
+  m_work.m_worker_visits += m_workers.size();
   AddUnreportedInterference(now);
   SortByUrgency(now);
   for (Job* const job : m_open_jobs) {
@@ -46,6 +49,7 @@
       ScheduleJob(job, now);
     }
   }
+  m_work.m_worker_visits += m_workers.size();
   for (const Worker& worker : m_workers) {
     for (const TimePoint until :
          {worker.m_quarantined_until, worker.m_backoff_until}) {
@@ -136,6 +140,7 @@
                                               TimePoint now,
                                               StepPlacement* placement) {
   std::vector<std::size_t> pending;
+  m_work.m_worker_visits += m_workers.size();
   placement->m_tasks_on_worker.resize(m_workers.size());
   for (std::size_t i = first; i < first + plan.m_tasks; ++i) {
     const Task& task = job.m_tasks[i];
@@ -151,12 +156,20 @@
   return pending;
 }
 
+void Cell::EndStage(const TaskRef& ref, Stage stage, TimePoint now) {
+  Task& task = ref.m_job->m_tasks[ref.m_index];
+  AddStageTime(&m_stage_times, ref.m_job->m_submission.m_queue.m_name, stage,
+               now - task.m_stage_since);
+  task.m_stage_since = now;
+}
+
 std::int64_t& Cell::GrowthBudgetOf(const QueuePolicy& queue, TimePoint now) {
   const auto inserted = m_growth_budgets.emplace(queue.m_name, 0);
   std::int64_t& budget = inserted.first->second;
   if (!inserted.second) {
     return budget;
   }
+  m_work.m_worker_visits += m_workers.size();
   std::vector<const Worker*> pool;
   std::int64_t pool_cpu = 0;
   for (const Worker& worker : m_workers) {
@@ -214,6 +227,13 @@
   const std::size_t first =
       std::size_t{occurrence} * job->m_tasks_per_occurrence +
       job->m_first_task_of_step[step];
+  TimePoint& ready_since =
+      job->m_ready_since_of_step[occurrence *
+                                     job->m_submission.m_plan.m_steps.size() +
+                                 step];
+  if (ready_since == TimePoint()) {
+    ready_since = now;
+  }
   StepPlacement placement;
   std::vector<std::size_t> pending =
       PlaceableTasks(*job, first, plan, now, &placement);
@@ -221,6 +241,10 @@
   if (pending.empty() || (plan.m_gang && pending.size() < plan.m_tasks)) {
     return;
   }
+  for (const std::size_t i : pending) {
+    Task& task = job->m_tasks[i];
+    task.m_stage_since = std::max(task.m_stage_since, ready_since);
+  }
   StepAdvice* const advice = AdviceOf(job, occurrence, step);
   PlacementQuery query;
   query.m_step = &plan;
@@ -240,7 +264,7 @@
     }
   }
   RecordPlacements(job, plan, placed, placed.size() == pending.size(),
-                   placement.m_highest_run);
+                   placement.m_highest_run, now);
 }
 
 /// Assigns workers to the tasks of \p pending in order, up to the first that
@@ -269,6 +293,7 @@
   std::vector<std::size_t> placed;
   for (const std::size_t i : pending) {
     query.m_failed_on = &job->m_tasks[i].m_failed_on;
+    m_work.m_worker_visits += m_workers.size();
     const int worker = ChooseWorker(m_workers, query);
     if (worker == kNoWorker) {
       break;
@@ -295,7 +320,8 @@
                             const StepPlan& plan,
                             const std::vector<std::size_t>& placed,
                             bool complete,
-                            std::uint32_t highest_run) {
+                            std::uint32_t highest_run,
+                            TimePoint now) {
   for (const std::size_t i : placed) {
     Task& task = job->m_tasks[i];
     if (plan.m_gang && !complete) {
@@ -305,6 +331,8 @@
     // Members of a gang share a run number.
     task.m_run = plan.m_gang ? highest_run + 1 : task.m_run + 1;
     SetTaskState(job, i, TaskState::kRecording);
+    ++m_work.m_tasks_placed;
+    EndStage({job, i}, Stage::kPlace, now);
     MarkDirty(job);
   }
   if (plan.m_gang && !complete) {
--- a/src/libhyssopspar/jobs/cell_store.cpp
+++ b/src/libhyssopspar/jobs/cell_store.cpp
@@ -63,6 +63,7 @@
   for (const std::string& id : std::exchange(m_dropped_jobs, {})) {
     batch.m_records.push_back({id, std::nullopt});
   }
+  m_work.m_worker_visits += m_workers.size();
   for (std::size_t i = 0; contains_all && i < m_workers.size(); ++i) {
     if (m_workers[i].m_received_end_number > m_workers[i].m_acked_end_number) {
       batch.m_end_numbers[static_cast<int>(i)] =
@@ -80,6 +81,7 @@
   if (!m_dirty_jobs.empty()) {
     return;
   }
+  m_work.m_worker_visits += m_workers.size();
   for (Worker& worker : m_workers) {
     if (worker.m_acked_end_number < worker.m_received_end_number) {
       worker.m_acked_end_number = worker.m_received_end_number;
@@ -142,6 +144,7 @@
       continue;
     }
     if (MayStart(*ref.m_job, task, now)) {
+      EndStage(ref, Stage::kStore, now);
       SendStart(ref, now);
     } else {
       ReturnToPending(ref, "no-longer-allowed", now);
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -83,6 +83,7 @@
                   reason);
   UnassignWorker(ref);
   SetTaskState(job, ref.m_index, TaskState::kPending);
+  job->m_tasks[ref.m_index].m_stage_since = now;
   MarkDirty(job);
   UpdateJobState(job, now);
 }
@@ -132,6 +133,7 @@
     SetTaskState(job, ref.m_index,
                  out_of_attempts ? TaskState::kFailed : TaskState::kPending);
   }
+  task.m_stage_since = now;
   m_schedule_needed = true;
   MarkDirty(job);
   UpdateJobState(job, now);
@@ -139,6 +141,9 @@
 
 void Cell::ConfirmStart(const TaskRef& ref, TimePoint now) {
   Task& task = ref.m_job->m_tasks[ref.m_index];
+  if (task.m_start_status != StartStatus::kInherited) {
+    EndStage(ref, Stage::kConfirm, now);
+  }
   SetTaskState(ref.m_job, ref.m_index, TaskState::kRunning);
   task.m_start_status = StartStatus::kNone;
   task.m_confirmed_at = now;
@@ -241,6 +246,7 @@
   action.m_send_before = PlacementDeadline();
   ExtendLeaseDeadline(&worker, action.m_order.m_not_after);
   SetTaskState(job, ref.m_index, TaskState::kStarting);
+  ++m_work.m_starts;
   task.m_start_status = StartStatus::kNone;
   task.m_throttle_percent = kUnthrottledPercent;
   task.m_paused_since = TimePoint();
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -78,6 +78,7 @@
   if (now > m_ownership_lease_deadline) {
     return;
   }
+  m_work.m_worker_visits += m_workers.size();
   for (std::size_t i = 0; i < m_workers.size(); ++i) {
     if (NeedsHeartbeat(m_workers[i]) && m_workers[i].m_next_heartbeat <= now) {
       SendHeartbeat(static_cast<int>(i), now);
@@ -188,6 +189,7 @@
   if (report.m_incarnation_unix_ms < worker.m_incarnation_unix_ms) {
     return;
   }
+  ++m_work.m_reports;
   const bool first = worker.m_incarnation_unix_ms == 0;
   const bool restarted =
       !first && report.m_incarnation_unix_ms > worker.m_incarnation_unix_ms;
@@ -357,6 +359,7 @@
 }
 
 void Cell::EndRunsWithExpiredLeases(TimePoint now) {
+  m_work.m_worker_visits += m_workers.size();
   for (std::size_t i = 0; i < m_workers.size(); ++i) {
     const Worker& worker = m_workers[i];
     if (worker.m_tasks.empty() || worker.m_reachable) {
--- a/src/libhyssopspar/jobs/job.cpp
+++ b/src/libhyssopspar/jobs/job.cpp
@@ -38,6 +38,7 @@
   job.m_done_tasks_of_step.resize(occurrences *
                                   job.m_submission.m_plan.m_steps.size());
   job.m_slowest_run_of_step.resize(job.m_done_tasks_of_step.size());
+  job.m_ready_since_of_step.resize(job.m_done_tasks_of_step.size());
   job.m_pending = job.m_tasks.size();
   return job;
 }
--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -24,6 +24,7 @@
 #include "node/handover_port.h"
 #include "node/node_settings.h"
 #include "node/operator_view.h"
+#include "node/owner_work_report.h"
 
 namespace hyssopspar::node {
 
@@ -144,6 +145,9 @@
   void TickAndDispatch();
   /// Adds the jobs that have ended to the metrics.
   void RecordCompletions();
+  /// Adds the owner's work and the tasks' stage times to the metrics and, once
+  /// a second, to the log.
+  void ReportWork(TimePoint now);
   /// True, and counted, if an order may not be sent any more.
   bool IsExpired(TimePoint send_before);
   void Execute(jobs::StartAction action);
@@ -203,13 +207,16 @@
   /// Excluded failure domains that the cell was last given.
   std::set<std::string> m_applied_excluded_domains;
   jobs::CellLoader m_loader;
+  OwnerWorkReport m_work_report;
 };
 
 template <class T, class Handler>
 std::function<void(T)> CellHost::BindToGeneration(Handler handler) {
   return [this, loop = m_loop, generation = m_generation,
           handler = std::move(handler)](T answer) {
-    loop->Post([this, generation, handler, answer = std::move(answer)] {
+    loop->Post([this, generation, handler, answer = std::move(answer),
+                received = Clock::now()] {
+      m_work_report.AddQueueTime(Clock::now() - received);
       if (generation == m_generation) {
         handler(answer);
       }
--- a/src/node/cell_host_acting.cpp
+++ b/src/node/cell_host_acting.cpp
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "hyssopspar/cpu_time.h"
 #include "hyssopspar/logging.h"
 #include "node/cell_host.h"
 #include "node/cell_host_limits.h"
@@ -68,11 +69,16 @@
   m_cell->SetUnixTime(std::chrono::duration_cast<milliseconds>(
                           std::chrono::system_clock::now().time_since_epoch()),
                       now);
+  const Duration cpu_before = ThreadCpuTime();
   m_cell->Tick(now);
+  const Duration cpu_decided = ThreadCpuTime();
   for (jobs::Action& action : m_cell->TakeActions()) {
     std::visit([this](auto& typed) { Execute(std::move(typed)); }, action);
   }
+  m_work_report.AddRound(cpu_decided - cpu_before,
+                         ThreadCpuTime() - cpu_decided);
   RecordCompletions();
+  ReportWork(now);
   if (m_cell->IsFenced()) {
     StepDown("fenced");
     ScheduleReevaluation();
@@ -90,6 +96,11 @@
   }
 }
 
+void CellHost::ReportWork(TimePoint now) {
+  m_work_report.AddStages(m_cell->TakeStageTimes(), m_metrics);
+  m_work_report.LogWhenDue(m_cell->Work(), now);
+}
+
 bool CellHost::IsExpired(TimePoint send_before) {
   if (Clock::now() <= send_before) {
     return false;
--- a/src/node/cell_host_loading.cpp
+++ b/src/node/cell_host_loading.cpp
@@ -59,6 +59,7 @@
   settings.m_inherited_lease_deadline =
       m_previous_renewal_at + m_settings.m_max_lease_after_renewal;
   m_cell = std::make_unique<jobs::Cell>(settings, Clock::now());
+  m_work_report = OwnerWorkReport();
   m_applied_excluded_domains.clear();
   FollowerCallbacks worker_callbacks;
   worker_callbacks.m_snapshot =
