Make the work of a decision proportional to what changed

Cause: every answer made the owner examine all workers four times, and every pass all open jobs, all workers with their tasks, and all workers again for each task. The cost of a start grew with the fleet and with the waiting best-effort tasks; beyond the capacity of the processor answers waited up to 0.9 s for the decision loop, and the class with the tightest objective missed it first.

Change: an agenda of workers (heartbeats, ends to acknowledge, unreachable ones, ends of quarantine) replaces the scans of each round. A pass orders only jobs with pending tasks, evaluates the workers once a step instead of once a task, and for a step that found no worker before only those that have changed since. Expected tail latencies are computed anew only for workers that changed.

--- a/src/bench/cell_bench.cpp
+++ b/src/bench/cell_bench.cpp
@@ -11,9 +11,11 @@
 
 using namespace hyssopspar;
 
-void Measure(int workers) {
+/// \p best_effort_factor multiplies the arrivals of best-effort jobs.
+void Measure(int workers, double best_effort_factor) {
   jobs::FleetLoadOptions options;
   options.m_workers = workers;
+  options.m_best_effort_jobs_per_worker *= best_effort_factor;
   jobs::FleetLoad load(options);
   Duration decide{0};
   const Duration before = ThreadCpuTime();
@@ -26,9 +28,9 @@
   const jobs::CellWork& work = load.TheCell().Work();
   const double starts = static_cast<double>(work.m_starts);
   std::printf(
-      "workers %5d  starts %6.0f  rounds %6zu  passes %4llu  per start: "
+      "workers %5d  best-effort x%.0f  starts %6.0f  rounds %6zu  passes %4llu  per start: "
       "%7.1f us decisions, %7.1f us with events, %8.0f worker visits\n",
-      workers, starts, load.Rounds(),
+      workers, best_effort_factor, starts, load.Rounds(),
       static_cast<unsigned long long>(work.m_passes),
       static_cast<double>(ToMicros(decide)) / starts,
       static_cast<double>(ToMicros(total)) / starts,
@@ -52,7 +54,8 @@
 int main(int argc, char** argv) {
   SetLogLevel(argc > 1 ? argv[1] : "off");
   for (const int workers : {60, 180, 540, 1620}) {
-    Measure(workers);
+    Measure(workers, 1);
+    Measure(workers, 4);
   }
   return 0;
 }
--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -26,6 +26,7 @@
 #include "hyssopspar/jobs/tail_forecast.h"
 #include "hyssopspar/jobs/urgency.h"
 #include "hyssopspar/jobs/worker.h"
+#include "hyssopspar/jobs/worker_agenda.h"
 
 namespace hyssopspar::jobs {
 
@@ -148,6 +149,12 @@
   Job* FindMutableJob(const std::string& job_id);
   int WorkerIndex(const std::string& id);
   WorkerTarget TargetOf(int worker_index) const;
+  /// The worker, whose entry in m_agenda is updated in this round: call it for
+  /// each change of a worker's state.
+  Worker& TouchWorker(int worker_index);
+  /// Same for a change that may let the worker take more or other tasks.
+  Worker& TouchImprovedWorker(int worker_index);
+  void UpdateTouchedWorkers(TimePoint now);
   void MarkDirty(Job* job);
   void UpdateJobState(Job* job, TimePoint now);
   void EndJob(Job* job, JobState state, TimePoint now);
@@ -264,10 +271,12 @@
                     TimePoint now);
   /// Placed tasks of a step, updated while more of them are placed.
   struct StepPlacement {
-    /// Number of the step's tasks on each worker, by worker index.
+    /// Number of the step's tasks on each worker, by worker index; empty for
+    /// steps without a limit per worker.
     std::vector<std::uint32_t> m_tasks_on_worker;
     std::uint32_t m_highest_run = 0;  ///< Highest run number of its tasks.
   };
+  static void CountTaskOnWorker(int worker, StepPlacement* placement);
   std::vector<std::size_t> PlaceableTasks(const Job& job,
                                           std::size_t first,
                                           const StepPlan& plan,
@@ -275,6 +284,7 @@
                                           StepPlacement* placement);
   std::vector<std::size_t> PlaceTasks(Job* job,
                                       const std::vector<std::size_t>& pending,
+                                      const std::vector<int>& pool,
                                       PlacementQuery query,
                                       StepPlacement* placement);
   void RecordPlacements(Job* job,
@@ -295,9 +305,19 @@
   /// CPU that first runs of the queue's long-running tasks may still take in
   /// the current pass.
   std::int64_t& GrowthBudgetOf(const QueuePolicy& queue, TimePoint now);
-  void SortByUrgency(TimePoint now);
+  /// Open jobs with pending tasks, most urgent first.
+  std::vector<Job*> PendingJobsByUrgency(TimePoint now) const;
+  /// Indexes of the usable workers of a pool; cached for the current pass.
+  const std::vector<int>& UsablePool(const std::string& service);
+  /// Workers of the pool that have changed since the change number \p change.
+  std::vector<int> ChangedSince(const std::string& service,
+                                std::uint64_t change);
+  /// Marks the workers as changed that have changed by the passing of time:
+  /// their quarantine or backoff has ended, or their expected tails.
+  void ApplyTimedChanges(TimePoint now);
   std::int64_t UnixMillis(TimePoint now) const;
-  void AddUnreportedInterference(TimePoint now);
+  /// Updates the outdated m_expected_tails of workers.
+  void UpdateExpectedTails(TimePoint now);
   /// Ends the task's current stage, which began at m_stage_since, and begins
   /// the next one.
   void EndStage(const TaskRef& ref, Stage stage, TimePoint now);
@@ -322,7 +342,7 @@
   std::map<std::string, EndedJob> m_ended_jobs;
   /// Ids whose cancellation arrived before the job itself.
   std::set<std::string> m_early_cancellations;
-  std::vector<Job*> m_open_jobs;  ///< Not terminal; most urgent first.
+  std::vector<Job*> m_open_jobs;             ///< Not terminal.
   std::set<std::string> m_excluded_domains;  ///< Excluded from new placements.
   InterferenceModel m_interference;
   RunTimeEstimates m_run_times;
@@ -332,13 +352,20 @@
   /// Head-room and tasks held back for it in the last pass, for the log.
   std::int64_t m_headroom_cpu_milli = 0;
   std::size_t m_held_back_tasks = 0;
-  UnschedulableStepCache m_unschedulable_steps;  ///< Valid in the current pass.
+  UnschedulableStepCache m_unschedulable_steps;
+  /// By service; valid in the current pass.
+  std::map<std::string, std::vector<int>> m_usable_pools;
   /// By best-effort image; valid in the current pass.
   std::map<std::string, TailForecast> m_forecasts;
   /// Workers are never removed, so that their indexes stay valid.
   std::vector<Worker> m_workers;
   std::map<std::string, int> m_worker_index;  ///< By worker id.
   std::vector<std::string> m_worker_names;    ///< Worker ids, by index.
+  WorkerAgenda m_agenda;
+  std::vector<int> m_touched_workers;  ///< To be updated in m_agenda.
+  /// Workers with m_expected_tails_outdated.
+  std::vector<int> m_outdated_tails;
+  std::uint64_t m_last_worker_change = 0;
 
   std::size_t m_advice_requests_in_flight = 0;
   std::uint64_t m_last_job_number = 0;
--- a/src/include/hyssopspar/jobs/placement.h
+++ b/src/include/hyssopspar/jobs/placement.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,9 +24,8 @@
   const std::string* m_service = nullptr;  ///< Required worker pool.
   /// Failure domains taken out of service by operators.
   const std::set<std::string>* m_excluded_domains = nullptr;
-  /// Indices of workers on which a run of this task has failed.
-  const std::vector<int>* m_failed_on = nullptr;
-  /// Number of tasks of the step on each worker, by worker index.
+  /// Number of tasks of the step on each worker, by worker index; empty for a
+  /// step without a limit per worker.
   const std::vector<std::uint32_t>* m_step_tasks_by_worker = nullptr;
   /// Predicts the effect of the task on tail latencies on the worker with the
   /// given index. Called only for best-effort tasks, and only for workers that
@@ -41,19 +41,25 @@
   TimePoint m_now;
 };
 
-/// True if the worker meets all requirements of the task except a ticket and,
-/// for best-effort tasks, unused CPU and predicted tail latency.
-/// \p step_tasks is the number of tasks of the step on the worker.
+/// True if the worker with the index \p index meets all requirements of the
+/// task except a ticket and, for best-effort tasks, unused CPU and predicted
+/// tail latency.
 bool IsEligible(const Worker& worker,
-                std::uint32_t step_tasks,
+                std::size_t index,
                 const PlacementQuery& query);
 
 /// Expected unused CPU of the worker, in thousandths of a processor, after the
 /// demand of its best-effort tasks; negative if that demand exceeds it.
 double UnusedCpuMilli(const Worker& worker);
 
-/// Index of the eligible worker with the highest score, or kNoWorker.
-int ChooseWorker(const std::vector<Worker>& workers,
-                 const PlacementQuery& query);
+/// Score term for a worker on which a run of the task has failed. Outweighs any
+/// difference in free CPU.
+inline constexpr double kFailurePenalty = 1e5;
+
+/// Score of the worker with the index \p index for a task of the step; higher
+/// is better. Nothing if it can't take one.
+std::optional<double> ScoreOf(const Worker& worker,
+                              std::size_t index,
+                              const PlacementQuery& query);
 
 }  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -84,10 +84,25 @@
   /// Since when some tail latency has been above its target; max() while none
   /// is.
   TimePoint m_tail_over_target_since = TimePoint::max();
+  /// When a task that m_expected_tails adds becomes part of the reported tails.
+  TimePoint m_expected_tails_until = TimePoint::max();
+  /// True while m_expected_tails has to be computed anew.
+  bool m_expected_tails_outdated = true;
+  /// Number of the last change that may let the worker take a task that it
+  /// could not take before; increases over all workers of the cell.
+  std::uint64_t m_last_change = 0;
   /// Number of placed tasks with a tail target, by image.
   std::map<std::string, std::uint32_t> m_serving_images;
 };
 
+/// Time after its confirmed start from which a run is fully reflected in the
+/// figures that its worker reports.
+inline constexpr milliseconds kFullyReportedAge{1000};
+
+/// Limits the validity of the worker's expected tails: at \p reported_at a run
+/// that they add is part of the reported ones.
+void LimitExpectedTails(TimePoint reported_at, Worker* worker);
+
 /// Which kinds of tasks are placed on a worker.
 struct TaskMix {
   bool m_has_serving = false;
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -36,9 +36,34 @@
   m_workers.push_back(std::move(worker));
   m_worker_names.push_back(id);
   m_worker_index[id] = index;
+  m_outdated_tails.push_back(index);
+  TouchWorker(index);
   return index;
 }
 
+Worker& Cell::TouchWorker(int worker_index) {
+  m_touched_workers.push_back(worker_index);
+  return m_workers[static_cast<std::size_t>(worker_index)];
+}
+
+Worker& Cell::TouchImprovedWorker(int worker_index) {
+  Worker& worker = TouchWorker(worker_index);
+  worker.m_last_change = ++m_last_worker_change;
+  if (!worker.m_expected_tails_outdated) {
+    worker.m_expected_tails_outdated = true;
+    m_outdated_tails.push_back(worker_index);
+  }
+  return worker;
+}
+
+void Cell::UpdateTouchedWorkers(TimePoint now) {
+  for (const int index : m_touched_workers) {
+    UpdateAgenda(&m_agenda, index, m_workers[static_cast<std::size_t>(index)],
+                 now);
+  }
+  m_touched_workers.clear();
+}
+
 WorkerTarget Cell::TargetOf(int worker_index) const {
   const WorkerEntry& entry =
       m_workers[static_cast<std::size_t>(worker_index)].m_entry;
@@ -144,13 +169,14 @@
                            : m_excluded_domains.erase(failure_domain) > 0;
   if (changed) {
     CellLog()->info("failure-domain name={} out={}", failure_domain, excluded);
+    m_unschedulable_steps.Clear();
     m_schedule_needed = true;
   }
 }
 
 void Cell::SetWorker(const WorkerEntry& entry, TimePoint now) {
   const int index = WorkerIndex(entry.m_id);
-  Worker& worker = m_workers[static_cast<std::size_t>(index)];
+  Worker& worker = TouchImprovedWorker(index);
   const bool status_changed =
       !worker.m_listed || worker.m_entry.m_leaving != entry.m_leaving ||
       worker.m_entry.m_incarnation_unix_ms != entry.m_incarnation_unix_ms;
@@ -178,7 +204,7 @@
   if (it == m_worker_index.end()) {
     return;
   }
-  Worker& worker = m_workers[static_cast<std::size_t>(it->second)];
+  Worker& worker = TouchWorker(it->second);
   if (worker.m_listed) {
     worker.m_listed = false;
     CellLog()->info("worker-unlisted id={} tasks={}", id,
@@ -284,12 +310,15 @@
   if (!m_active || m_is_fenced) {
     return;
   }
+  UpdateTouchedWorkers(now);
   EndRunsWithExpiredLeases(now);
   if (m_schedule_needed || now >= m_next_schedule) {
     Schedule(now);
   }
   Flush(now);
+  UpdateTouchedWorkers(now);
   SendHeartbeats(now);
+  UpdateTouchedWorkers(now);
   TombstoneEndedJobs(now);
   ReportLoad(now);
 }
@@ -304,11 +333,8 @@
   } else if (!m_dirty_jobs.empty()) {
     next = std::min(next, m_next_flush);
   }
-  m_work.m_worker_visits += m_workers.size();
-  for (const Worker& worker : m_workers) {
-    if (NeedsHeartbeat(worker)) {
-      next = std::min(next, worker.m_next_heartbeat);
-    }
+  if (!m_agenda.m_heartbeats.empty()) {
+    next = std::min(next, m_agenda.m_heartbeats.begin()->first);
   }
   return next;
 }
--- a/src/libhyssopspar/jobs/cell_advice.cpp
+++ b/src/libhyssopspar/jobs/cell_advice.cpp
@@ -57,7 +57,7 @@
     const std::size_t i = (first + n) % m_workers.size();
     const Worker& worker = m_workers[i];
     const int index = static_cast<int>(i);
-    if (IsEligible(worker, (*query.m_step_tasks_by_worker)[i], query) &&
+    if (IsEligible(worker, i, query) &&
         NeedsAdvice(*advice, index, worker.m_incarnation_unix_ms,
                     query.m_now)) {
       action.m_candidates.push_back(
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -1,10 +1,13 @@
 // Scheduling passes: placement of ready tasks on workers.
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
+#include <utility>
 
 #include "hyssopspar/jobs/cell.h"
 #include "hyssopspar/jobs/placement.h"
+#include "hyssopspar/jobs/placement_candidates.h"
 #include "hyssopspar/jobs/tail_forecast.h"
 #include "jobs/cell_log.h"
 
@@ -12,9 +15,6 @@
 
 namespace {
 
-/// Time after its confirmed start from which a run is fully reflected in the
-/// figures that its worker reports.
-constexpr milliseconds kFullyReportedAge{1000};
 /// Delay before a pass is repeated for tasks that found no worker, when no
 /// event triggers one earlier.
 constexpr milliseconds kPlacementRetryDelay{250};
@@ -34,47 +34,85 @@
   if (!MayPlaceTasks(now)) {
     return;
   }
-  m_unschedulable_steps.Clear();
+  m_usable_pools.clear();
   m_forecasts.clear();
   m_growth_budgets.clear();
   m_headroom_cpu_milli = 0;
   m_held_back_tasks = 0;
   ++m_work.m_passes;
-  m_work.m_jobs_ordered += m_open_jobs.size();
-  m_work.m_worker_visits += m_workers.size();
-  AddUnreportedInterference(now);
-  SortByUrgency(now);
-  for (Job* const job : m_open_jobs) {
-    if (job->m_pending > 0) {
-      ScheduleJob(job, now);
-    }
+  ApplyTimedChanges(now);
+  UpdateExpectedTails(now);
+  const std::vector<Job*> jobs = PendingJobsByUrgency(now);
+  m_work.m_jobs_ordered += jobs.size();
+  for (Job* const job : jobs) {
+    ScheduleJob(job, now);
+  }
+  UpdateTouchedWorkers(now);
+  if (!m_agenda.m_resumptions.empty()) {
+    m_next_schedule =
+        std::min(m_next_schedule, m_agenda.m_resumptions.begin()->first);
   }
-  m_work.m_worker_visits += m_workers.size();
-  for (const Worker& worker : m_workers) {
-    for (const TimePoint until :
-         {worker.m_quarantined_until, worker.m_backoff_until}) {
-      if (until > now) {
-        m_next_schedule = std::min(m_next_schedule, until);
+}
+
+void Cell::ApplyTimedChanges(TimePoint now) {
+  for (const std::set<std::pair<TimePoint, int>>* const changes :
+       {&m_agenda.m_resumptions, &m_agenda.m_tail_changes}) {
+    for (const std::pair<TimePoint, int>& change : *changes) {
+      if (change.first > now) {
+        break;
       }
+      ++m_work.m_worker_visits;
+      TouchImprovedWorker(change.second);
     }
   }
+  UpdateTouchedWorkers(now);
 }
 
 std::int64_t Cell::UnixMillis(TimePoint now) const {
   return ToMillis(now.time_since_epoch()) + m_unix_offset.count();
 }
 
-void Cell::SortByUrgency(TimePoint now) {
+std::vector<Job*> Cell::PendingJobsByUrgency(TimePoint now) const {
   std::vector<std::pair<Urgency, Job*>> order;
-  order.reserve(m_open_jobs.size());
   const std::int64_t unix_now = UnixMillis(now);
   for (Job* const job : m_open_jobs) {
-    order.emplace_back(UrgencyOf(*job, m_run_times, unix_now), job);
+    if (job->m_pending > 0) {
+      order.emplace_back(UrgencyOf(*job, m_run_times, unix_now), job);
+    }
   }
   std::sort(order.begin(), order.end());
+  std::vector<Job*> jobs;
+  jobs.reserve(order.size());
   std::transform(
-      order.begin(), order.end(), m_open_jobs.begin(),
+      order.begin(), order.end(), std::back_inserter(jobs),
       [](const std::pair<Urgency, Job*>& entry) { return entry.second; });
+  return jobs;
+}
+
+const std::vector<int>& Cell::UsablePool(const std::string& service) {
+  const auto inserted = m_usable_pools.try_emplace(service);
+  std::vector<int>& pool = inserted.first->second;
+  if (inserted.second) {
+    m_work.m_worker_visits += m_workers.size();
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+      if (m_workers[i].m_entry.m_service == service &&
+          IsUsable(m_workers[i], m_excluded_domains)) {
+        pool.push_back(static_cast<int>(i));
+      }
+    }
+  }
+  return pool;
+}
+
+std::vector<int> Cell::ChangedSince(const std::string& service,
+                                    std::uint64_t change) {
+  std::vector<int> changed;
+  for (const int index : UsablePool(service)) {
+    if (m_workers[static_cast<std::size_t>(index)].m_last_change > change) {
+      changed.push_back(index);
+    }
+  }
+  return changed;
 }
 
 bool Cell::IsDue(const Job& job, std::uint32_t occurrence, TimePoint now) {
@@ -112,22 +150,36 @@
   return m_forecasts.try_emplace(image, m_interference, image).first->second;
 }
 
-/// Sets m_expected_tails of all workers: the reported tails plus the expected
-/// interference of recently placed best-effort tasks, which the reports do not
-/// reflect yet.
-void Cell::AddUnreportedInterference(TimePoint now) {
-  for (Worker& worker : m_workers) {
+/// The expected tails are the reported ones plus the expected interference of
+/// recently placed best-effort tasks, which the reports do not reflect yet.
+void Cell::UpdateExpectedTails(TimePoint now) {
+  m_work.m_worker_visits += m_outdated_tails.size();
+  for (const int index : std::exchange(m_outdated_tails, {})) {
+    Worker& worker = m_workers[static_cast<std::size_t>(index)];
+    worker.m_expected_tails_outdated = false;
     worker.m_expected_tails = worker.m_reported_tails;
+    worker.m_expected_tails_until = TimePoint::max();
     for (const TaskRef& ref : worker.m_tasks) {
       const Task& task = ref.m_job->m_tasks[ref.m_index];
-      const bool reported = task.m_state == TaskState::kRunning &&
-                            now - task.m_confirmed_at > kFullyReportedAge;
       const StepPlan& step = StepOf(*ref.m_job, ref.m_index);
-      if (!reported && step.m_is_best_effort) {
-        ForecastOf(step.m_image)
-            .Apply(CpuShareOf(step, worker), &worker.m_expected_tails);
+      const TimePoint reported_at = task.m_confirmed_at + kFullyReportedAge;
+      const bool running = task.m_state == TaskState::kRunning;
+      if (!step.m_is_best_effort || (running && now > reported_at)) {
+        continue;
+      }
+      ForecastOf(step.m_image)
+          .Apply(CpuShareOf(step, worker), &worker.m_expected_tails);
+      if (running) {
+        LimitExpectedTails(reported_at, &worker);
       }
     }
+    TouchWorker(index);
+  }
+}
+
+void Cell::CountTaskOnWorker(int worker, StepPlacement* placement) {
+  if (!placement->m_tasks_on_worker.empty()) {
+    ++placement->m_tasks_on_worker[static_cast<std::size_t>(worker)];
   }
 }
 
@@ -140,13 +192,14 @@
                                               TimePoint now,
                                               StepPlacement* placement) {
   std::vector<std::size_t> pending;
-  m_work.m_worker_visits += m_workers.size();
-  placement->m_tasks_on_worker.resize(m_workers.size());
+  if (plan.m_max_tasks_per_worker > 0) {
+    placement->m_tasks_on_worker.resize(m_workers.size());
+  }
   for (std::size_t i = first; i < first + plan.m_tasks; ++i) {
     const Task& task = job.m_tasks[i];
     placement->m_highest_run = std::max(placement->m_highest_run, task.m_run);
     if (IsPlaced(task)) {
-      ++placement->m_tasks_on_worker[static_cast<std::size_t>(task.m_worker)];
+      CountTaskOnWorker(task.m_worker, placement);
     } else if (task.m_state == TaskState::kPending && task.m_not_before > now) {
       m_next_schedule = std::min(m_next_schedule, task.m_not_before);
     } else if (task.m_state == TaskState::kPending) {
@@ -169,20 +222,18 @@
   if (!inserted.second) {
     return budget;
   }
-  m_work.m_worker_visits += m_workers.size();
-  std::vector<const Worker*> pool;
+  const std::vector<int>& pool = UsablePool(queue.m_service);
   std::int64_t pool_cpu = 0;
-  for (const Worker& worker : m_workers) {
-    if (worker.m_entry.m_service == queue.m_service &&
-        IsUsable(worker, m_excluded_domains)) {
-      pool.push_back(&worker);
-      pool_cpu += worker.m_entry.m_capacity.m_cpu_milli;
-    }
+  m_work.m_worker_visits += pool.size();
+  for (const int index : pool) {
+    pool_cpu += m_workers[static_cast<std::size_t>(index)]
+                    .m_entry.m_capacity.m_cpu_milli;
   }
   const Headroom headroom = HeadroomFor(m_short_job_demand, m_run_times, queue,
                                         pool_cpu, UnixMillis(now));
-  for (const Worker* const worker : pool) {
-    budget += UsableCpuMilli(*worker, headroom);
+  for (const int index : pool) {
+    budget +=
+        UsableCpuMilli(m_workers[static_cast<std::size_t>(index)], headroom);
   }
   budget -= headroom.m_cpu_milli;
   m_headroom_cpu_milli = std::max(m_headroom_cpu_milli, headroom.m_cpu_milli);
@@ -220,7 +271,9 @@
                         TimePoint now) {
   const StepPlan& plan = job->m_submission.m_plan.m_steps[step];
   const std::string& service = job->m_submission.m_queue.m_service;
-  if (m_unschedulable_steps.IsKnownUnschedulable(service, plan)) {
+  const std::uint64_t unschedulable_at =
+      m_unschedulable_steps.UnschedulableAt(service, plan);
+  if (unschedulable_at == m_last_worker_change && unschedulable_at > 0) {
     m_next_schedule = std::min(m_next_schedule, now + kPlacementRetryDelay);
     return;
   }
@@ -253,12 +306,15 @@
   query.m_step_tasks_by_worker = &placement.m_tasks_on_worker;
   query.m_now = now;
   query.m_advice = advice;
-  const std::vector<std::size_t> placed =
-      PlaceTasks(job, pending, query, &placement);
+  const std::vector<std::size_t> placed = PlaceTasks(
+      job, pending,
+      unschedulable_at == 0 ? UsablePool(service)
+                            : ChangedSince(service, unschedulable_at),
+      query, &placement);
   if (placed.size() < pending.size()) {
     m_next_schedule = std::min(m_next_schedule, now + kPlacementRetryDelay);
     if (advice == nullptr) {
-      m_unschedulable_steps.Add(service, plan);
+      m_unschedulable_steps.Add(service, plan, m_last_worker_change);
     } else {
       AskAdviser(*job, occurrence, step, query, advice);
     }
@@ -272,6 +328,7 @@
 std::vector<std::size_t> Cell::PlaceTasks(
     Job* job,
     const std::vector<std::size_t>& pending,
+    const std::vector<int>& pool,
     PlacementQuery query,
     StepPlacement* placement) {
   const StepPlan& plan = *query.m_step;
@@ -291,10 +348,9 @@
         plan.m_image, m_workers[i].m_serving_images);
   };
   std::vector<std::size_t> placed;
+  PlacementCandidates candidates(&m_workers, pool, &query);
   for (const std::size_t i : pending) {
-    query.m_failed_on = &job->m_tasks[i].m_failed_on;
-    m_work.m_worker_visits += m_workers.size();
-    const int worker = ChooseWorker(m_workers, query);
+    const int worker = candidates.Best(job->m_tasks[i].m_failed_on);
     if (worker == kNoWorker) {
       break;
     }
@@ -305,12 +361,16 @@
                       &m_workers[worker_index].m_expected_tails);
       effects[worker_index].reset();
     }
-    ++placement->m_tasks_on_worker[worker_index];
+    CountTaskOnWorker(worker, placement);
     if (plan.m_same_rack && query.m_rack.empty()) {
       query.m_rack = m_workers[worker_index].m_entry.m_rack;
+      candidates.UpdateAll();
+    } else {
+      candidates.Update(worker);
     }
     placed.push_back(i);
   }
+  m_work.m_worker_visits += candidates.Evaluations();
   return placed;
 }
 
--- a/src/libhyssopspar/jobs/cell_store.cpp
+++ b/src/libhyssopspar/jobs/cell_store.cpp
@@ -63,11 +63,11 @@
   for (const std::string& id : std::exchange(m_dropped_jobs, {})) {
     batch.m_records.push_back({id, std::nullopt});
   }
-  m_work.m_worker_visits += m_workers.size();
-  for (std::size_t i = 0; contains_all && i < m_workers.size(); ++i) {
-    if (m_workers[i].m_received_end_number > m_workers[i].m_acked_end_number) {
-      batch.m_end_numbers[static_cast<int>(i)] =
-          m_workers[i].m_received_end_number;
+  if (contains_all) {
+    for (const int index : m_agenda.m_with_unacknowledged_ends) {
+      ++m_work.m_worker_visits;
+      batch.m_end_numbers[index] =
+          m_workers[static_cast<std::size_t>(index)].m_received_end_number;
     }
   }
   m_actions.emplace_back(StoreAction{batch.m_number, batch.m_records});
@@ -81,12 +81,11 @@
   if (!m_dirty_jobs.empty()) {
     return;
   }
-  m_work.m_worker_visits += m_workers.size();
-  for (Worker& worker : m_workers) {
-    if (worker.m_acked_end_number < worker.m_received_end_number) {
-      worker.m_acked_end_number = worker.m_received_end_number;
-      worker.m_next_heartbeat = now;
-    }
+  for (const int index : m_agenda.m_with_unacknowledged_ends) {
+    ++m_work.m_worker_visits;
+    Worker& worker = TouchWorker(index);
+    worker.m_acked_end_number = worker.m_received_end_number;
+    worker.m_next_heartbeat = now;
   }
 }
 
@@ -111,7 +110,7 @@
   m_batch_in_flight.reset();
   m_next_flush = now + m_settings.m_flush_interval;
   for (const auto& entry : stored.m_end_numbers) {
-    Worker& worker = m_workers[static_cast<std::size_t>(entry.first)];
+    Worker& worker = TouchWorker(entry.first);
     // A number above the received one is of an earlier incarnation: the worker
     // has been restarted since, and counts its ended runs anew.
     if (entry.second <= worker.m_received_end_number) {
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -33,7 +33,7 @@
 
 void Cell::AssignWorker(const TaskRef& ref, int worker_index) {
   Job* const job = ref.m_job;
-  Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
+  Worker& worker = TouchWorker(worker_index);
   if (!worker.m_tasks.insert(ref).second) {
     return;
   }
@@ -51,7 +51,7 @@
 void Cell::UnassignWorker(const TaskRef& ref) {
   Job* const job = ref.m_job;
   Task& task = job->m_tasks[ref.m_index];
-  Worker& worker = m_workers[static_cast<std::size_t>(task.m_worker)];
+  Worker& worker = TouchImprovedWorker(task.m_worker);
   task.m_worker = kNoWorker;
   task.m_start_status = StartStatus::kNone;
   task.m_placement_batch = 0;
@@ -147,6 +147,9 @@
   SetTaskState(ref.m_job, ref.m_index, TaskState::kRunning);
   task.m_start_status = StartStatus::kNone;
   task.m_confirmed_at = now;
+  if (StepOf(*ref.m_job, ref.m_index).m_is_best_effort) {
+    LimitExpectedTails(now + kFullyReportedAge, &TouchWorker(task.m_worker));
+  }
   ref.m_job->m_has_started_task = true;
   UpdateJobState(ref.m_job, now);
 }
@@ -175,7 +178,7 @@
     return;
   }
   task.m_failed_on.push_back(task.m_worker);
-  Worker& worker = m_workers[static_cast<std::size_t>(task.m_worker)];
+  Worker& worker = TouchWorker(task.m_worker);
   worker.m_failed_jobs.insert(JobIdOf(ref));
   const auto quarantined = static_cast<std::size_t>(std::count_if(
       m_workers.begin(), m_workers.end(),
@@ -297,8 +300,7 @@
       action.m_resends < kMaxStartResends && MayStart(*job, task, now)) {
     SendStart(action.m_task, now, action.m_resends + 1);
   } else if (not_sent) {
-    m_workers[static_cast<std::size_t>(action.m_worker)].m_backoff_until =
-        now + kRefusalBackoff;
+    TouchWorker(action.m_worker).m_backoff_until = now + kRefusalBackoff;
     ReturnToPending(action.m_task, "not-sent", now);
   } else if (!answer) {
     CellLog()->warn("start-unanswered task={} run={} worker={} error={}",
@@ -306,7 +308,7 @@
                     action.m_target.m_id, ToString(answer.error()));
     task.m_start_status = StartStatus::kUnacknowledged;
     task.m_start_status_since = now;
-    m_workers[static_cast<std::size_t>(action.m_worker)].m_next_heartbeat = now;
+    TouchWorker(action.m_worker).m_next_heartbeat = now;
   } else if (answer.value() == StartAnswer::kStarted) {
     ConfirmStart(action.m_task, now);
   } else {
@@ -335,8 +337,7 @@
   } else if (answer == StartAnswer::kRejected) {
     task.m_not_before = now + kRejectionBackoff;
   } else if (answer != StartAnswer::kLate && answer != StartAnswer::kOldRun) {
-    m_workers[static_cast<std::size_t>(action.m_worker)].m_backoff_until =
-        now + kRefusalBackoff;
+    TouchWorker(action.m_worker).m_backoff_until = now + kRefusalBackoff;
   }
   ReturnToPending(action.m_task, AnswerName(answer), now);
 }
@@ -365,7 +366,7 @@
   task.m_start_status =
       answer ? StartStatus::kStopAcknowledged : StartStatus::kUnacknowledged;
   task.m_start_status_since = now;
-  m_workers[static_cast<std::size_t>(action.m_worker)].m_next_heartbeat = now;
+  TouchWorker(action.m_worker).m_next_heartbeat = now;
 }
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -49,6 +49,11 @@
          excluded_domains.count(worker.m_entry.m_failure_domain) == 0;
 }
 
+void LimitExpectedTails(TimePoint reported_at, Worker* worker) {
+  worker->m_expected_tails_until =
+      std::min(worker->m_expected_tails_until, reported_at + milliseconds(1));
+}
+
 bool NeedsHeartbeat(const Worker& worker) {
   return (worker.m_listed || !worker.m_tasks.empty()) &&
          !worker.m_heartbeat_in_flight && !worker.m_entry.m_address.empty();
@@ -78,16 +83,17 @@
   if (now > m_ownership_lease_deadline) {
     return;
   }
-  m_work.m_worker_visits += m_workers.size();
-  for (std::size_t i = 0; i < m_workers.size(); ++i) {
-    if (NeedsHeartbeat(m_workers[i]) && m_workers[i].m_next_heartbeat <= now) {
-      SendHeartbeat(static_cast<int>(i), now);
+  for (const std::pair<TimePoint, int>& due : m_agenda.m_heartbeats) {
+    if (due.first > now) {
+      break;
     }
+    ++m_work.m_worker_visits;
+    SendHeartbeat(due.second, now);
   }
 }
 
 void Cell::SendHeartbeat(int worker_index, TimePoint now) {
-  Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
+  Worker& worker = TouchWorker(worker_index);
   HeartbeatAction action;
   action.m_worker = worker_index;
   action.m_target = TargetOf(worker_index);
@@ -122,7 +128,7 @@
 void Cell::OnHeartbeatAnswer(const HeartbeatAction& action,
                              const Result<HeartbeatReport>& answer,
                              TimePoint now) {
-  Worker& worker = m_workers[static_cast<std::size_t>(action.m_worker)];
+  Worker& worker = TouchImprovedWorker(action.m_worker);
   worker.m_heartbeat_in_flight = false;
   if (answer) {
     ApplyReport(action.m_worker, action, answer.value(), now);
@@ -359,14 +365,11 @@
 }
 
 void Cell::EndRunsWithExpiredLeases(TimePoint now) {
-  m_work.m_worker_visits += m_workers.size();
-  for (std::size_t i = 0; i < m_workers.size(); ++i) {
-    const Worker& worker = m_workers[i];
-    if (worker.m_tasks.empty() || worker.m_reachable) {
-      continue;
-    }
+  for (const int index : m_agenda.m_unreachable_with_tasks) {
+    ++m_work.m_worker_visits;
+    const Worker& worker = m_workers[static_cast<std::size_t>(index)];
     if (now > worker.m_lease_deadline) {
-      EndAllRuns(static_cast<int>(i), "lapsed", now);
+      EndAllRuns(index, "lapsed", now);
     }
   }
 }
--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -8,10 +8,8 @@
 
 namespace {
 
-/// Score terms for the preferred rack and for a worker on which a run of the
-/// task has failed. Both outweigh any difference in free CPU.
+/// Score term for the preferred rack. Outweighs any difference in free CPU.
 constexpr double kPreferredRackBonus = 1e6;
-constexpr double kFailurePenalty = 1e5;
 /// Fraction of their reserved CPU that serving tasks are assumed to use.
 constexpr double kServingCpuUtilization = 0.45;
 /// Fraction of its demand that a best-effort task must find as unused CPU.
@@ -43,9 +41,14 @@
 }  // namespace
 
 bool IsEligible(const Worker& worker,
-                std::uint32_t step_tasks,
+                std::size_t index,
                 const PlacementQuery& query) {
   const StepPlan& step = *query.m_step;
+  if (!Fits(worker.m_used + worker.m_unexpected_run_resources +
+                ReservedResourcesOf(step),
+            worker.m_entry.m_capacity)) {
+    return false;
+  }
   const bool usable = IsUsable(worker, *query.m_excluded_domains) &&
                       !worker.m_has_unknown_runs &&
                       worker.m_quarantined_until <= query.m_now &&
@@ -54,13 +57,8 @@
   if (!usable || !HasLabel(worker.m_entry, step.m_label)) {
     return false;
   }
-  if (step.m_max_tasks_per_worker > 0 &&
-      step_tasks >= step.m_max_tasks_per_worker) {
-    return false;
-  }
-  return Fits(worker.m_used + worker.m_unexpected_run_resources +
-                  ReservedResourcesOf(step),
-              worker.m_entry.m_capacity);
+  return step.m_max_tasks_per_worker == 0 ||
+         (*query.m_step_tasks_by_worker)[index] < step.m_max_tasks_per_worker;
 }
 
 double UnusedCpuMilli(const Worker& worker) {
@@ -115,11 +113,7 @@
   const std::string& rack = worker.m_entry.m_rack;
   const bool on_preferred_rack =
       !rack.empty() && (rack == step.m_data_rack || rack == query.m_rack);
-  const bool failed_on_worker =
-      std::find(query.m_failed_on->begin(), query.m_failed_on->end(),
-                static_cast<int>(index)) != query.m_failed_on->end();
-  return score + (on_preferred_rack ? kPreferredRackBonus : 0) -
-         (failed_on_worker ? kFailurePenalty : 0);
+  return score + (on_preferred_rack ? kPreferredRackBonus : 0);
 }
 
 /// True if the worker has enough unused CPU for a best-effort task of the step.
@@ -138,29 +132,21 @@
 
 }  // namespace
 
-int ChooseWorker(const std::vector<Worker>& workers,
-                 const PlacementQuery& query) {
-  int best = kNoWorker;
-  double best_score = 0;
+std::optional<double> ScoreOf(const Worker& worker,
+                              std::size_t index,
+                              const PlacementQuery& query) {
   const bool best_effort = query.m_step->m_is_best_effort;
-  for (std::size_t i = 0; i < workers.size(); ++i) {
-    if (!IsEligible(workers[i], (*query.m_step_tasks_by_worker)[i], query) ||
-        (best_effort && !HasEnoughUnusedCpu(workers[i], *query.m_step)) ||
-        !HasTicket(workers[i], i, query)) {
-      continue;
-    }
-    const TailEffect effect =
-        best_effort ? query.m_predict_tail_effect(i) : TailEffect();
-    if (effect.m_max_ratio > kMaxPredictedTailRatio) {
-      continue;
-    }
-    const double score = Score(workers[i], i, effect, query);
-    if (best == kNoWorker || score > best_score) {
-      best = static_cast<int>(i);
-      best_score = score;
-    }
+  if (!IsEligible(worker, index, query) ||
+      (best_effort && !HasEnoughUnusedCpu(worker, *query.m_step)) ||
+      !HasTicket(worker, index, query)) {
+    return std::nullopt;
+  }
+  const TailEffect effect =
+      best_effort ? query.m_predict_tail_effect(index) : TailEffect();
+  if (effect.m_max_ratio > kMaxPredictedTailRatio) {
+    return std::nullopt;
   }
-  return best;
+  return Score(worker, index, effect, query);
 }
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/placement_test.cpp
+++ b/src/libhyssopspar/jobs/placement_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <numeric>
+
+#include "hyssopspar/jobs/placement_candidates.h"
 #include "hyssopspar/jobs/task.h"
 
 namespace hyssopspar::jobs {
@@ -15,7 +18,6 @@
     m_query.m_step = &m_step;
     m_query.m_service = &m_service;
     m_query.m_excluded_domains = &m_excluded_domains;
-    m_query.m_failed_on = &m_failed_on;
     m_query.m_step_tasks_by_worker = &m_step_tasks_by_worker;
     m_query.m_predict_tail_effect = [this](std::size_t i) {
       return TailEffect{m_predicted_ratio[i], m_predicted_log_increase[i]};
@@ -44,7 +46,11 @@
     return m_workers.back();
   }
 
-  int Choose() const { return ChooseWorker(m_workers, m_query); }
+  int Choose() const {
+    std::vector<int> pool(m_workers.size());
+    std::iota(pool.begin(), pool.end(), 0);
+    return PlacementCandidates(&m_workers, pool, &m_query).Best(m_failed_on);
+  }
 
   std::vector<Worker> m_workers;
   StepPlan m_step;
