Don't keep the processor busy while the ownership lease has expired

Cause: due heartbeats may not be sent without the lease, and their time was still the next deadline, which then lay in the past. Change: heartbeats set no deadline from the first round after the lease's end until it is extended. The test failed before: the next deadline was 5 s in the past.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -331,6 +331,9 @@
   TimePoint m_operators_current_at;
   TimePoint m_workers_current_at;
   TimePoint m_ownership_lease_deadline = TimePoint::max();
+  /// True from the first round after that deadline until it is extended:
+  /// heartbeats wait.
+  bool m_ownership_lease_expired = false;
   milliseconds m_unix_offset{0};  ///< Unix time minus the local clock.
 
   std::map<std::string, std::unique_ptr<Job>> m_jobs;
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -225,6 +225,7 @@
 
 void Cell::SetOwnershipLeaseDeadline(TimePoint until) {
   m_ownership_lease_deadline = until;
+  m_ownership_lease_expired = false;
 }
 
 void Cell::MarkDirty(Job* job) {
@@ -333,7 +334,7 @@
   } else if (!m_dirty_jobs.empty()) {
     next = std::min(next, m_next_flush);
   }
-  if (!m_agenda.m_heartbeats.empty()) {
+  if (!m_ownership_lease_expired && !m_agenda.m_heartbeats.empty()) {
     next = std::min(next, m_agenda.m_heartbeats.begin()->first);
   }
   return next;
--- a/src/libhyssopspar/jobs/cell_test.cpp
+++ b/src/libhyssopspar/jobs/cell_test.cpp
@@ -120,6 +120,22 @@
   std::vector<KeyedRecord> m_stored;
 };
 
+// While the store was away for longer than the ownership lease, due heartbeats
+// that may not be sent kept the owner's processor fully busy.
+TEST_F(CellTest, WaitsForAnEventWhileTheOwnershipLeaseHasExpired) {
+  AddWorker("w0");
+  m_cell.Activate(m_now);
+  Run(milliseconds(200));
+  m_cell.SetOwnershipLeaseDeadline(m_now);
+  m_now += std::chrono::seconds(5);
+  m_cell.Tick(m_now);
+  m_cell.TakeActions();
+  EXPECT_GT(m_cell.NextDeadline(), m_now);
+  // A renewal is such an event.
+  m_cell.SetOwnershipLeaseDeadline(m_now + std::chrono::seconds(5));
+  EXPECT_LE(m_cell.NextDeadline(), m_now);
+}
+
 // A start order that a slow worker has not carried out is not a started task:
 // its job still waits.
 TEST_F(CellTest, CountsJobAsPendingUntilAWorkerConfirmsAStart) {
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -80,7 +80,8 @@
 }
 
 void Cell::SendHeartbeats(TimePoint now) {
-  if (now > m_ownership_lease_deadline) {
+  m_ownership_lease_expired = now > m_ownership_lease_deadline;
+  if (m_ownership_lease_expired) {
     return;
   }
   for (const std::pair<TimePoint, int>& due : m_agenda.m_heartbeats) {
