Limit starts in progress, and send the most urgent first

What callers saw: beyond what the owner's processor can send, quotations queued behind hundreds of starts of best-effort tasks of the same pass, and were the first class to miss its objective (SHORT).

Cause: a pass placed every task that had room, in whatever number; their starts left in the order of job ids through one queue of calls. Evidence (owner's log, site with half of the strong nodes' processor): up to 2,500 placements a second against 500 to 2,000 starts, confirmed 0.25 to 1.1 s after the order, quotations as late as the rest.

Change: starts in progress (placements not stored, orders not answered) are limited by a window that shrinks while confirmations take long and grows while they are quick and the window is full. Queues of the highest priority with open jobs are exempt. Starts of a stored batch are sent in order of priority.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -23,6 +23,7 @@
 #include "hyssopspar/jobs/placement.h"
 #include "hyssopspar/jobs/refusals.h"
 #include "hyssopspar/jobs/stage_times.h"
+#include "hyssopspar/jobs/start_window.h"
 #include "hyssopspar/jobs/tail_forecast.h"
 #include "hyssopspar/jobs/urgency.h"
 #include "hyssopspar/jobs/worker.h"
@@ -305,8 +306,11 @@
   /// CPU that first runs of the queue's long-running tasks may still take in
   /// the current pass.
   std::int64_t& GrowthBudgetOf(const QueuePolicy& queue, TimePoint now);
-  /// Open jobs with pending tasks, most urgent first.
-  std::vector<Job*> PendingJobsByUrgency(TimePoint now) const;
+  /// Open jobs with pending tasks, most urgent first. Sets the properties of
+  /// all open jobs that the current pass uses.
+  std::vector<Job*> PendingJobsByUrgency(TimePoint now);
+  /// Number of tasks of the job's queue that the start window still allows.
+  std::size_t AllowedStarts(const Job& job, TimePoint now);
   /// Indexes of the usable workers of a pool; cached for the current pass.
   const std::vector<int>& UsablePool(const std::string& service);
   /// Workers of the pool that have changed since the change number \p change.
@@ -355,6 +359,13 @@
   /// Head-room and tasks held back for it in the last pass, for the log.
   std::int64_t m_headroom_cpu_milli = 0;
   std::size_t m_held_back_tasks = 0;
+  StartWindow m_start_window;
+  bool m_window_was_full = false;  ///< In the last pass, for waiting tasks.
+  std::size_t m_unanswered_starts = 0;  ///< Start actions without an answer.
+  /// Placements not stored or start actions not answered, and the priority of
+  /// the most urgent queue with open jobs; both valid in the current pass.
+  std::size_t m_starts_in_progress = 0;
+  std::int64_t m_highest_priority = 0;
   UnschedulableStepCache m_unschedulable_steps;
   /// By service; valid in the current pass.
   std::map<std::string, std::vector<int>> m_usable_pools;
--- a/src/include/hyssopspar/jobs/job.h
+++ b/src/include/hyssopspar/jobs/job.h
@@ -39,7 +39,8 @@
   std::vector<TimePoint> m_ready_since_of_step;
   /// Longest run time seen among the tasks in kDone, by occurrence and step.
   std::vector<Duration> m_slowest_run_of_step;
-  std::size_t m_pending = 0;  ///< Number of tasks in kPending.
+  std::size_t m_pending = 0;    ///< Number of tasks in kPending.
+  std::size_t m_recording = 0;  ///< Number of tasks in kRecording.
   /// Number of steps in the longest chain of dependencies.
   std::uint32_t m_critical_path_steps = 1;
   TimePoint m_terminal_since;  ///< When the job reached a terminal state.
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -34,6 +35,7 @@
   if (!MayPlaceTasks(now)) {
     return;
   }
+  m_window_was_full = false;
   m_usable_pools.clear();
   m_forecasts.clear();
   m_growth_budgets.clear();
@@ -72,10 +74,15 @@
   return ToMillis(now.time_since_epoch()) + m_unix_offset.count();
 }
 
-std::vector<Job*> Cell::PendingJobsByUrgency(TimePoint now) const {
+std::vector<Job*> Cell::PendingJobsByUrgency(TimePoint now) {
   std::vector<std::pair<Urgency, Job*>> order;
   const std::int64_t unix_now = UnixMillis(now);
+  m_starts_in_progress = m_unanswered_starts;
+  m_highest_priority = std::numeric_limits<std::int64_t>::max();
   for (Job* const job : m_open_jobs) {
+    m_starts_in_progress += job->m_recording;
+    m_highest_priority =
+        std::min(m_highest_priority, job->m_submission.m_queue.m_priority);
     if (job->m_pending > 0) {
       order.emplace_back(UrgencyOf(*job, m_run_times, unix_now), job);
     }
@@ -265,12 +272,30 @@
   }
 }
 
+std::size_t Cell::AllowedStarts(const Job& job, TimePoint now) {
+  if (job.m_submission.m_queue.m_priority == m_highest_priority) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  const std::size_t allowed =
+      RemainingStarts(&m_start_window, m_starts_in_progress);
+  if (allowed == 0) {
+    m_window_was_full = true;
+    m_next_schedule = std::min(m_next_schedule, now + kPlacementRetryDelay);
+  }
+  return allowed;
+}
+
 void Cell::ScheduleStep(Job* job,
                         std::uint32_t occurrence,
                         std::uint32_t step,
                         TimePoint now) {
   const StepPlan& plan = job->m_submission.m_plan.m_steps[step];
   const std::string& service = job->m_submission.m_queue.m_service;
+  // A gang is placed as a whole even if the window has less room.
+  const std::size_t allowed = AllowedStarts(*job, now);
+  if (allowed == 0) {
+    return;
+  }
   const std::uint64_t unschedulable_at =
       m_unschedulable_steps.UnschedulableAt(service, plan);
   if (unschedulable_at == m_last_worker_change && unschedulable_at > 0) {
@@ -291,6 +316,9 @@
   std::vector<std::size_t> pending =
       PlaceableTasks(*job, first, plan, now, &placement);
   HoldBackGrowth(*job, plan, now, &pending);
+  if (!plan.m_gang && pending.size() > allowed) {
+    pending.resize(allowed);
+  }
   if (pending.empty() || (plan.m_gang && pending.size() < plan.m_tasks)) {
     return;
   }
@@ -392,6 +420,7 @@
     task.m_run = plan.m_gang ? highest_run + 1 : task.m_run + 1;
     SetTaskState(job, i, TaskState::kRecording);
     ++m_work.m_tasks_placed;
+    ++m_starts_in_progress;
     EndStage({job, i}, Stage::kPlace, now);
     MarkDirty(job);
   }
--- a/src/libhyssopspar/jobs/cell_store.cpp
+++ b/src/libhyssopspar/jobs/cell_store.cpp
@@ -136,7 +136,13 @@
 }
 
 void Cell::StartStoredPlacements(const PendingBatch& batch, TimePoint now) {
-  for (const TaskRef& ref : batch.m_placements) {
+  std::vector<TaskRef> placements = batch.m_placements;
+  std::stable_sort(placements.begin(), placements.end(),
+                   [](const TaskRef& a, const TaskRef& b) {
+                     return a.m_job->m_submission.m_queue.m_priority <
+                            b.m_job->m_submission.m_queue.m_priority;
+                   });
+  for (const TaskRef& ref : placements) {
     const Task& task = ref.m_job->m_tasks[ref.m_index];
     if (task.m_state != TaskState::kRecording ||
         task.m_placement_batch != batch.m_number) {
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -257,6 +257,7 @@
       "start task={} run={} worker={} view_age_ms={}",
       ToString(action.m_order.m_task), task.m_run, worker.m_entry.m_id,
       ToMillis(now - std::min(m_operators_current_at, m_workers_current_at)));
+  ++m_unanswered_starts;
   m_actions.emplace_back(std::move(action));
 }
 
@@ -282,6 +283,8 @@
 void Cell::OnStartAnswer(const StartAction& action,
                          const Result<StartAnswer>& answer,
                          TimePoint now) {
+  --m_unanswered_starts;
+  m_schedule_needed = m_schedule_needed || m_window_was_full;
   Job* const job = FindMutableJob(action.m_order.m_task.m_job);
   if (job == nullptr) {
     return;
@@ -310,6 +313,7 @@
     task.m_start_status_since = now;
     TouchWorker(action.m_worker).m_next_heartbeat = now;
   } else if (answer.value() == StartAnswer::kStarted) {
+    AddConfirmation(&m_start_window, now - task.m_stage_since, now);
     ConfirmStart(action.m_task, now);
   } else {
     HandleRefusal(action, job, answer.value(), now);
--- a/src/libhyssopspar/jobs/job.cpp
+++ b/src/libhyssopspar/jobs/job.cpp
@@ -102,9 +102,11 @@
                                     job->m_submission.m_plan.m_steps.size() +
                                 step];
   job->m_pending -= task.m_state == TaskState::kPending ? 1 : 0;
+  job->m_recording -= task.m_state == TaskState::kRecording ? 1 : 0;
   done -= task.m_state == TaskState::kDone ? 1 : 0;
   task.m_state = state;
   job->m_pending += state == TaskState::kPending ? 1 : 0;
+  job->m_recording += state == TaskState::kRecording ? 1 : 0;
   done += state == TaskState::kDone ? 1 : 0;
 }
 
--- a/testsuite/job_state/fleet_load.cpp
+++ b/testsuite/job_state/fleet_load.cpp
@@ -46,6 +46,11 @@
   m_events.emplace(m_now + delay, std::move(event));
 }
 
+void FleetLoad::ScheduleArrival(std::function<void()> event) {
+  m_calls_until = std::max(m_calls_until, m_now) + m_options.m_cost_per_call;
+  ScheduleAfter(m_calls_until + kOrderDelay - m_now, std::move(event));
+}
+
 std::uint32_t FleetLoad::RandomWidth(double mean) {
   return 1 + std::poisson_distribution<std::uint32_t>(mean - 1)(m_random);
 }
@@ -165,7 +170,7 @@
 }
 
 void FleetLoad::Execute(const StartAction& action) {
-  ScheduleAfter(kOrderDelay, [this, action] {
+  ScheduleArrival([this, action] {
     FleetWorker* const worker =
         m_workers[static_cast<std::size_t>(action.m_worker)].get();
     const StepPlan& step = StepOf(*action.m_task.m_job, action.m_task.m_index);
@@ -188,7 +193,7 @@
 }
 
 void FleetLoad::Execute(const StopAction& action) {
-  ScheduleAfter(kOrderDelay, [this, action] {
+  ScheduleArrival([this, action] {
     FleetWorker* const worker =
         m_workers[static_cast<std::size_t>(action.m_worker)].get();
     ScheduleAfter(kStopDelay, [this, worker, task = action.m_order.m_task] {
@@ -200,7 +205,7 @@
 }
 
 void FleetLoad::Execute(const HeartbeatAction& action) {
-  ScheduleAfter(kOrderDelay, [this, action] {
+  ScheduleArrival([this, action] {
     FleetWorker* const worker =
         m_workers[static_cast<std::size_t>(action.m_worker)].get();
     worker->m_ended.erase(
--- a/testsuite/job_state/fleet_load.h
+++ b/testsuite/job_state/fleet_load.h
@@ -36,6 +36,9 @@
   /// Processor time of the owner for each worker that it examines. While the
   /// owner is busy, events wait.
   Duration m_cost_per_worker_visit{0};
+  /// Processor time that the owner's connections take for each order and each
+  /// heartbeat, one after the other.
+  Duration m_cost_per_call{0};
 };
 
 /// Runs the load and counts what it took.
@@ -57,6 +60,8 @@
   struct FleetWorker;
 
   void ScheduleAfter(Duration delay, std::function<void()> event);
+  /// Runs \p event once a call that is made now has arrived.
+  void ScheduleArrival(std::function<void()> event);
   void ScheduleArrivals(double jobs_per_second,
                         const std::function<Submission()>& make);
   Submission MakeSubmission(const char* queue, std::int64_t priority);
@@ -76,7 +81,8 @@
   std::mt19937_64 m_random;
   TimePoint m_now;
   TimePoint m_end;
-  TimePoint m_busy_until;  ///< The owner handles no event before this.
+  TimePoint m_busy_until;   ///< The owner handles no event before this.
+  TimePoint m_calls_until;  ///< When all calls so far have been sent.
   std::multimap<TimePoint, std::function<void()>> m_events;
   std::vector<std::unique_ptr<FleetWorker>> m_workers;
   std::unique_ptr<Cell> m_cell;
--- a/testsuite/job_state/fleet_load_test.cpp
+++ b/testsuite/job_state/fleet_load_test.cpp
@@ -64,5 +64,20 @@
   EXPECT_LT(ToMillis(MeanStartTime(load, kShortQueue)), 250);
 }
 
+// When the owner could send fewer starts than the waiting best-effort tasks
+// need, urgent tasks queued behind them.
+TEST_F(FleetLoadTest, UrgentTasksDoNotQueueBehindBestEffortStarts) {
+  FleetLoadOptions options;
+  options.m_best_effort_jobs_per_worker *= 4;
+  options.m_cost_per_call = microseconds(400);
+  FleetLoad load(options);
+  load.Run(nullptr);
+  EXPECT_LT(ToMillis(MeanStartTime(load, kShortQueue)), 250);
+  // The processor is still used for best-effort tasks.
+  const QueueStageTimes& best_effort = load.Stages().at(kBestEffortQueue);
+  EXPECT_GT(best_effort[static_cast<std::size_t>(Stage::kConfirm)].m_count,
+            1000U);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
