Give up tasks that crash their workers

Cause: the end of a run with its worker counted as an expired lease, which is nobody's fault, for restarted and replaced workers too. Class of fault: a failure without a counter and without a limit. A counter in memory would have been lost with the owner, and a placement inherited from an earlier owner on a worker that has restarted since counted as one that never started.

Change: a run that ends with its worker ends as worker-crashed. The crash is counted against the tasks of the worker, as likely caused (the run was confirmed and had not lasted for a second, or no run of the worker was so young) or as possibly caused (all others, and starts without an answer); runs of ten seconds and more are acquitted. A task is given up after two likely crashes if it was the only young one in the second, after three, or after four of both kinds; its job is shown as failed. A suspect's next run gets a worker without other young runs, and that worker no other task until the suspect has lasted. The counts and the worker's incarnation at the placement are part of the stored progress, so that the next owner continues to count. Workers that leave are nobody's fault. A crash behind a lost lease is counted once the worker is heard of again or removed by the platform.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -17,6 +17,7 @@
 #include "hyssopspar/jobs/action.h"
 #include "hyssopspar/jobs/cell_settings.h"
 #include "hyssopspar/jobs/cell_work.h"
+#include "hyssopspar/jobs/crash_blame.h"
 #include "hyssopspar/jobs/interference.h"
 #include "hyssopspar/jobs/job.h"
 #include "hyssopspar/jobs/long_running_growth.h"
@@ -78,7 +79,7 @@
   void SetWorker(const WorkerEntry& entry, TimePoint now);
   /// Handles the removal of a worker from the platform's list. Tasks placed on
   /// it stay placed until their end is known.
-  void RemoveWorker(const std::string& id);
+  void RemoveWorker(const std::string& id, TimePoint now);
 
   /// Sets the times as of which the views of the operators' decisions and of
   /// the platform's list of workers are current.
@@ -197,9 +198,19 @@
   // cell_workers.cpp
   /// Resets the state that is specific to an incarnation of the worker.
   void BeginIncarnation(int worker_index, std::int64_t incarnation);
+  /// \p alive_at is the time of the last report of the earlier incarnation.
   void EndRunsLostInRestart(int worker_index,
                             const std::map<TaskRef, std::uint32_t>& listed,
+                            TimePoint alive_at,
                             TimePoint now);
+  /// Counts a crash of the worker against \p tasks and the tasks that lapsed on
+  /// it before. Returns the tasks to be given up once their runs have ended.
+  std::vector<TaskRef> CountCrash(int worker_index,
+                                  std::vector<TaskRef> tasks,
+                                  TimePoint alive_at,
+                                  TimePoint now);
+  /// Fails the jobs of tasks under which too many workers have crashed.
+  void GiveUpTasks(const std::vector<TaskRef>& tasks, TimePoint now);
   void ApplyReport(int worker_index,
                    const HeartbeatAction& action,
                    const HeartbeatReport& report,
@@ -227,7 +238,9 @@
   void SendHeartbeat(int worker_index, TimePoint now);
   void SendHeartbeats(TimePoint now);
   void EndRunsWithExpiredLeases(TimePoint now);
-  void EndAllRuns(int worker_index, const char* reason, TimePoint now);
+  /// Ends all runs of a worker that is gone (kWorkerCrashed) or was not heard
+  /// of for longer than its lease (kLeaseExpired).
+  void EndAllRuns(int worker_index, EndCause cause, TimePoint now);
   TaskMix TaskMixOf(const Worker& worker) const;
   void ExtendLeaseDeadline(Worker* worker, WorkerTime until);
 
@@ -277,6 +290,19 @@
     std::vector<std::uint32_t> m_tasks_on_worker;
     std::uint32_t m_highest_run = 0;  ///< Highest run number of its tasks.
   };
+  /// Places suspects, each on a worker without other unproven tasks, which gets
+  /// no other task until the suspect is proven. Returns the placed ones.
+  std::vector<std::size_t> PlaceSuspects(
+      Job* job,
+      const std::vector<std::size_t>& suspects,
+      const PlacementQuery& query,
+      StepPlacement* placement);
+  /// Keeps a worker free of new tasks until its tasks are proven, so that a
+  /// suspect can be placed there.
+  void ReserveForSuspect(Job* job,
+                         std::size_t index,
+                         const std::vector<int>& pool,
+                         const PlacementQuery& query);
   static void CountTaskOnWorker(int worker, StepPlacement* placement);
   std::vector<std::size_t> PlaceableTasks(const Job& job,
                                           std::size_t first,
@@ -359,6 +385,7 @@
   /// Head-room and tasks held back for it in the last pass, for the log.
   std::int64_t m_headroom_cpu_milli = 0;
   std::size_t m_held_back_tasks = 0;
+  RecentCrashes m_recent_crashes;
   StartWindow m_start_window;
   bool m_window_was_full = false;  ///< In the last pass, for waiting tasks.
   std::size_t m_unanswered_starts = 0;  ///< Start actions without an answer.
--- a/src/include/hyssopspar/jobs/job_progress.h
+++ b/src/include/hyssopspar/jobs/job_progress.h
@@ -41,13 +41,22 @@
   std::vector<std::uint32_t> m_worker_slots;
   std::vector<std::string> m_task_checkpoints;  ///< Empty if no task has one.
   std::vector<std::string> m_workers;  ///< Worker ids, each listed once.
+  /// Crashes of workers that each task has likely caused, and that it may have
+  /// caused; both empty if there were none.
+  std::vector<std::uint32_t> m_crash_counts;
+  std::vector<std::uint32_t> m_possible_crash_counts;
+  /// Incarnations of the workers of placed tasks, 0 for others; empty if no
+  /// task is placed.
+  std::vector<std::int64_t> m_worker_incarnations;
 };
 
 template <class Archive, class T>
 void VisitFields(Archive& archive, T& progress, const JobProgress* /*tag*/) {
   archive(progress.m_state, progress.m_task_states, progress.m_run_numbers,
           progress.m_failure_counts, progress.m_worker_slots,
-          progress.m_task_checkpoints, progress.m_workers);
+          progress.m_task_checkpoints, progress.m_workers,
+          progress.m_crash_counts, progress.m_possible_crash_counts,
+          progress.m_worker_incarnations);
 }
 
 }  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/jobs/task.h
+++ b/src/include/hyssopspar/jobs/task.h
@@ -32,16 +32,26 @@
   TaskState m_state = TaskState::kPending;
   std::uint32_t m_run = 0;  ///< Highest run number used.
   std::uint32_t m_failures = 0;
+  /// Crashes of workers that the task has likely caused, and those that it may
+  /// have caused, except those of which it has been acquitted.
+  std::uint32_t m_crashes = 0;
+  std::uint32_t m_possible_crashes = 0;
+  /// The task was unproven when its worker crashed: its next run gets a worker
+  /// without other unproven tasks.
+  bool m_is_suspect = false;
   /// Index of the worker that runs, or may run, the current run.
   int m_worker = kNoWorker;
+  /// Incarnation of that worker for which the current run was placed.
+  std::int64_t m_worker_incarnation = 0;
   std::string m_checkpoint;
   /// Number of the store batch that records the placement; 0: not yet sent.
   std::uint64_t m_placement_batch = 0;
   StartStatus m_start_status = StartStatus::kNone;
   TimePoint m_start_status_since;
-  TimePoint m_stage_since;   ///< When the task entered its current stage.
-  TimePoint m_confirmed_at;  ///< First confirmation that the run started.
-  TimePoint m_not_before;    ///< The task is not placed before this.
+  TimePoint m_stage_since;      ///< When the task entered its current stage.
+  bool m_is_confirmed = false;  ///< The start of the current run.
+  TimePoint m_confirmed_at;     ///< First confirmation that the run started.
+  TimePoint m_not_before;       ///< The task is not placed before this.
   TimePoint m_stop_sent_at;
   /// Speed last ordered for the current run, in percent of full speed; 0
   /// pauses.
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -70,6 +70,9 @@
 
   /// Jobs with a failed run here since the last successful one.
   std::set<std::string> m_failed_jobs;
+  /// Tasks whose lease here expired while the worker was unreachable. Whether
+  /// it had crashed shows when it is heard of again.
+  std::vector<TaskName> m_lapsed_tasks;
   TimePoint m_quarantined_until;
   /// No placement here before this, because the worker refused a start or the
   /// order could not be sent.
--- a/src/include/hyssopspar/jobs/worker_port.h
+++ b/src/include/hyssopspar/jobs/worker_port.h
@@ -103,9 +103,9 @@
 enum class EndCause {
   kDone,
   kFailed,
-  kStopped,         ///< By a stop order.
-  kLeaseExpired,    ///< The lease expired, or the worker was restarted or
-                    ///< replaced.
+  kStopped,  ///< By a stop order.
+  kLeaseExpired,
+  kWorkerCrashed,   ///< The worker was restarted, replaced or lost.
   kGangBroken,      ///< Another member of the gang ended.
   kGangIncomplete,  ///< Not all members of the gang started.
 };
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -199,7 +199,7 @@
   }
 }
 
-void Cell::RemoveWorker(const std::string& id) {
+void Cell::RemoveWorker(const std::string& id, TimePoint now) {
   const auto it = m_worker_index.find(id);
   if (it == m_worker_index.end()) {
     return;
@@ -210,6 +210,10 @@
     CellLog()->info("worker-unlisted id={} tasks={}", id,
                     worker.m_tasks.size());
   }
+  if (!worker.m_reachable && !worker.m_lapsed_tasks.empty()) {
+    GiveUpTasks(CountCrash(it->second, {}, worker.m_clock_received_at, now),
+                now);
+  }
 }
 
 void Cell::SetViewTimes(TimePoint operators_current_at,
--- a/src/libhyssopspar/jobs/cell_log.cpp
+++ b/src/libhyssopspar/jobs/cell_log.cpp
@@ -17,6 +17,8 @@
       return "stopped";
     case EndCause::kLeaseExpired:
       return "lapsed";
+    case EndCause::kWorkerCrashed:
+      return "worker-crashed";
     case EndCause::kGangBroken:
       return "gang-broken";
     case EndCause::kGangIncomplete:
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -19,6 +19,9 @@
 /// Delay before a pass is repeated for tasks that found no worker, when no
 /// event triggers one earlier.
 constexpr milliseconds kPlacementRetryDelay{250};
+/// Time for which a worker gets no other task after a suspect was placed on it:
+/// until its start is stored and confirmed and the run is proven.
+constexpr milliseconds kSuspectIsolation{2000};
 /// Minimum time between passes, so that one pass handles many events.
 constexpr milliseconds kMinPassInterval{20};
 
@@ -334,21 +337,35 @@
   query.m_step_tasks_by_worker = &placement.m_tasks_on_worker;
   query.m_now = now;
   query.m_advice = advice;
-  const std::vector<std::size_t> placed = PlaceTasks(
+  std::vector<std::size_t> suspects;
+  if (!plan.m_gang) {
+    const auto first_suspect = std::stable_partition(
+        pending.begin(), pending.end(),
+        [job](std::size_t i) { return !job->m_tasks[i].m_is_suspect; });
+    suspects.assign(first_suspect, pending.end());
+    pending.erase(first_suspect, pending.end());
+  }
+  std::vector<std::size_t> placed = PlaceTasks(
       job, pending,
       unschedulable_at == 0 ? UsablePool(service)
                             : ChangedSince(service, unschedulable_at),
       query, &placement);
-  if (placed.size() < pending.size()) {
+  const bool complete = placed.size() == pending.size();
+  if (!complete && advice == nullptr) {
+    m_unschedulable_steps.Add(service, plan, m_last_worker_change);
+  }
+  if (!suspects.empty()) {
+    const std::vector<std::size_t> placed_suspects =
+        PlaceSuspects(job, suspects, query, &placement);
+    placed.insert(placed.end(), placed_suspects.begin(), placed_suspects.end());
+  }
+  if (placed.size() < pending.size() + suspects.size()) {
     m_next_schedule = std::min(m_next_schedule, now + kPlacementRetryDelay);
-    if (advice == nullptr) {
-      m_unschedulable_steps.Add(service, plan, m_last_worker_change);
-    } else {
+    if (advice != nullptr) {
       AskAdviser(*job, occurrence, step, query, advice);
     }
   }
-  RecordPlacements(job, plan, placed, placed.size() == pending.size(),
-                   placement.m_highest_run, now);
+  RecordPlacements(job, plan, placed, complete, placement.m_highest_run, now);
 }
 
 /// Assigns workers to the tasks of \p pending in order, up to the first that
@@ -402,6 +419,52 @@
   return placed;
 }
 
+std::vector<std::size_t> Cell::PlaceSuspects(
+    Job* job,
+    const std::vector<std::size_t>& suspects,
+    const PlacementQuery& query,
+    StepPlacement* placement) {
+  const TimePoint now = query.m_now;
+  const std::vector<int>& pool = UsablePool(*query.m_service);
+  std::vector<int> proven_pool;
+  for (const int index : pool) {
+    if (!HasUnprovenTask(m_workers[static_cast<std::size_t>(index)], now)) {
+      proven_pool.push_back(index);
+    }
+  }
+  std::vector<std::size_t> placed;
+  for (const std::size_t i : suspects) {
+    const std::vector<std::size_t> placed_here =
+        PlaceTasks(job, {i}, proven_pool, query, placement);
+    if (placed_here.empty()) {
+      ReserveForSuspect(job, i, pool, query);
+      continue;
+    }
+    TouchWorker(job->m_tasks[i].m_worker).m_backoff_until =
+        now + kSuspectIsolation;
+    placed.push_back(i);
+  }
+  return placed;
+}
+
+void Cell::ReserveForSuspect(Job* job,
+                             std::size_t index,
+                             const std::vector<int>& pool,
+                             const PlacementQuery& query) {
+  const TimePoint now = query.m_now;
+  for (const int candidate : pool) {
+    const Worker& worker = m_workers[static_cast<std::size_t>(candidate)];
+    if (HasUnprovenTask(worker, now) &&
+        IsEligible(worker, static_cast<std::size_t>(candidate), query)) {
+      TouchWorker(candidate).m_backoff_until = now + kUnprovenRunAge;
+      job->m_tasks[index].m_not_before = now + kUnprovenRunAge;
+      m_next_schedule = std::min(m_next_schedule, now + kUnprovenRunAge);
+      return;
+    }
+  }
+  m_next_schedule = std::min(m_next_schedule, now + kPlacementRetryDelay);
+}
+
 /// Marks the placements to be stored. Those of a gang are undone unless it is
 /// \p complete.
 void Cell::RecordPlacements(Job* job,
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -45,7 +45,11 @@
     ++worker.m_serving_images[step.m_image];
   }
   worker.m_used += ReservedResourcesOf(step);
-  job->m_tasks[ref.m_index].m_worker = worker_index;
+  Task& task = job->m_tasks[ref.m_index];
+  task.m_worker = worker_index;
+  if (task.m_start_status != StartStatus::kInherited) {
+    task.m_worker_incarnation = worker.m_incarnation_unix_ms;
+  }
 }
 
 void Cell::UnassignWorker(const TaskRef& ref) {
@@ -105,9 +109,10 @@
   if (cause == EndCause::kFailed) {
     CountFailure(ref, now);
   }
-  // A run whose lease expired may never have started.
+  // A run whose lease expired, or whose worker crashed, may never have started.
   job->m_has_started_task =
-      job->m_has_started_task || cause != EndCause::kLeaseExpired;
+      job->m_has_started_task ||
+      (cause != EndCause::kLeaseExpired && cause != EndCause::kWorkerCrashed);
   if (worker_index != kNoWorker) {
     if (cause == EndCause::kDone) {
       // The start of other runs was not confirmed, or they were to be stopped.
@@ -147,6 +152,7 @@
   SetTaskState(ref.m_job, ref.m_index, TaskState::kRunning);
   task.m_start_status = StartStatus::kNone;
   task.m_confirmed_at = now;
+  task.m_is_confirmed = true;
   if (StepOf(*ref.m_job, ref.m_index).m_is_best_effort) {
     LimitExpectedTails(now + kFullyReportedAge, &TouchWorker(task.m_worker));
   }
@@ -250,6 +256,7 @@
   ExtendLeaseDeadline(&worker, action.m_order.m_not_after);
   SetTaskState(job, ref.m_index, TaskState::kStarting);
   ++m_work.m_starts;
+  task.m_is_confirmed = false;
   task.m_start_status = StartStatus::kNone;
   task.m_throttle_percent = kUnthrottledPercent;
   task.m_paused_since = TimePoint();
--- a/src/libhyssopspar/jobs/cell_test.cpp
+++ b/src/libhyssopspar/jobs/cell_test.cpp
@@ -3,8 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "hyssopspar/jobs/records.h"
+
 namespace hyssopspar::jobs {
 namespace {
 
@@ -73,6 +76,7 @@
 
   void Answer(const StartAction& action) {
     m_starts.push_back(action.m_order);
+    m_start_workers.push_back(action.m_target.m_id);
     m_send_before.push_back(action.m_send_before);
     if (m_starts_are_answered) {
       m_running[action.m_target.m_id].push_back(
@@ -87,7 +91,7 @@
   void Answer(const HeartbeatAction& action) {
     HeartbeatReport report;
     report.m_now = WorkerTime(milliseconds(ToMillis(m_now.time_since_epoch())));
-    report.m_incarnation_unix_ms = 1;
+    report.m_incarnation_unix_ms = 1 + m_incarnations[action.m_target.m_id];
     report.m_running = m_running[action.m_target.m_id];
     report.m_ended = m_ended[action.m_target.m_id];
     m_cell.OnHeartbeatAnswer(action, report, m_now);
@@ -101,6 +105,16 @@
   void Answer(const TombstoneJobsAction& /*action*/) {}
   void Answer(const DropJobsAction& /*action*/) {}
 
+  /// Last stored progress of the job.
+  std::string StoredProgressOf(const std::string& job_id) const {
+    std::string progress;
+    for (const KeyedRecord& record : m_stored) {
+      progress =
+          record.m_key == job_id ? record.m_value.value_or("") : progress;
+    }
+    return progress;
+  }
+
   std::size_t StartsOf(const std::string& job_id) const {
     return static_cast<std::size_t>(std::count_if(
         m_starts.begin(), m_starts.end(),
@@ -113,13 +127,137 @@
   double m_usage = 0;  ///< Reported for every run.
   std::map<std::string, std::vector<RunningRun>> m_running;  ///< By worker.
   std::map<std::string, std::vector<EndedRun>> m_ended;      ///< By worker.
+  std::map<std::string, std::int64_t> m_incarnations;        ///< Restarts.
   std::vector<StartOrder> m_starts;
-  std::vector<TimePoint> m_send_before;  ///< Of m_starts.
+  std::vector<std::string> m_start_workers;  ///< Of m_starts.
+  std::vector<TimePoint> m_send_before;      ///< Of m_starts.
   std::vector<ThrottleOrder> m_throttles;
   std::vector<StopOrder> m_stops;
   std::vector<KeyedRecord> m_stored;
 };
 
+class CellCrashTest : public CellTest {
+ protected:
+  void SetUp() override {
+    AddWorker("w0");
+    AddWorker("w1");
+    AddWorker("w2");
+    m_cell.Activate(m_now);
+    Run(milliseconds(100));
+  }
+
+  /// Restarts the worker of the last start: its runs are gone, and its reports
+  /// come from a new incarnation.
+  void CrashWorkerOfLastStart() {
+    const std::string worker = m_start_workers.back();
+    m_running[worker].clear();
+    ++m_incarnations[worker];
+  }
+
+  /// Waits for the isolation of a suspect's worker to end.
+  void RunUntilStarted(std::size_t starts) {
+    for (int i = 0; i < 20 && m_starts.size() < starts; ++i) {
+      Run(milliseconds(250));
+    }
+    ASSERT_EQ(m_starts.size(), starts);
+  }
+};
+
+// A task that crashes its workers was started on one after the other for ever.
+TEST_F(CellCrashTest, GivesUpTaskAfterItsSecondCrashAlone) {
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  RunUntilStarted(1);
+  CrashWorkerOfLastStart();
+  RunUntilStarted(2);
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+  CrashWorkerOfLastStart();
+  Run(std::chrono::seconds(5));
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kFailed);
+  EXPECT_EQ(m_starts.size(), 2U);
+}
+
+// Tasks without a limit of failures crashed their workers for ever.
+TEST_F(CellCrashTest, GivesUpLongRunningTask) {
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  RunUntilStarted(1);
+  CrashWorkerOfLastStart();
+  RunUntilStarted(2);
+  CrashWorkerOfLastStart();
+  Run(std::chrono::seconds(5));
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kFailed);
+}
+
+// Neighbours of a task that crashes its workers were counted like that task.
+TEST_F(CellCrashTest, KeepsTaskThatRanLongBeforeEachCrash) {
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  for (std::size_t crash = 1; crash < 6; ++crash) {
+    RunUntilStarted(crash);
+    Run(std::chrono::seconds(15));
+    CrashWorkerOfLastStart();
+  }
+  RunUntilStarted(6);
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+}
+
+// The crashes seen by an owner were forgotten by its successor, and a worker
+// that crashed between the two counted as one that had never got the order.
+TEST_F(CellCrashTest, CountSurvivesAChangeOfOwner) {
+  const Submission job = MakeJob("a", Step(1, 1000));
+  m_cell.OnJob(job, m_now);
+  RunUntilStarted(1);
+  CrashWorkerOfLastStart();
+  RunUntilStarted(2);
+  CrashWorkerOfLastStart();
+  const Result<JobProgress> progress = DecodeProgress(StoredProgressOf("a"));
+  ASSERT_TRUE(progress);
+  EXPECT_EQ(progress.value().m_crash_counts, std::vector<std::uint32_t>{1});
+
+  Cell successor(Settings(m_now), m_now);
+  successor.OnJob(job, m_now);
+  ASSERT_TRUE(successor.RestoreJobProgress("a", progress.value()));
+  successor.Activate(m_now);
+  for (const std::string worker : {"w0", "w1", "w2"}) {
+    WorkerEntry entry;
+    entry.m_id = worker;
+    entry.m_address = worker;
+    entry.m_service = "pool";
+    entry.m_capacity = {16000, 64000, 0};
+    successor.SetWorker(entry, m_now);
+    HeartbeatAction heartbeat;
+    heartbeat.m_worker = static_cast<int>(std::distance(
+        successor.Workers().begin(),
+        std::find_if(
+            successor.Workers().begin(), successor.Workers().end(),
+            [&worker](const Worker& w) { return w.m_entry.m_id == worker; })));
+    heartbeat.m_sent = m_now;
+    HeartbeatReport report;
+    report.m_incarnation_unix_ms = 1 + m_incarnations[worker];
+    successor.OnHeartbeatAnswer(heartbeat, report, m_now);
+  }
+  successor.SetViewTimes(m_now, m_now);
+  successor.Tick(m_now);
+  const Job* const restored = successor.FindJob("a");
+  ASSERT_NE(restored, nullptr);
+  EXPECT_EQ(
+      restored->m_tasks[0].m_crashes + restored->m_tasks[0].m_possible_crashes,
+      2U);
+}
+
+// A worker that leaves as planned takes its tasks with it.
+TEST_F(CellCrashTest, LeavingWorkerIsNobodysFault) {
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  RunUntilStarted(1);
+  WorkerEntry leaving = m_cell
+                            .Workers()[static_cast<std::size_t>(
+                                m_cell.FindJob("a")->m_tasks[0].m_worker)]
+                            .m_entry;
+  leaving.m_leaving = true;
+  m_cell.SetWorker(leaving, m_now);
+  CrashWorkerOfLastStart();
+  RunUntilStarted(2);
+  EXPECT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 0U);
+}
+
 // While the store was away for longer than the ownership lease, due heartbeats
 // that may not be sent kept the owner's processor fully busy.
 TEST_F(CellTest, WaitsForAnEventWhileTheOwnershipLeaseHasExpired) {
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -148,7 +148,7 @@
   }
   worker.m_reachable = false;
   if (answer.error().m_code == ErrorCode::kNotFound) {
-    EndAllRuns(action.m_worker, "replaced", now);
+    EndAllRuns(action.m_worker, EndCause::kWorkerCrashed, now);
   }
   const milliseconds pause =
       std::min(kMaxHeartbeatRetryDelay,
@@ -167,25 +167,72 @@
   worker.m_failed_jobs.clear();
 }
 
-/// Ends the runs of the worker's earlier incarnation, which ended with it.
+/// Ends the runs of the worker's earlier incarnations, which ended with them.
 void Cell::EndRunsLostInRestart(int worker_index,
                                 const std::map<TaskRef, std::uint32_t>& listed,
+                                TimePoint alive_at,
                                 TimePoint now) {
-  const std::set<TaskRef> tasks =
-      m_workers[static_cast<std::size_t>(worker_index)].m_tasks;
-  for (const TaskRef& ref : tasks) {
+  const Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
+  std::vector<TaskRef> tasks;
+  for (const TaskRef& ref : worker.m_tasks) {
     const Task& task = ref.m_job->m_tasks[ref.m_index];
-    if (listed.count(ref) > 0) {
-      continue;
+    if (task.m_state != TaskState::kRecording && listed.count(ref) == 0 &&
+        task.m_worker_incarnation < worker.m_incarnation_unix_ms) {
+      tasks.push_back(ref);
     }
+  }
+  const std::vector<TaskRef> given_up =
+      CountCrash(worker_index, tasks, alive_at, now);
+  for (const TaskRef& ref : tasks) {
+    const Task& task = ref.m_job->m_tasks[ref.m_index];
     if (task.m_state == TaskState::kRunning ||
         task.m_start_status == StartStatus::kInherited) {
-      EndRun(ref, EndCause::kLeaseExpired, "", now);
+      EndRun(ref, EndCause::kWorkerCrashed, "", now);
     } else if (task.m_start_status == StartStatus::kUnacknowledged) {
       // The start order may still reach the new incarnation.
       SendStop(ref, "worker-reborn", now);
     }
   }
+  GiveUpTasks(given_up, now);
+}
+
+std::vector<TaskRef> Cell::CountCrash(int worker_index,
+                                      std::vector<TaskRef> tasks,
+                                      TimePoint alive_at,
+                                      TimePoint now) {
+  Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
+  for (const TaskName& name : std::exchange(worker.m_lapsed_tasks, {})) {
+    const TaskRef ref = FindTaskRef(name);
+    if (ref.m_job != nullptr && !IsTerminal(ref.m_job->m_state)) {
+      tasks.push_back(ref);
+    }
+  }
+  if (tasks.empty() || worker.m_entry.m_leaving) {
+    return {};
+  }
+  CellLog()->warn("worker-crashed id={} tasks={}", worker.m_entry.m_id,
+                  tasks.size());
+  for (const TaskRef& ref : tasks) {
+    MarkDirty(ref.m_job);
+  }
+  return BlameForCrash(worker, tasks, alive_at,
+                       AddCrash(&m_recent_crashes, now));
+}
+
+void Cell::GiveUpTasks(const std::vector<TaskRef>& tasks, TimePoint now) {
+  for (const TaskRef& ref : tasks) {
+    Job* const job = ref.m_job;
+    if (IsTerminal(job->m_state)) {
+      continue;
+    }
+    CellLog()->warn("task-given-up task={}.{} crashes={}",
+                    job->m_submission.m_id, ref.m_index,
+                    job->m_tasks[ref.m_index].m_crashes);
+    if (job->m_tasks[ref.m_index].m_state == TaskState::kPending) {
+      SetTaskState(job, ref.m_index, TaskState::kFailed);
+    }
+    EndJob(job, JobState::kFailed, now);
+  }
 }
 
 void Cell::ApplyReport(int worker_index,
@@ -200,8 +247,11 @@
   const bool first = worker.m_incarnation_unix_ms == 0;
   const bool restarted =
       !first && report.m_incarnation_unix_ms > worker.m_incarnation_unix_ms;
+  const TimePoint alive_at = worker.m_clock_received_at;
   if (restarted) {
     BeginIncarnation(worker_index, report.m_incarnation_unix_ms);
+  } else {
+    worker.m_lapsed_tasks.clear();
   }
   worker.m_incarnation_unix_ms = report.m_incarnation_unix_ms;
   worker.m_reported_clock = report.m_now;
@@ -220,8 +270,9 @@
   const std::vector<TaskRef> refs = FindTaskRefs(report.m_running);
   ApplyRunningRuns(worker_index, report, refs, &listed, now);
   ApplyEndedRuns(worker_index, report, now);
-  if (restarted) {
-    EndRunsLostInRestart(worker_index, listed, now);
+  // At the first report, tasks may have been placed by an earlier owner.
+  if (restarted || first) {
+    EndRunsLostInRestart(worker_index, listed, alive_at, now);
   }
   if (report.m_ended.size() < kMaxListedEnds) {
     ResolveUnlistedRuns(worker_index, action.m_sent, listed, now);
@@ -370,23 +421,43 @@
     ++m_work.m_worker_visits;
     const Worker& worker = m_workers[static_cast<std::size_t>(index)];
     if (now > worker.m_lease_deadline) {
-      EndAllRuns(index, "lapsed", now);
+      // The platform has removed the entry of a worker that is gone for good.
+      EndAllRuns(
+          index,
+          worker.m_listed ? EndCause::kLeaseExpired : EndCause::kWorkerCrashed,
+          now);
     }
   }
 }
 
-void Cell::EndAllRuns(int worker_index, const char* reason, TimePoint now) {
-  const Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
+void Cell::EndAllRuns(int worker_index, EndCause cause, TimePoint now) {
+  Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
   CellLog()->warn("worker-ended id={} reason={} tasks={}", worker.m_entry.m_id,
-                  reason, worker.m_tasks.size());
+                  CauseName(cause), worker.m_tasks.size());
   const std::set<TaskRef> tasks = worker.m_tasks;
+  std::vector<TaskRef> started;
+  for (const TaskRef& ref : tasks) {
+    if (ref.m_job->m_tasks[ref.m_index].m_state != TaskState::kRecording) {
+      started.push_back(ref);
+    }
+  }
+  std::vector<TaskRef> given_up;
+  if (cause == EndCause::kWorkerCrashed) {
+    given_up =
+        CountCrash(worker_index, started, worker.m_clock_received_at, now);
+  } else {
+    for (const TaskRef& ref : started) {
+      worker.m_lapsed_tasks.push_back(NameOfTask(*ref.m_job, ref.m_index));
+    }
+  }
   for (const TaskRef& ref : tasks) {
     if (ref.m_job->m_tasks[ref.m_index].m_state == TaskState::kRecording) {
       ReturnToPending(ref, "worker-ended", now);
     } else {
-      EndRun(ref, EndCause::kLeaseExpired, "", now);
+      EndRun(ref, cause, "", now);
     }
   }
+  GiveUpTasks(given_up, now);
 }
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/job.cpp
+++ b/src/libhyssopspar/jobs/job.cpp
@@ -20,6 +20,13 @@
   return depth.empty() ? 1 : *std::max_element(depth.begin(), depth.end());
 }
 
+/// True for a column of a progress record that is omitted or has an entry for
+/// each of \p tasks tasks.
+template <class T>
+bool IsOptionalColumn(const std::vector<T>& column, std::size_t tasks) {
+  return column.empty() || column.size() == tasks;
+}
+
 }  // namespace
 
 Job MakeJob(Submission submission) {
@@ -124,6 +131,7 @@
   }
   std::map<int, std::uint32_t> slots;
   bool has_checkpoints = false;
+  bool has_crashes = false;
   for (const Task& task : job.m_tasks) {
     progress.m_task_states.push_back(task.m_state);
     progress.m_run_numbers.push_back(task.m_run);
@@ -140,6 +148,17 @@
     }
     progress.m_worker_slots.push_back(slot);
     has_checkpoints = has_checkpoints || !task.m_checkpoint.empty();
+    has_crashes = has_crashes || task.m_crashes + task.m_possible_crashes > 0;
+  }
+  for (const Task& task : job.m_tasks) {
+    if (has_crashes) {
+      progress.m_crash_counts.push_back(task.m_crashes);
+      progress.m_possible_crash_counts.push_back(task.m_possible_crashes);
+    }
+    if (!slots.empty()) {
+      progress.m_worker_incarnations.push_back(
+          IsPlaced(task) ? task.m_worker_incarnation : 0);
+    }
   }
   if (has_checkpoints) {
     for (const Task& task : job.m_tasks) {
@@ -162,12 +181,16 @@
     return Ok();
   }
   const std::size_t tasks = job->m_tasks.size();
-  const bool sizes_match = progress.m_task_states.size() == tasks &&
-                           progress.m_run_numbers.size() == tasks &&
-                           progress.m_failure_counts.size() == tasks &&
-                           progress.m_worker_slots.size() == tasks &&
-                           (progress.m_task_checkpoints.empty() ||
-                            progress.m_task_checkpoints.size() == tasks);
+  const bool sizes_match =
+      progress.m_task_states.size() == tasks &&
+      progress.m_run_numbers.size() == tasks &&
+      progress.m_failure_counts.size() == tasks &&
+      progress.m_worker_slots.size() == tasks &&
+      IsOptionalColumn(progress.m_task_checkpoints, tasks) &&
+      IsOptionalColumn(progress.m_crash_counts, tasks) &&
+      progress.m_possible_crash_counts.size() ==
+          progress.m_crash_counts.size() &&
+      IsOptionalColumn(progress.m_worker_incarnations, tasks);
   if (!sizes_match) {
     return Fail(ErrorCode::kMalformed,
                 "stored progress and job differ in their number of tasks");
@@ -181,6 +204,10 @@
     if (!progress.m_task_checkpoints.empty()) {
       task.m_checkpoint = progress.m_task_checkpoints[i];
     }
+    if (!progress.m_crash_counts.empty()) {
+      task.m_crashes = progress.m_crash_counts[i];
+      task.m_possible_crashes = progress.m_possible_crash_counts[i];
+    }
     const std::uint32_t slot = progress.m_worker_slots[i];
     const TaskState stored_state = progress.m_task_states[i];
     if (stored_state == TaskState::kDone ||
@@ -189,6 +216,9 @@
     } else if (slot > 0 && slot <= progress.m_workers.size()) {
       task.m_worker = worker_index(progress.m_workers[slot - 1]);
       task.m_start_status = StartStatus::kInherited;
+      if (!progress.m_worker_incarnations.empty()) {
+        task.m_worker_incarnation = progress.m_worker_incarnations[i];
+      }
       SetTaskState(job, i, TaskState::kStarting);
     }
   }
--- a/src/node/cell_host_acting.cpp
+++ b/src/node/cell_host_acting.cpp
@@ -41,7 +41,7 @@
           ->warn("worker-record-ignored key={} error={}", record.m_key,
                  ToString(entry.error()));
     }
-    m_cell->RemoveWorker(record.m_key);
+    m_cell->RemoveWorker(record.m_key, now);
   }
   TickAndDispatch();
 }
@@ -53,7 +53,7 @@
   }
   for (const jobs::Worker& worker : m_cell->Workers()) {
     if (listed.count(worker.m_entry.m_id) == 0) {
-      m_cell->RemoveWorker(worker.m_entry.m_id);
+      m_cell->RemoveWorker(worker.m_entry.m_id, Clock::now());
     }
   }
   ApplyWorkerRecords(records);
--- a/testsuite/job_state/job_state_test.cpp
+++ b/testsuite/job_state/job_state_test.cpp
@@ -47,6 +47,38 @@
   EXPECT_GT(simulation.Starts(), 100U);
 }
 
+class CrashingTaskTest : public JobSimulationTest,
+                         public testing::WithParamInterface<int> {};
+
+// A task that crashes its workers was started on one worker after the other
+// until the end, also across changes of the owner.
+TEST_P(CrashingTaskTest, IsGivenUpUnderFaults) {
+  JobSimulationOptions options;
+  options.m_seed = static_cast<std::uint64_t>(GetParam());
+  options.m_workers = 16;
+  options.m_crashing_task_share = 0.03;
+  JobSimulation simulation(options);
+  simulation.Run();
+  EXPECT_EQ(Join(simulation.Violations()), "") << "seed " << GetParam();
+  EXPECT_GT(simulation.Completed(), 10U);
+}
+
+// Only tasks that crash their workers are given up, not their neighbours.
+TEST_P(CrashingTaskTest, IsGivenUpWithoutItsNeighbours) {
+  JobSimulationOptions options;
+  options.m_seed = static_cast<std::uint64_t>(GetParam());
+  options.m_workers = 16;
+  options.m_faults = false;
+  options.m_crashing_task_share = 0.03;
+  JobSimulation simulation(options);
+  simulation.Run();
+  EXPECT_EQ(Join(simulation.Violations()), "") << "seed " << GetParam();
+  EXPECT_EQ(simulation.FailedWithoutCrashingTask(), 0U)
+      << "seed " << GetParam();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, CrashingTaskTest, testing::Range(1, 61));
+
 class GangSimulationTest : public JobSimulationTest,
                            public testing::WithParamInterface<int> {};
 
--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -25,6 +25,16 @@
 /// cancelled.
 constexpr milliseconds kMaxStartAfterCancel{3000};
 constexpr std::uint32_t kMaxAttempts = 4;
+/// A task under which this many workers have crashed may be given up.
+constexpr std::uint32_t kCrashesToGiveUp = 2;
+/// A task that has crashed this many workers must not be started as often as
+/// kMaxStartsAfterLimit again.
+constexpr std::uint32_t kCrashesBeforeLimit = 3;
+constexpr std::uint32_t kMaxStartsAfterLimit = 3;
+
+bool IsTaskOf(const std::string& task, const std::string& job_id) {
+  return task.compare(0, job_id.size() + 1, job_id + ".") == 0;
+}
 /// Time within which all members of a gang must run.
 constexpr milliseconds kGangFormationTimeout{3000};
 /// Time for which a complete gang runs.
@@ -92,6 +102,8 @@
     worker->m_on_end = [this](const SimulatedRun& run, EndCause cause) {
       if (cause == EndCause::kDone) {
         m_succeeded_tasks.insert(ToString(run.m_task));
+      } else if (cause == EndCause::kFailed) {
+        ++m_failures[ToString(run.m_task)];
       }
     };
     worker->m_on_acknowledged = [this](const EndedRun& run) {
@@ -161,8 +173,72 @@
   }
 }
 
+bool JobSimulation::IsCrashing(const std::string& task) const {
+  const std::size_t hash =
+      std::hash<std::string>()(task + "/" + std::to_string(m_options.m_seed));
+  return static_cast<double>(hash % 10000) <
+         10000 * m_options.m_crashing_task_share;
+}
+
+void JobSimulation::CrashUnder(SimulatedWorker* worker,
+                               const StartOrder& order) {
+  const std::string name = ToString(order.m_task);
+  const std::uint32_t crashes = m_crashes[name];
+  if (crashes >= kCrashesBeforeLimit &&
+      ++m_starts_after_third_crash[name] >= kMaxStartsAfterLimit) {
+    ReportViolation("task started again after it crashed three workers: " +
+                    name);
+  }
+  ScheduleAfter(milliseconds(m_random() % 300),
+                [this, worker, name, run = order.m_run] {
+                  worker->Advance(m_now);
+                  const auto it = worker->Runs().find(name);
+                  if (it == worker->Runs().end() || it->second.m_run != run) {
+                    return;
+                  }
+                  CrashWorker(std::stoi(worker->Entry().m_id.substr(1)),
+                              milliseconds(500 + m_random() % 4000));
+                });
+}
+
+bool JobSimulation::HasUsedAllAttempts(const std::string& job_id) const {
+  return std::any_of(
+      m_failures.begin(), m_failures.end(), [&](const auto& entry) {
+        return IsTaskOf(entry.first, job_id) && entry.second >= kMaxAttempts;
+      });
+}
+
+bool JobSimulation::MayHaveFailed(const std::string& job_id) const {
+  return HasUsedAllAttempts(job_id) ||
+         std::any_of(m_crashes.begin(), m_crashes.end(),
+                     [&](const auto& entry) {
+                       return IsTaskOf(entry.first, job_id) &&
+                              entry.second >= kCrashesToGiveUp;
+                     });
+}
+
+std::size_t JobSimulation::FailedWithoutCrashingTask() const {
+  return static_cast<std::size_t>(
+      std::count_if(m_jobs.begin(), m_jobs.end(), [this](const auto& job) {
+        const bool has_crashing_task = std::any_of(
+            m_crashes.begin(), m_crashes.end(), [&](const auto& entry) {
+              return IsTaskOf(entry.first, job.first) &&
+                     IsCrashing(entry.first);
+            });
+        return m_current_owner->m_cell->StateOf(job.first) ==
+                   JobState::kFailed &&
+               !has_crashing_task && !HasUsedAllAttempts(job.first);
+      }));
+}
+
 void JobSimulation::CrashWorker(int worker, Duration downtime) {
-  m_workers[static_cast<std::size_t>(worker)]->Crash();
+  SimulatedWorker* const crashed =
+      m_workers[static_cast<std::size_t>(worker)].get();
+  crashed->Advance(m_now);
+  for (const auto& run : crashed->Runs()) {
+    ++m_crashes[run.first];
+  }
+  crashed->Crash();
   ScheduleAfter(downtime, [this, worker] {
     m_workers[static_cast<std::size_t>(worker)]->Restart(m_now);
   });
@@ -273,7 +349,7 @@
     const SimulatedWorker& worker = *m_workers[i];
     if (m_now < owner->m_partition_end &&
         owner->m_partitioned_workers.count(static_cast<int>(i)) > 0) {
-      owner->m_cell->RemoveWorker(worker.Entry().m_id);
+      owner->m_cell->RemoveWorker(worker.Entry().m_id, m_now);
     } else if (worker.IsUp()) {
       owner->m_cell->SetWorker(worker.Entry(), m_now);
     }
@@ -552,6 +628,9 @@
                                 const StartOrder& order) {
   ++m_starts;
   const std::string name = ToString(order.m_task);
+  if (IsCrashing(name)) {
+    CrashUnder(worker, order);
+  }
   CheckCapacity(*worker);
   for (const std::unique_ptr<SimulatedWorker>& other : m_workers) {
     other->Advance(m_now);
@@ -628,6 +707,9 @@
         *state == JobState::kCancelled) {
       ReportViolation("job cancelled without a request: " + entry.first);
     }
+    if (*state == JobState::kFailed && !MayHaveFailed(entry.first)) {
+      ReportViolation("job failed without a cause: " + entry.first);
+    }
     if (*state != JobState::kCompleted) {
       continue;
     }
--- a/testsuite/job_state/job_world.h
+++ b/testsuite/job_state/job_world.h
@@ -30,6 +30,8 @@
   double m_delayed_order_share = 0.05;
   bool m_tickets_required = false;  ///< Starts need tickets of the adviser.
   bool m_gangs = false;             ///< Some steps are gangs.
+  /// Share of tasks that crash each worker shortly after it has started them.
+  double m_crashing_task_share = 0;
   double m_unsent_start_share = 0;  ///< Share of starts that fail unsent.
 };
 
@@ -48,6 +50,9 @@
   std::size_t Starts() const { return m_starts; }
   /// Number of jobs completed according to the current owner.
   std::size_t Completed() const;
+  /// Number of failed jobs of which no task used all attempts and no task
+  /// crashes its workers.
+  std::size_t FailedWithoutCrashingTask() const;
 
  private:
   struct Owner;
@@ -102,6 +107,14 @@
   void CheckCapacity(const SimulatedWorker& worker);
   void CheckFinalStates();
   void CrashWorker(int worker, Duration downtime);
+  /// True for a task that crashes its workers; depends on the seed only.
+  bool IsCrashing(const std::string& task) const;
+  /// Crashes the worker under a run of a crashing task.
+  void CrashUnder(SimulatedWorker* worker, const StartOrder& order);
+  /// True if the end of the job as failed has a cause.
+  bool MayHaveFailed(const std::string& job_id) const;
+  /// True if a task of the job failed as often as its queue allows.
+  bool HasUsedAllAttempts(const std::string& job_id) const;
 
   JobSimulationOptions m_options;
   std::mt19937_64 m_random;
@@ -132,6 +145,11 @@
   std::set<std::string> m_acknowledged_successes;
   /// Failed runs that an owner has acknowledged, by task.
   std::map<std::string, std::uint32_t> m_acknowledged_failures;
+  std::map<std::string, std::uint32_t> m_failures;  ///< Failed runs, by task.
+  /// Crashes of workers under each task, and starts of crashing tasks since the
+  /// third.
+  std::map<std::string, std::uint32_t> m_crashes;
+  std::map<std::string, std::uint32_t> m_starts_after_third_crash;
   std::set<std::string> m_complete_gangs;  ///< Gangs that ran all members.
   std::size_t m_starts = 0;
   std::vector<std::string> m_violations;
