Start nothing beyond a capacity that has shrunk

Cause: a placement was checked against the worker's capacity when it was made, but not again when its start was sent, after the store had answered. A worker that shrank in between was filled beyond its capacity. A capacity of 0 also made CPU shares infinite, which the interference model would have learnt from. Refuted on the way: the record of a worker in the store, from which the capacity is read, is the report that the worker gives of itself; the lists of runs carry no capacity.

Change: a start is sent only if all that is reserved on the worker still fits; else the placement is withdrawn. Shares are taken of at least 0.001 processors.

--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -112,6 +112,9 @@
   bool m_has_best_effort = false;
 };
 
+/// CPU capacity of the worker in thousandths of a processor, at least 1.
+double CpuCapacityOf(const Worker& worker);
+
 /// Fraction of the worker's CPU capacity that a task of the step requests.
 double CpuShareOf(const StepPlan& step, const Worker& worker);
 
--- a/src/libhyssopspar/jobs/cell_pacing.cpp
+++ b/src/libhyssopspar/jobs/cell_pacing.cpp
@@ -53,7 +53,7 @@
   // False while the report may mix figures from before and after the start or
   // the throttling of a best-effort task.
   bool is_steady = true;
-  const double cpu = static_cast<double>(worker.m_entry.m_capacity.m_cpu_milli);
+  const double cpu = CpuCapacityOf(worker);
   for (std::size_t i = 0; i < refs.size(); ++i) {
     const RunningRun& run = report.m_running[i];
     const TaskRef& ref = refs[i];
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -224,9 +224,12 @@
 }
 
 bool Cell::MayStart(const Job& job, const Task& task, TimePoint now) const {
+  const Worker& worker = m_workers[static_cast<std::size_t>(task.m_worker)];
+  // The worker's capacity may have shrunk since the placement.
   return !IsTerminal(job.m_state) && MayPlaceTasks(now) &&
-         IsUsable(m_workers[static_cast<std::size_t>(task.m_worker)],
-                  m_excluded_domains);
+         IsUsable(worker, m_excluded_domains) &&
+         Fits(worker.m_used + worker.m_unexpected_run_resources,
+              worker.m_entry.m_capacity);
 }
 
 void Cell::SendStart(const TaskRef& ref, TimePoint now, std::uint32_t resends) {
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -37,9 +37,13 @@
                                        at - worker.m_clock_received_at);
 }
 
+double CpuCapacityOf(const Worker& worker) {
+  return static_cast<double>(
+      std::max<std::int64_t>(1, worker.m_entry.m_capacity.m_cpu_milli));
+}
+
 double CpuShareOf(const StepPlan& step, const Worker& worker) {
-  return static_cast<double>(step.m_size.m_cpu_milli) /
-         static_cast<double>(worker.m_entry.m_capacity.m_cpu_milli);
+  return static_cast<double>(step.m_size.m_cpu_milli) / CpuCapacityOf(worker);
 }
 
 bool IsUsable(const Worker& worker,
--- a/testsuite/job_state/job_state_test.cpp
+++ b/testsuite/job_state/job_state_test.cpp
@@ -79,6 +79,23 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, CrashingTaskTest, testing::Range(1, 61));
 
+class ChangingCapacityTest : public JobSimulationTest,
+                             public testing::WithParamInterface<int> {};
+
+// Workers that shrank were filled to their earlier capacity.
+TEST_P(ChangingCapacityTest, StartsNothingBeyondAShrunkCapacityUnderFaults) {
+  JobSimulationOptions options;
+  options.m_seed = static_cast<std::uint64_t>(GetParam());
+  options.m_jobs = 80;
+  options.m_capacities_change = true;
+  JobSimulation simulation(options);
+  simulation.Run();
+  EXPECT_EQ(Join(simulation.Violations()), "") << "seed " << GetParam();
+  EXPECT_GT(simulation.Starts(), 100U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, ChangingCapacityTest, testing::Range(1, 41));
+
 class GangSimulationTest : public JobSimulationTest,
                            public testing::WithParamInterface<int> {};
 
--- a/testsuite/job_state/job_world.h
+++ b/testsuite/job_state/job_world.h
@@ -32,6 +32,8 @@
   bool m_gangs = false;             ///< Some steps are gangs.
   /// Share of tasks that crash each worker shortly after it has started them.
   double m_crashing_task_share = 0;
+  /// Workers' capacities shrink and grow during the fault period.
+  bool m_capacities_change = false;
   double m_unsent_start_share = 0;  ///< Share of starts that fail unsent.
 };
 
@@ -107,6 +109,7 @@
   void CheckCapacity(const SimulatedWorker& worker);
   void CheckFinalStates();
   void CrashWorker(int worker, Duration downtime);
+  void ScheduleCapacityChanges();
   /// True for a task that crashes its workers; depends on the seed only.
   bool IsCrashing(const std::string& task) const;
   /// Crashes the worker under a run of a crashing task.
--- a/testsuite/job_state/worker_sim.cpp
+++ b/testsuite/job_state/worker_sim.cpp
@@ -26,6 +26,24 @@
       static_cast<double>(ToMillis(now - m_started_at)) * m_clock_rate)));
 }
 
+void SimulatedWorker::SetCapacity(const Resources& capacity, TimePoint now) {
+  m_earlier_capacities.emplace_back(now, m_entry.m_capacity);
+  m_entry.m_capacity = capacity;
+}
+
+Resources SimulatedWorker::HighestCapacitySince(TimePoint since) const {
+  Resources highest = m_entry.m_capacity;
+  for (const auto& earlier : m_earlier_capacities) {
+    if (earlier.first >= since) {
+      highest.m_cpu_milli =
+          std::max(highest.m_cpu_milli, earlier.second.m_cpu_milli);
+      highest.m_memory_mib =
+          std::max(highest.m_memory_mib, earlier.second.m_memory_mib);
+    }
+  }
+  return highest;
+}
+
 void SimulatedWorker::EndRun(const std::string& name, EndCause cause) {
   const SimulatedRun run = m_runs.at(name);
   m_runs.erase(name);
--- a/testsuite/job_state/worker_sim.h
+++ b/testsuite/job_state/worker_sim.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "hyssopspar/jobs/worker_port.h"
@@ -40,6 +41,10 @@
   SimulatedWorker(WorkerEntry entry, double clock_rate, TimePoint now);
 
   const WorkerEntry& Entry() const { return m_entry; }
+  /// Changes the capacity that the worker reports. Runs are not affected.
+  void SetCapacity(const Resources& capacity, TimePoint now);
+  /// Highest capacity reported since \p since.
+  Resources HighestCapacitySince(TimePoint since) const;
   /// Runs that have not ended, by task name.
   const std::map<std::string, SimulatedRun>& Runs() const { return m_runs; }
   bool IsUp() const { return m_up; }
@@ -74,6 +79,8 @@
   void EndRun(const std::string& name, EndCause cause);
 
   WorkerEntry m_entry;
+  /// Earlier capacities and when they were replaced.
+  std::vector<std::pair<TimePoint, Resources>> m_earlier_capacities;
   double m_clock_rate;
   TimePoint m_started_at;
   bool m_up = true;
