--- a/src/libhyssopspar/upstream_pool.cpp
+++ b/src/libhyssopspar/upstream_pool.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-/// A connection and the strand that runs all its calls.
+/// A connection and the executor that runs all its calls, one at a time.
 struct Connection {
   asio::any_io_executor m_executor;
   std::shared_ptr<pvt::Exchange> m_exchange;
@@ -38,6 +38,7 @@
   asio::io_context m_io;
   asio::executor_work_guard<asio::io_context::executor_type> m_work_guard{
       m_io.get_executor()};
+  int m_thread_count = 1;
   std::size_t m_max_idle = 0;
   mutable std::mutex m_mutex;
   std::map<std::string, AddressConnections> m_by_address;
@@ -54,7 +55,10 @@
     }
     ++connections.m_open_count;
     Connection connection;
-    connection.m_executor = asio::make_strand(m_io);
+    // The only thread of a pool already runs one call at a time.
+    connection.m_executor = m_thread_count == 1
+                                ? asio::any_io_executor(m_io.get_executor())
+                                : asio::make_strand(m_io);
     connection.m_exchange =
         std::make_shared<pvt::Exchange>(connection.m_executor, address);
     return connection;
@@ -76,6 +80,7 @@
 
 UpstreamPool::UpstreamPool(int threads, std::size_t max_idle)
     : m_impl(std::make_shared<Impl>()) {
+  m_impl->m_thread_count = threads;
   m_impl->m_max_idle = max_idle;
   for (int i = 0; i < threads; ++i) {
     m_impl->m_threads.emplace_back(
--- a/testsuite/platform/wire_test.cpp
+++ b/testsuite/platform/wire_test.cpp
@@ -123,6 +123,35 @@
   EXPECT_FALSE(DecodeHoldAnswer(R"({"clockMs":1,"running":[[1]],"ended":[]})"));
 }
 
+TEST(WireTest, DecodesHoldAnswerWithUnknownFieldsInAnyOrder) {
+  const hs::Result<jobs::HeartbeatReport> report = DecodeHoldAnswer(
+      R"({"more":{"running":[[1]],"list":[[2,[3]]]},"ended":[],
+          "running":[["5c0e.0.1.17",2,"",41.5,7.25,"later"],
+                     ["5c0e.0.1.18",3,"",0]],
+          "born":null,"clockMs":482113,"last":[true,null,"x"]})");
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report.value().m_now.time_since_epoch(), hs::milliseconds(482113));
+  EXPECT_EQ(report.value().m_incarnation_unix_ms, 0);
+  ASSERT_EQ(report.value().m_running.size(), 2U);
+  EXPECT_EQ(report.value().m_running[0].m_usage, 7.25);
+  EXPECT_EQ(report.value().m_running[1].m_run, 3U);
+  EXPECT_EQ(report.value().m_running[1].m_usage, 0);
+}
+
+TEST(WireTest, RefusesHoldAnswersOfAnotherForm) {
+  for (const char* const body :
+       {"", "[]", "7", "nonsense", R"({"clockMs":1,"running":[]})",
+        R"({"clockMs":1,"ended":[]})", R"({"running":[],"ended":[]})",
+        R"({"clockMs":"1","running":[],"ended":[]})",
+        R"({"clockMs":1,"running":7,"ended":[]})",
+        R"({"clockMs":1,"running":[{"task":"a"}],"ended":[]})",
+        R"({"clockMs":1,"running":[],"ended":[[1,"a.0.0.0",1,"done"]]})",
+        R"({"clockMs":1,"running":[],"ended":[[1,2,1,"done",""]]})",
+        R"({"clockMs":1,"running":[["a.0.0.0",1,"",0]],"ended":[])"}) {
+    EXPECT_FALSE(DecodeHoldAnswer(body)) << body;
+  }
+}
+
 TEST(WireTest, EncodesStopWithTaskNameOfThePlatform) {
   jobs::StopOrder order;
   order.m_task = {"5c0e7a21d94b36f8", 0, 1, 17};
