--- a/src/libhyssopspar/jobs/cell_report.cpp
+++ b/src/libhyssopspar/jobs/cell_report.cpp
@@ -69,12 +69,14 @@
   }
   CellLog()->info(
       "load workers={} cpu={} reserved={} filling={} jobs={} serving={}+{} "
-      "filling={}+{} paused={} other={}+{} headroom={} held_back={}",
+      "filling={}+{} paused={} other={}+{} headroom={} held_back={} "
+      "start_window={} starts_in_progress={}",
       reachable, capacity / 1000, reserved / 1000, best_effort / 1000,
       m_open_jobs.size(), load[kServing].m_placed, load[kServing].m_ready,
       load[kBestEffort].m_placed, load[kBestEffort].m_ready,
       load[kBestEffort].m_paused, load[kOther].m_placed, load[kOther].m_ready,
-      m_headroom_cpu_milli / 1000, m_held_back_tasks);
+      m_headroom_cpu_milli / 1000, m_held_back_tasks, m_start_window.m_limit,
+      m_starts_in_progress);
 }
 
 }  // namespace hyssopspar::jobs
