--- a/src/bench/cell_bench.cpp
+++ b/src/bench/cell_bench.cpp
@@ -28,7 +28,8 @@
   const jobs::CellWork& work = load.TheCell().Work();
   const double starts = static_cast<double>(work.m_starts);
   std::printf(
-      "workers %5d  best-effort x%.0f  starts %6.0f  rounds %6zu  passes %4llu  per start: "
+      "workers %5d  best-effort x%.0f  starts %6.0f  rounds %6zu  passes %4llu "
+      " per start: "
       "%7.1f us decisions, %7.1f us with events, %8.0f worker visits\n",
       workers, best_effort_factor, starts, load.Rounds(),
       static_cast<unsigned long long>(work.m_passes),
--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -136,6 +136,10 @@
   const Job* FindJob(const std::string& job_id) const;
 
  private:
+  /// Delay before a pass is repeated for tasks that found no worker, when no
+  /// event triggers one earlier.
+  static constexpr milliseconds kPlacementRetryDelay{250};
+
   /// A batch of progress records that the store has not acknowledged yet.
   struct PendingBatch {
     std::uint64_t m_number = 0;
@@ -198,19 +202,6 @@
   // cell_workers.cpp
   /// Resets the state that is specific to an incarnation of the worker.
   void BeginIncarnation(int worker_index, std::int64_t incarnation);
-  /// \p alive_at is the time of the last report of the earlier incarnation.
-  void EndRunsLostInRestart(int worker_index,
-                            const std::map<TaskRef, std::uint32_t>& listed,
-                            TimePoint alive_at,
-                            TimePoint now);
-  /// Counts a crash of the worker against \p tasks and the tasks that lapsed on
-  /// it before. Returns the tasks to be given up once their runs have ended.
-  std::vector<TaskRef> CountCrash(int worker_index,
-                                  std::vector<TaskRef> tasks,
-                                  TimePoint alive_at,
-                                  TimePoint now);
-  /// Fails the jobs of tasks under which too many workers have crashed.
-  void GiveUpTasks(const std::vector<TaskRef>& tasks, TimePoint now);
   void ApplyReport(int worker_index,
                    const HeartbeatAction& action,
                    const HeartbeatReport& report,
@@ -238,11 +229,27 @@
   void SendHeartbeat(int worker_index, TimePoint now);
   void SendHeartbeats(TimePoint now);
   void EndRunsWithExpiredLeases(TimePoint now);
+  TaskMix TaskMixOf(const Worker& worker) const;
+  void ExtendLeaseDeadline(Worker* worker, WorkerTime until);
+
+  // cell_crashes.cpp
+  /// Ends the runs of the worker's earlier incarnations, which ended with them.
+  /// \p alive_at is the time of the last report of the earlier incarnation.
+  void EndRunsLostInRestart(int worker_index,
+                            const std::map<TaskRef, std::uint32_t>& listed,
+                            TimePoint alive_at,
+                            TimePoint now);
+  /// Counts a crash of the worker against \p tasks and the tasks that lapsed on
+  /// it before. Returns the tasks to be given up once their runs have ended.
+  std::vector<TaskRef> CountCrash(int worker_index,
+                                  std::vector<TaskRef> tasks,
+                                  TimePoint alive_at,
+                                  TimePoint now);
+  /// Fails the jobs of tasks under which too many workers have crashed.
+  void GiveUpTasks(const std::vector<TaskRef>& tasks, TimePoint now);
   /// Ends all runs of a worker that is gone (kWorkerCrashed) or was not heard
   /// of for longer than its lease (kLeaseExpired).
   void EndAllRuns(int worker_index, EndCause cause, TimePoint now);
-  TaskMix TaskMixOf(const Worker& worker) const;
-  void ExtendLeaseDeadline(Worker* worker, WorkerTime until);
 
   // cell_pacing.cpp
   void RecordTailLatencies(int worker_index,
@@ -276,7 +283,7 @@
   bool MayTombstone(const Job& job, TimePoint now) const;
   void DropExpiredJobs(TimePoint now);
 
-  // cell_schedule.cpp
+  // cell_schedule.cpp and cell_placement.cpp
   void Schedule(TimePoint now);
   void ScheduleJob(Job* job, TimePoint now);
   void ScheduleStep(Job* job,
@@ -309,6 +316,19 @@
                                           const StepPlan& plan,
                                           TimePoint now,
                                           StepPlacement* placement);
+  struct StepPosition {
+    std::uint32_t m_occurrence = 0;
+    std::uint32_t m_step = 0;
+  };
+  /// Places the tasks of \p pending and marks their placements to be stored.
+  /// No worker could take a task of the step at the change number
+  /// \p unschedulable_at; 0: not known.
+  void PlaceStep(Job* job,
+                 const StepPosition& at,
+                 std::vector<std::size_t> pending,
+                 std::uint64_t unschedulable_at,
+                 StepPlacement* placement,
+                 TimePoint now);
   std::vector<std::size_t> PlaceTasks(Job* job,
                                       const std::vector<std::size_t>& pending,
                                       const std::vector<int>& pool,
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -1,14 +1,11 @@
-// Scheduling passes: placement of ready tasks on workers.
+// Scheduling passes: which steps are tried, in which order and how far.
 
 #include <algorithm>
 #include <iterator>
 #include <limits>
-#include <optional>
 #include <utility>
 
 #include "hyssopspar/jobs/cell.h"
-#include "hyssopspar/jobs/placement.h"
-#include "hyssopspar/jobs/placement_candidates.h"
 #include "hyssopspar/jobs/tail_forecast.h"
 #include "jobs/cell_log.h"
 
@@ -16,12 +13,6 @@
 
 namespace {
 
-/// Delay before a pass is repeated for tasks that found no worker, when no
-/// event triggers one earlier.
-constexpr milliseconds kPlacementRetryDelay{250};
-/// Time for which a worker gets no other task after a suspect was placed on it:
-/// until its start is stored and confirmed and the run is proven.
-constexpr milliseconds kSuspectIsolation{2000};
 /// Minimum time between passes, so that one pass handles many events.
 constexpr milliseconds kMinPassInterval{20};
 
@@ -187,38 +178,6 @@
   }
 }
 
-void Cell::CountTaskOnWorker(int worker, StepPlacement* placement) {
-  if (!placement->m_tasks_on_worker.empty()) {
-    ++placement->m_tasks_on_worker[static_cast<std::size_t>(worker)];
-  }
-}
-
-/// Returns the indexes of the step's tasks that may be placed now. Fills
-/// \p placement with the number of the step's placed tasks on each worker and
-/// the step's highest run number.
-std::vector<std::size_t> Cell::PlaceableTasks(const Job& job,
-                                              std::size_t first,
-                                              const StepPlan& plan,
-                                              TimePoint now,
-                                              StepPlacement* placement) {
-  std::vector<std::size_t> pending;
-  if (plan.m_max_tasks_per_worker > 0) {
-    placement->m_tasks_on_worker.resize(m_workers.size());
-  }
-  for (std::size_t i = first; i < first + plan.m_tasks; ++i) {
-    const Task& task = job.m_tasks[i];
-    placement->m_highest_run = std::max(placement->m_highest_run, task.m_run);
-    if (IsPlaced(task)) {
-      CountTaskOnWorker(task.m_worker, placement);
-    } else if (task.m_state == TaskState::kPending && task.m_not_before > now) {
-      m_next_schedule = std::min(m_next_schedule, task.m_not_before);
-    } else if (task.m_state == TaskState::kPending) {
-      pending.push_back(i);
-    }
-  }
-  return pending;
-}
-
 void Cell::EndStage(const TaskRef& ref, Stage stage, TimePoint now) {
   Task& task = ref.m_job->m_tasks[ref.m_index];
   AddStageTime(&m_stage_times, ref.m_job->m_submission.m_queue.m_name, stage,
@@ -329,169 +288,8 @@
     Task& task = job->m_tasks[i];
     task.m_stage_since = std::max(task.m_stage_since, ready_since);
   }
-  StepAdvice* const advice = AdviceOf(job, occurrence, step);
-  PlacementQuery query;
-  query.m_step = &plan;
-  query.m_service = &service;
-  query.m_excluded_domains = &m_excluded_domains;
-  query.m_step_tasks_by_worker = &placement.m_tasks_on_worker;
-  query.m_now = now;
-  query.m_advice = advice;
-  std::vector<std::size_t> suspects;
-  if (!plan.m_gang) {
-    const auto first_suspect = std::stable_partition(
-        pending.begin(), pending.end(),
-        [job](std::size_t i) { return !job->m_tasks[i].m_is_suspect; });
-    suspects.assign(first_suspect, pending.end());
-    pending.erase(first_suspect, pending.end());
-  }
-  std::vector<std::size_t> placed = PlaceTasks(
-      job, pending,
-      unschedulable_at == 0 ? UsablePool(service)
-                            : ChangedSince(service, unschedulable_at),
-      query, &placement);
-  const bool complete = placed.size() == pending.size();
-  if (!complete && advice == nullptr) {
-    m_unschedulable_steps.Add(service, plan, m_last_worker_change);
-  }
-  if (!suspects.empty()) {
-    const std::vector<std::size_t> placed_suspects =
-        PlaceSuspects(job, suspects, query, &placement);
-    placed.insert(placed.end(), placed_suspects.begin(), placed_suspects.end());
-  }
-  if (placed.size() < pending.size() + suspects.size()) {
-    m_next_schedule = std::min(m_next_schedule, now + kPlacementRetryDelay);
-    if (advice != nullptr) {
-      AskAdviser(*job, occurrence, step, query, advice);
-    }
-  }
-  RecordPlacements(job, plan, placed, complete, placement.m_highest_run, now);
-}
-
-/// Assigns workers to the tasks of \p pending in order, up to the first that
-/// finds none. Returns the indexes of the placed tasks.
-std::vector<std::size_t> Cell::PlaceTasks(
-    Job* job,
-    const std::vector<std::size_t>& pending,
-    const std::vector<int>& pool,
-    PlacementQuery query,
-    StepPlacement* placement) {
-  const StepPlan& plan = *query.m_step;
-  const TailForecast* const forecast =
-      plan.m_is_best_effort ? &ForecastOf(plan.m_image) : nullptr;
-  std::vector<std::optional<TailEffect>> effects(
-      plan.m_is_best_effort ? m_workers.size() : 0);
-  query.m_predict_tail_effect = [&](std::size_t i) {
-    if (!effects[i]) {
-      effects[i] = forecast->EffectOn(m_workers[i].m_expected_tails,
-                                      CpuShareOf(plan, m_workers[i]));
-    }
-    return *effects[i];
-  };
-  query.m_image_dissimilarity = [&](std::size_t i) {
-    return m_interference.SensitivityDissimilarity(
-        plan.m_image, m_workers[i].m_serving_images);
-  };
-  std::vector<std::size_t> placed;
-  PlacementCandidates candidates(&m_workers, pool, &query);
-  for (const std::size_t i : pending) {
-    const int worker = candidates.Best(job->m_tasks[i].m_failed_on);
-    if (worker == kNoWorker) {
-      break;
-    }
-    const std::size_t worker_index = static_cast<std::size_t>(worker);
-    AssignWorker({job, i}, worker);
-    if (forecast != nullptr) {
-      forecast->Apply(CpuShareOf(plan, m_workers[worker_index]),
-                      &m_workers[worker_index].m_expected_tails);
-      effects[worker_index].reset();
-    }
-    CountTaskOnWorker(worker, placement);
-    if (plan.m_same_rack && query.m_rack.empty()) {
-      query.m_rack = m_workers[worker_index].m_entry.m_rack;
-      candidates.UpdateAll();
-    } else {
-      candidates.Update(worker);
-    }
-    placed.push_back(i);
-  }
-  m_work.m_worker_visits += candidates.Evaluations();
-  return placed;
-}
-
-std::vector<std::size_t> Cell::PlaceSuspects(
-    Job* job,
-    const std::vector<std::size_t>& suspects,
-    const PlacementQuery& query,
-    StepPlacement* placement) {
-  const TimePoint now = query.m_now;
-  const std::vector<int>& pool = UsablePool(*query.m_service);
-  std::vector<int> proven_pool;
-  for (const int index : pool) {
-    if (!HasUnprovenTask(m_workers[static_cast<std::size_t>(index)], now)) {
-      proven_pool.push_back(index);
-    }
-  }
-  std::vector<std::size_t> placed;
-  for (const std::size_t i : suspects) {
-    const std::vector<std::size_t> placed_here =
-        PlaceTasks(job, {i}, proven_pool, query, placement);
-    if (placed_here.empty()) {
-      ReserveForSuspect(job, i, pool, query);
-      continue;
-    }
-    TouchWorker(job->m_tasks[i].m_worker).m_backoff_until =
-        now + kSuspectIsolation;
-    placed.push_back(i);
-  }
-  return placed;
-}
-
-void Cell::ReserveForSuspect(Job* job,
-                             std::size_t index,
-                             const std::vector<int>& pool,
-                             const PlacementQuery& query) {
-  const TimePoint now = query.m_now;
-  for (const int candidate : pool) {
-    const Worker& worker = m_workers[static_cast<std::size_t>(candidate)];
-    if (HasUnprovenTask(worker, now) &&
-        IsEligible(worker, static_cast<std::size_t>(candidate), query)) {
-      TouchWorker(candidate).m_backoff_until = now + kUnprovenRunAge;
-      job->m_tasks[index].m_not_before = now + kUnprovenRunAge;
-      m_next_schedule = std::min(m_next_schedule, now + kUnprovenRunAge);
-      return;
-    }
-  }
-  m_next_schedule = std::min(m_next_schedule, now + kPlacementRetryDelay);
-}
-
-/// Marks the placements to be stored. Those of a gang are undone unless it is
-/// \p complete.
-void Cell::RecordPlacements(Job* job,
-                            const StepPlan& plan,
-                            const std::vector<std::size_t>& placed,
-                            bool complete,
-                            std::uint32_t highest_run,
-                            TimePoint now) {
-  for (const std::size_t i : placed) {
-    Task& task = job->m_tasks[i];
-    if (plan.m_gang && !complete) {
-      UnassignWorker({job, i});
-      continue;
-    }
-    // Members of a gang share a run number.
-    task.m_run = plan.m_gang ? highest_run + 1 : task.m_run + 1;
-    SetTaskState(job, i, TaskState::kRecording);
-    ++m_work.m_tasks_placed;
-    ++m_starts_in_progress;
-    EndStage({job, i}, Stage::kPlace, now);
-    MarkDirty(job);
-  }
-  if (plan.m_gang && !complete) {
-    // Undoing the placements freed only resources that were free before this
-    // pass, so no further pass is needed.
-    m_schedule_needed = false;
-  }
+  PlaceStep(job, {occurrence, step}, std::move(pending), unschedulable_at,
+            &placement, now);
 }
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/placement_test.cpp
+++ b/src/libhyssopspar/jobs/placement_test.cpp
@@ -194,5 +194,25 @@
   EXPECT_EQ(Choose(), kNoWorker);
 }
 
+// After each placement the candidates choose as a new evaluation would.
+TEST_F(JobPlacementTest, UpdatedCandidatesMatchANewEvaluation) {
+  for (const std::int64_t used : {0, 4000, 8000, 11000}) {
+    AddWorker().m_used = {used, 0, 0};
+  }
+  std::vector<int> pool(m_workers.size());
+  std::iota(pool.begin(), pool.end(), 0);
+  PlacementCandidates candidates(&m_workers, pool, &m_query);
+  for (int placed = 0; placed < 12; ++placed) {
+    const int chosen = candidates.Best({});
+    ASSERT_EQ(chosen, Choose());
+    if (chosen == kNoWorker) {
+      break;
+    }
+    m_workers[static_cast<std::size_t>(chosen)].m_used += m_step.m_size;
+    candidates.Update(chosen);
+  }
+  EXPECT_EQ(candidates.Best({}), kNoWorker);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
