Don't isolate the tasks of workers that were lost at once or inherited

Cause: all 116 tasks inherited on those workers became suspects, and each kept a worker free of other tasks for two seconds. Change: no task becomes a suspect when more than three workers and 2 % of them crash within half a second, nor an inherited run, whose age is not known; at most a quarter of a pool's workers are kept free for suspects. The crashes still count as possible.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -298,7 +298,8 @@
     std::uint32_t m_highest_run = 0;  ///< Highest run number of its tasks.
   };
   /// Places suspects, each on a worker without other unproven tasks, which gets
-  /// no other task until the suspect is proven. Returns the placed ones.
+  /// no other task until the suspect is proven, as far as that doesn't keep too
+  /// many workers free. Returns the placed ones.
   std::vector<std::size_t> PlaceSuspects(
       Job* job,
       const std::vector<std::size_t>& suspects,
--- a/src/include/hyssopspar/jobs/crash_blame.h
+++ b/src/include/hyssopspar/jobs/crash_blame.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <vector>
@@ -28,9 +29,9 @@
   std::deque<TimePoint> m_times;
 };
 
-/// Adds a crash. Returns true when so many workers have crashed at once that
-/// something other than a task is the likely cause.
-bool AddCrash(RecentCrashes* crashes, TimePoint now);
+/// Adds a crash of one of the cell's \p workers. Returns true when so many have
+/// crashed at once that something other than a task is the likely cause.
+bool AddCrash(RecentCrashes* crashes, std::size_t workers, TimePoint now);
 
 /// Counts the crash of \p worker against the tasks \p tasks, which were placed
 /// on it, and sets which of them are suspects. Runs that have lasted for long
--- a/src/libhyssopspar/jobs/cell_crashes.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes.cpp
@@ -56,7 +56,7 @@
     MarkDirty(ref.m_job);
   }
   return BlameForCrash(worker, tasks, alive_at,
-                       AddCrash(&m_recent_crashes, now));
+                       AddCrash(&m_recent_crashes, m_workers.size(), now));
 }
 
 void Cell::GiveUpTasks(const std::vector<TaskRef>& tasks, TimePoint now) {
--- a/src/libhyssopspar/jobs/cell_placement.cpp
+++ b/src/libhyssopspar/jobs/cell_placement.cpp
@@ -15,6 +15,8 @@
 /// Time for which a worker gets no other task after a suspect was placed on it:
 /// until its start is stored and confirmed and the run is proven.
 constexpr milliseconds kSuspectIsolation{2000};
+/// At most one worker in this many is kept free for suspects at a time.
+constexpr std::size_t kIsolationDivisor = 4;
 
 }  // namespace
 
@@ -155,6 +157,10 @@
     StepPlacement* placement) {
   const TimePoint now = query.m_now;
   const std::vector<int>& pool = UsablePool(*query.m_service);
+  UpdateTouchedWorkers(now);
+  if (m_agenda.m_resumptions.size() * kIsolationDivisor >= pool.size()) {
+    return {};
+  }
   std::vector<int> proven_pool;
   for (const int index : pool) {
     if (!HasUnprovenTask(m_workers[static_cast<std::size_t>(index)], now)) {
--- a/src/libhyssopspar/jobs/cell_test.cpp
+++ b/src/libhyssopspar/jobs/cell_test.cpp
@@ -277,6 +277,25 @@
       2U);
 }
 
+// After many workers were lost at once, their tasks took one worker each for
+// themselves and kept the others from running.
+TEST_F(CellCrashTest, ManyCrashesAtOnceAreNobodysFault) {
+  for (int i = 3; i < 12; ++i) {
+    AddWorker("w" + std::to_string(i));
+  }
+  Run(milliseconds(100));
+  StepPlan spread = Step(12, 1000);
+  spread.m_max_tasks_per_worker = 1;
+  m_cell.OnJob(MakeJob("a", spread), m_now);
+  RunUntilStarted(12);
+  for (const std::string& worker : m_start_workers) {
+    m_running[worker].clear();
+    ++m_incarnations[worker];
+  }
+  Run(milliseconds(500));
+  EXPECT_EQ(m_starts.size(), 24U);
+}
+
 // A worker that leaves as planned takes its tasks with it.
 TEST_F(CellCrashTest, LeavingWorkerIsNobodysFault) {
   m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
--- a/src/libhyssopspar/jobs/crash_blame.cpp
+++ b/src/libhyssopspar/jobs/crash_blame.cpp
@@ -16,8 +16,10 @@
 constexpr std::uint32_t kMaxCrashes = 3;
 /// Same for all crashes that the task may have caused.
 constexpr std::uint32_t kMaxPossibleCrashes = 4;
-/// More crashes than this within kSimultaneousCrashes have a common cause.
+/// More crashes than this, and than one worker in kCrashDivisor, within
+/// kSimultaneousCrashes have a common cause.
 constexpr std::size_t kMaxIndependentCrashes = 3;
+constexpr std::size_t kCrashDivisor = 50;
 constexpr milliseconds kSimultaneousCrashes{500};
 
 Task& TaskOf(const TaskRef& ref) {
@@ -42,13 +44,14 @@
       [now](const TaskRef& ref) { return IsUnproven(TaskOf(ref), now); });
 }
 
-bool AddCrash(RecentCrashes* crashes, TimePoint now) {
+bool AddCrash(RecentCrashes* crashes, std::size_t workers, TimePoint now) {
   std::deque<TimePoint>& times = crashes->m_times;
   times.push_back(now);
   while (now - times.front() > kSimultaneousCrashes) {
     times.pop_front();
   }
-  return times.size() > kMaxIndependentCrashes;
+  return times.size() >
+         std::max(kMaxIndependentCrashes, workers / kCrashDivisor);
 }
 
 std::vector<TaskRef> BlameForCrash(const Worker& worker,
@@ -69,13 +72,15 @@
       task.m_is_suspect = false;
       continue;
     }
-    task.m_is_suspect = IsUnproven(task, alive_at);
+    const bool unproven = IsUnproven(task, alive_at);
+    // How long an inherited run has lasted is not known.
+    task.m_is_suspect = unproven && !many_crashed &&
+                        task.m_start_status != StartStatus::kInherited;
     // A proven task is less likely the cause than an unproven one beside it.
     const bool is_likely_cause =
-        IsConfirmed(task) && (task.m_is_suspect || unproven_count == 0);
+        IsConfirmed(task) && (unproven || unproven_count == 0);
     ++(is_likely_cause ? task.m_crashes : task.m_possible_crashes);
-    const bool alone =
-        task.m_is_suspect && unproven_count == 1 && !many_crashed;
+    const bool alone = task.m_is_suspect && unproven_count == 1;
     const bool give_up =
         task.m_crashes >= kMaxCrashes ||
         task.m_crashes + task.m_possible_crashes >= kMaxPossibleCrashes ||
