--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,6 +1,6 @@
-// A minion that runs a member of a gang crashes. The gang is started again with
-// members that carry different checkpoints; all must carry the same. Its runs
-// end alone, again and again.
+// A minion crashes three times and starts again. A job that lasts and can run
+// only there must be restarted; it is shown as failed, and nothing of it runs
+// any more.
 
 #include "../standin/site.h"
 
@@ -9,44 +9,28 @@
 using namespace review;
 
 constexpr int kMinions = 8;  // One of them is a share of 0.125.
-constexpr int kMembers = 4;
+constexpr int kCrashes = 3;
 constexpr std::int64_t kDownMs = 1000;
-constexpr std::int64_t kContactMs = 3000;  // contactMs.
+constexpr std::int64_t kUpMs = 4000;
 constexpr std::int64_t kFinishMs = 14000;  // finish_s.
-constexpr std::int64_t kWorkMs = 8000;
+constexpr int kTasks = 2;
 
-Json GangJob() {
-  return {{"spec", "work=" + std::to_string(kWorkMs) +
-                       " saves=1 gang=" + std::to_string(kMembers)},
-          {"steps", Json::array({{{"count", kMembers},
-                                  {"cpu", 20000},
+Json LastingJob() {
+  return {{"spec", "work=0"},
+          {"steps", Json::array({{{"count", kTasks},
+                                  {"cpu", 8000},
                                   {"memMb", 1000},
-                                  {"estimateMs", kWorkMs},
-                                  {"gang", true},
-                                  {"antiAffinity", 1},
-                                  {"checkpointing", true}}})}};
+                                  {"estimateMs", 4000},
+                                  {"longRunning", true},
+                                  {"requirements", "b"}}})}};
 }
 
-// Crashes one of the minions that run the gang. Returns the time at which it is
-// back, or -1.
-std::int64_t CrashMember(Site* site, const std::string& id) {
-  for (const std::unique_ptr<Minion>& minion : site->Minions()) {
-    if (minion->Runs(id)) {
-      minion->Crash();
-      Sleep(kDownMs);
-      return minion->Begin() ? site->GetRecord().Now() : -1;
-    }
-  }
-  return -1;
-}
-
-// Number of runs that ended alone later than \p since.
-int CountAlone(Site* site, std::int64_t since) {
+// True if a run of the job has ended as failed by itself.
+bool HasFailedRun(Site* site, const std::string& id) {
   const std::vector<SeenRun> runs = site->History().Runs();
-  return static_cast<int>(
-      std::count_if(runs.begin(), runs.end(), [since](const SeenRun& run) {
-        return run.m_how == "alone" && run.m_ended > since;
-      }));
+  return std::any_of(runs.begin(), runs.end(), [&](const SeenRun& run) {
+    return Site::IsTaskOf(run, id) && run.m_how == "failed";
+  });
 }
 
 }  // namespace
@@ -58,6 +42,7 @@
   for (int i = 0; i < kMinions; ++i) {
     MinionSettings minion;
     minion.m_id = "i-" + std::to_string(100 + i);
+    minion.m_kind = i == 0 ? "b" : "a";
     site.AddMinion(minion);
   }
   if (!site.StartNodes(3)) {
@@ -65,29 +50,28 @@
   }
   Sleep(3000);
   const std::string id = "5c0e7a21d94b36f8";
-  if (!site.Submit(id, GangJob()) ||
-      !WaitFor(5000, [&] { return site.CountRuns(id) == kMembers; })) {
+  if (!site.Submit(id, LastingJob())) {
     return kCouldNotRun;
   }
-  Sleep(3300);
-  std::int64_t calm_since = site.GetRecord().Now();
-  if (arguments.m_trouble) {
-    const std::int64_t back = CrashMember(&site, id);
-    if (back < 0) {
+  Minion& minion = *site.Minions().front();
+  const auto runs_whole = [&] { return site.CountRuns(id) == kTasks; };
+  for (int i = 0; i < kCrashes; ++i) {
+    if (!WaitFor(10000, runs_whole)) {
       return kCouldNotRun;
     }
-    calm_since = back + kContactMs;
+    Sleep(kUpMs);
+    if (arguments.m_trouble) {
+      minion.Crash();
+      Sleep(kDownMs);
+      if (!minion.Begin()) {
+        return kCouldNotRun;
+      }
+    }
   }
-  WaitFor(kWorkMs + kFinishMs, [&] {
-    Sleep(1000);
-    return site.State(0, id) == "completed";
-  });
-  const std::string state = site.State(1, id);
-  const int alone = CountAlone(&site, calm_since);
-  const bool broken = alone > 0 && state != "completed";
-  site.GetRecord().Add("state=" + state + " runs that ended alone in calm=" +
-                       std::to_string(alone) +
-                       (broken ? " broken: GANG" : " held"));
+  WaitFor(kFinishMs, [&] { return !arguments.m_trouble || runs_whole(); });
+  const std::string state = site.State(0, id);
+  const bool broken = state == "failed" && !HasFailedRun(&site, id);
+  site.GetRecord().Add("state=" + state + (broken ? " broken: LOST" : " held"));
   site.Stop();
   return broken ? kBroken : kHeld;
 }
