--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Runs the script of a case: run-case.sh NUMBER. With TROUBLE=0 without the
-# disruption. Needs the build of the deploy file and review/build.sh.
+# Runs the script of a case: run-case.sh NUMBER TROUBLE; TROUBLE is 1, or 0 for a
+# run without the disruption. Needs the build of the deploy file and
+# review/build.sh.
 set -u
 cd "$(dirname "$0")/.."
 node=target/bin/hyssopspar-node
@@ -11,7 +12,7 @@
 fi
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-timeout -s KILL 118 "$driver" "$node" "review/$1/record.txt" "$folder" "${TROUBLE:-1}"
+timeout -s KILL 118 "$driver" "$node" "review/$1/record.txt" "$folder" "$2"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
