Split the tests of Cell by part

Plain moves: the fixture to cell_fixture.h, the tests of storing and of crashed workers to files of their own, next to cell_store.cpp and cell_crashes.cpp. No test changed.

--- /dev/null
+++ b/src/libhyssopspar/jobs/cell_crashes_test.cpp
@@ -0,0 +1,185 @@
+// Tests of crashed and lost workers, and of the tasks blamed for them.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <iterator>
+
+#include "hyssopspar/jobs/records.h"
+#include "jobs/cell_fixture.h"
+
+namespace hyssopspar::jobs {
+namespace {
+
+class CellCrashTest : public CellTest {
+ protected:
+  void SetUp() override {
+    AddWorker("w0");
+    AddWorker("w1");
+    AddWorker("w2");
+    m_cell.Activate(m_now);
+    Run(milliseconds(100));
+  }
+
+  /// Restarts the worker of the last start: its runs are gone, and its reports
+  /// come from a new incarnation.
+  void CrashWorkerOfLastStart() {
+    const std::string worker = m_start_workers.back();
+    m_running[worker].clear();
+    ++m_incarnations[worker];
+  }
+
+  /// Crashes the worker of each new start, until nothing is started any more.
+  void CrashAtEachStart(const std::string& job_id) {
+    std::size_t crashes = 0;
+    for (int i = 0; i < 400; ++i) {
+      Run(milliseconds(25));
+      if (StartsOf(job_id) > crashes) {
+        ++crashes;
+        CrashWorkerOfLastStart();
+      }
+    }
+  }
+
+  /// Waits for the isolation of a suspect's worker to end.
+  void RunUntilStarted(std::size_t starts) {
+    for (int i = 0; i < 20 && m_starts.size() < starts; ++i) {
+      Run(milliseconds(250));
+    }
+    ASSERT_EQ(m_starts.size(), starts);
+  }
+};
+
+// A task that crashes its workers was started on one after the other for ever.
+TEST_F(CellCrashTest, GivesUpTaskThatCrashesEachWorkerAtItsStart) {
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  CrashAtEachStart("a");
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kFailed);
+  // Two more starts after three crashes.
+  EXPECT_LE(m_starts.size(), 5U);
+}
+
+// Tasks without a limit of failures crashed their workers for ever.
+TEST_F(CellCrashTest, GivesUpLongRunningTaskThatCrashesEachWorker) {
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  CrashAtEachStart("a");
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kFailed);
+  EXPECT_LE(m_starts.size(), 5U);
+}
+
+// Jobs were shown as failed, without an end `failed`, because their workers had
+// crashed twice under young runs.
+TEST_F(CellCrashTest, KeepsTaskWhoseRunSurvivesBetweenCrashes) {
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  for (std::size_t crash = 1; crash <= 12; ++crash) {
+    RunUntilStarted(crash);
+    Run(crash % 3 == 0 ? milliseconds(4000) : milliseconds(100));
+    CrashWorkerOfLastStart();
+  }
+  RunUntilStarted(13);
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+}
+
+// Same for a task whose workers crash some seconds after each start.
+TEST_F(CellCrashTest, KeepsLongRunningTaskThatRunsForSecondsBetweenCrashes) {
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  for (std::size_t crash = 1; crash <= 12; ++crash) {
+    RunUntilStarted(crash);
+    Run(milliseconds(4000));
+    CrashWorkerOfLastStart();
+  }
+  RunUntilStarted(13);
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+}
+
+// Neighbours of a task that crashes its workers were counted like that task.
+TEST_F(CellCrashTest, KeepsTaskThatRanLongBeforeEachCrash) {
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  for (std::size_t crash = 1; crash < 6; ++crash) {
+    RunUntilStarted(crash);
+    Run(std::chrono::seconds(15));
+    CrashWorkerOfLastStart();
+  }
+  RunUntilStarted(6);
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+}
+
+// The crashes seen by an owner were forgotten by its successor, and a worker
+// that crashed between the two counted as one that had never got the order.
+TEST_F(CellCrashTest, CountSurvivesAChangeOfOwner) {
+  const Submission job = MakeJob("a", Step(1, 1000));
+  m_cell.OnJob(job, m_now);
+  RunUntilStarted(1);
+  CrashWorkerOfLastStart();
+  RunUntilStarted(2);
+  CrashWorkerOfLastStart();
+  const Result<JobProgress> progress = DecodeProgress(StoredProgressOf("a"));
+  ASSERT_TRUE(progress);
+  EXPECT_EQ(progress.value().m_crash_counts, std::vector<std::uint32_t>{1});
+
+  Cell successor(Settings(m_now), m_now);
+  successor.OnJob(job, m_now);
+  ASSERT_TRUE(successor.RestoreJobProgress("a", progress.value()));
+  successor.Activate(m_now);
+  for (const std::string worker : {"w0", "w1", "w2"}) {
+    WorkerEntry entry;
+    entry.m_id = worker;
+    entry.m_address = worker;
+    entry.m_service = "pool";
+    entry.m_capacity = {16000, 64000, 0};
+    entry.m_incarnation_unix_ms = 1 + m_incarnations[worker];
+    successor.SetWorker(entry, m_now);
+    HeartbeatAction heartbeat;
+    heartbeat.m_worker = static_cast<int>(std::distance(
+        successor.Workers().begin(),
+        std::find_if(
+            successor.Workers().begin(), successor.Workers().end(),
+            [&worker](const Worker& w) { return w.m_entry.m_id == worker; })));
+    heartbeat.m_sent = m_now;
+    HeartbeatReport report;
+    report.m_incarnation_unix_ms = 1 + m_incarnations[worker];
+    successor.OnHeartbeatAnswer(heartbeat, report, m_now);
+  }
+  successor.SetViewTimes(m_now, m_now);
+  successor.Tick(m_now);
+  const Job* const restored = successor.FindJob("a");
+  ASSERT_NE(restored, nullptr);
+  EXPECT_EQ(restored->m_tasks[0].m_crashes, 2U);
+}
+
+// After many workers were lost at once, their tasks took one worker each for
+// themselves and kept the others from running.
+TEST_F(CellCrashTest, ManyCrashesAtOnceAreNobodysFault) {
+  for (int i = 3; i < 12; ++i) {
+    AddWorker("w" + std::to_string(i));
+  }
+  Run(milliseconds(100));
+  StepPlan spread = Step(12, 1000);
+  spread.m_max_tasks_per_worker = 1;
+  m_cell.OnJob(MakeJob("a", spread), m_now);
+  RunUntilStarted(12);
+  for (const std::string& worker : m_start_workers) {
+    m_running[worker].clear();
+    ++m_incarnations[worker];
+  }
+  Run(milliseconds(500));
+  EXPECT_EQ(m_starts.size(), 24U);
+}
+
+// A worker that leaves as planned takes its tasks with it.
+TEST_F(CellCrashTest, LeavingWorkerIsNobodysFault) {
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  RunUntilStarted(1);
+  WorkerEntry leaving = m_cell
+                            .Workers()[static_cast<std::size_t>(
+                                m_cell.FindJob("a")->m_tasks[0].m_worker)]
+                            .m_entry;
+  leaving.m_leaving = true;
+  m_cell.SetWorker(leaving, m_now);
+  CrashWorkerOfLastStart();
+  RunUntilStarted(2);
+  EXPECT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 0U);
+}
+
+}  // namespace
+}  // namespace hyssopspar::jobs
