Log why a job ends as failed, and how a crash was seen

What the record lacked: any line that names such a job and the way it got there. job-ended has no cause, is written at the lowest level and is the first to be dropped from a log that is cut off; a job that used its attempts could not be told from one whose attempts were counted wrongly.

Change: one warning, job-failed, wherever a job ends as failed, with the reason, the task, its failures against the limit, crashes, evidence, whether it lasts, the owner's epoch and the age of its views. worker-crashed says by which sign a worker is believed to have crashed (restarted, another worker at its address, missing entry), how its last heartbeat ended, and how old the list of workers is. No decision changed.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -182,6 +182,8 @@
   void MarkDirty(Job* job);
   void UpdateJobState(Job* job, TimePoint now);
   void EndJob(Job* job, JobState state, TimePoint now);
+  /// Ends the job of \p ref as failed because of that task, and logs why.
+  void FailJob(const TaskRef& ref, JobFailure failure, TimePoint now);
 
   // cell_report.cpp
   void ReportLoad(TimePoint now);
@@ -264,9 +266,11 @@
   std::vector<TaskRef> CountCrash(int worker_index,
                                   const std::vector<TaskRef>& tasks,
                                   TimePoint alive_at,
+                                  CrashSign sign,
                                   TimePoint now);
-  /// Records that the worker no longer answers.
-  void MarkLost(Worker* worker, TimePoint now);
+  /// Records that the worker no longer answers: the heartbeat ended with
+  /// \p error.
+  void MarkLost(Worker* worker, ErrorCode error, TimePoint now);
   /// True if the task's next run is delayed because workers are being lost for
   /// other reasons, so that the run would prove nothing.
   bool AwaitsCalm(const Task& task, TimePoint now) const;
@@ -276,7 +280,10 @@
   void GiveUpTasks(const std::vector<TaskRef>& tasks, TimePoint now);
   /// Ends all runs of a worker that is gone (kWorkerCrashed) or was not heard
   /// of for longer than its lease (kLeaseExpired).
-  void EndAllRuns(int worker_index, EndCause cause, TimePoint now);
+  void EndAllRuns(int worker_index,
+                  EndCause cause,
+                  CrashSign sign,
+                  TimePoint now);
 
   // cell_pacing.cpp
   void RecordTailLatencies(int worker_index,
--- a/src/include/hyssopspar/jobs/crash_blame.h
+++ b/src/include/hyssopspar/jobs/crash_blame.h
@@ -85,6 +85,9 @@
 /// Keeps the next run of the task apart from other unproven ones.
 void IsolateSuspect(Task* task, TimePoint now);
 
+/// Evidence against the task, in decades.
+double DecadesOfEvidence(const Task& task);
+
 /// Drops the evidence against a task of which a run has survived.
 void Acquit(Task* task);
 
--- a/src/include/hyssopspar/jobs/job.h
+++ b/src/include/hyssopspar/jobs/job.h
@@ -19,6 +19,13 @@
 
 namespace hyssopspar::jobs {
 
+/// Why a job ends as failed.
+enum class JobFailure {
+  kAttemptsUsed,    ///< A task has failed as often as its queue allows.
+  kCrashesWorkers,  ///< A task crashes the workers that run it.
+  kRefusedByStore,  ///< The store takes no record of its progress.
+};
+
 /// A job and the counters derived from the states of its tasks.
 struct Job {
   Submission m_submission;
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -11,6 +11,7 @@
 #include <tuple>
 #include <vector>
 
+#include "hyssopspar/error.h"
 #include "hyssopspar/jobs/job.h"
 #include "hyssopspar/jobs/pacing.h"
 #include "hyssopspar/jobs/worker_port.h"
@@ -37,6 +38,13 @@
   kRecentSuspectStart,  ///< One of a task under which a worker had crashed.
 };
 
+/// From what it is concluded that a worker has crashed.
+enum class CrashSign {
+  kRestarted,    ///< It answered as another incarnation.
+  kOtherWorker,  ///< Another worker answered at its address.
+  kUnlisted,     ///< The platform's list lacks it, and it does not answer.
+};
+
 /// What is known of the start of a run.
 struct RunStart {
   /// When it was confirmed or, before that, sent; nullopt: an earlier owner may
@@ -96,6 +104,8 @@
   /// it had crashed shows when it is heard of again.
   std::vector<LapsedRun> m_lapsed_runs;
   TimePoint m_lost_at;  ///< When the worker last became unreachable.
+  /// How the heartbeat ended by which that showed.
+  ErrorCode m_lost_by = ErrorCode::kTimeout;
   LossCircumstance m_loss = LossCircumstance::kNoRecentStart;
   TimePoint m_quarantined_until;
   /// No placement here before this, because the worker refused a start or the
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -217,7 +217,8 @@
                     worker.m_tasks.size());
   }
   if (!worker.m_reachable && !worker.m_lapsed_runs.empty()) {
-    GiveUpTasks(CountCrash(it->second, {}, worker.m_clock_received_at, now),
+    GiveUpTasks(CountCrash(it->second, {}, worker.m_clock_received_at,
+                           CrashSign::kUnlisted, now),
                 now);
   }
 }
@@ -248,15 +249,16 @@
   if (IsTerminal(job->m_state)) {
     return;
   }
-  bool failed = false;
   bool done = true;
-  for (const Task& task : job->m_tasks) {
-    failed = failed || task.m_state == TaskState::kFailed;
-    done = done && task.m_state == TaskState::kDone;
+  for (std::size_t i = 0; i < job->m_tasks.size(); ++i) {
+    const TaskState state = job->m_tasks[i].m_state;
+    if (state == TaskState::kFailed) {
+      FailJob({job, i}, JobFailure::kAttemptsUsed, now);
+      return;
+    }
+    done = done && state == TaskState::kDone;
   }
-  if (failed) {
-    EndJob(job, JobState::kFailed, now);
-  } else if (done) {
+  if (done) {
     EndJob(job, JobState::kCompleted, now);
   } else if (job->m_has_started_task) {
     job->m_state = JobState::kRunning;
@@ -285,6 +287,20 @@
   }
 }
 
+void Cell::FailJob(const TaskRef& ref, JobFailure failure, TimePoint now) {
+  const Submission& job = ref.m_job->m_submission;
+  const Task& task = ref.m_job->m_tasks[ref.m_index];
+  CellLog()->warn(
+      "job-failed id={} reason={} task={}.{} run={} failures={}/{} crashes={} "
+      "evidence={:.1f} long_running={} epoch={} view_age_ms={}",
+      job.m_id, FailureName(failure), job.m_id, ref.m_index, task.m_run,
+      task.m_failures, job.m_queue.m_max_attempts, task.m_crashes,
+      DecadesOfEvidence(task), StepOf(*ref.m_job, ref.m_index).m_long_running,
+      m_settings.m_epoch,
+      ToMillis(now - std::min(m_operators_current_at, m_workers_current_at)));
+  EndJob(ref.m_job, JobState::kFailed, now);
+}
+
 std::optional<JobState> Cell::StateOf(const std::string& job_id) const {
   const Job* const job = FindJob(job_id);
   if (job == nullptr) {
--- a/src/libhyssopspar/jobs/cell_crashes.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes.cpp
@@ -54,7 +54,7 @@
     SendStop(ref, "worker-reborn", now);
   }
   const std::vector<TaskRef> given_up =
-      CountCrash(worker_index, tasks, alive_at, now);
+      CountCrash(worker_index, tasks, alive_at, CrashSign::kRestarted, now);
   for (const TaskRef& ref : tasks) {
     const Task& task = ref.m_job->m_tasks[ref.m_index];
     if (task.m_state == TaskState::kRunning ||
@@ -71,6 +71,7 @@
 std::vector<TaskRef> Cell::CountCrash(int worker_index,
                                       const std::vector<TaskRef>& tasks,
                                       TimePoint alive_at,
+                                      CrashSign sign,
                                       TimePoint now) {
   Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
   std::vector<CrashedRun> runs;
@@ -87,8 +88,12 @@
   if (runs.empty() || worker.m_entry.m_leaving) {
     return {};
   }
-  CellLog()->warn("worker-crashed id={} tasks={}", worker.m_entry.m_id,
-                  runs.size());
+  CellLog()->warn(
+      "worker-crashed id={} tasks={} sign={} lost_by={} lost_ms={} "
+      "alive_ms={} list_age_ms={}",
+      worker.m_entry.m_id, runs.size(), SignName(sign),
+      ToString(worker.m_lost_by), ToMillis(now - worker.m_lost_at),
+      ToMillis(now - alive_at), ToMillis(now - m_workers_current_at));
   for (const CrashedRun& run : runs) {
     MarkDirty(run.m_task.m_job);
   }
@@ -100,8 +105,9 @@
   return BlameForCrash(crash, runs, &m_unexplained_crashes, now);
 }
 
-void Cell::MarkLost(Worker* worker, TimePoint now) {
+void Cell::MarkLost(Worker* worker, ErrorCode error, TimePoint now) {
   worker->m_lost_at = now;
+  worker->m_lost_by = error;
   worker->m_loss = LossCircumstance::kNoRecentStart;
   for (const TaskRef& ref : worker->m_tasks) {
     const Task& task = ref.m_job->m_tasks[ref.m_index];
@@ -146,17 +152,17 @@
     if (IsTerminal(job->m_state)) {
       continue;
     }
-    CellLog()->warn("task-given-up task={}.{} crashes={}",
-                    job->m_submission.m_id, ref.m_index,
-                    job->m_tasks[ref.m_index].m_crashes);
     if (job->m_tasks[ref.m_index].m_state == TaskState::kPending) {
       SetTaskState(job, ref.m_index, TaskState::kFailed);
     }
-    EndJob(job, JobState::kFailed, now);
+    FailJob(ref, JobFailure::kCrashesWorkers, now);
   }
 }
 
-void Cell::EndAllRuns(int worker_index, EndCause cause, TimePoint now) {
+void Cell::EndAllRuns(int worker_index,
+                      EndCause cause,
+                      CrashSign sign,
+                      TimePoint now) {
   Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
   CellLog()->warn("worker-ended id={} reason={} tasks={}", worker.m_entry.m_id,
                   CauseName(cause), worker.m_tasks.size());
@@ -169,8 +175,8 @@
   }
   std::vector<TaskRef> given_up;
   if (cause == EndCause::kWorkerCrashed) {
-    given_up =
-        CountCrash(worker_index, started, worker.m_clock_received_at, now);
+    given_up = CountCrash(worker_index, started, worker.m_clock_received_at,
+                          sign, now);
   } else {
     for (const TaskRef& ref : started) {
       worker.m_lapsed_runs.push_back(
--- a/src/libhyssopspar/jobs/cell_log.cpp
+++ b/src/libhyssopspar/jobs/cell_log.cpp
@@ -51,4 +51,28 @@
   return "unknown";
 }
 
+const char* FailureName(JobFailure failure) {
+  switch (failure) {
+    case JobFailure::kAttemptsUsed:
+      return "attempts-used";
+    case JobFailure::kCrashesWorkers:
+      return "crashes-workers";
+    case JobFailure::kRefusedByStore:
+      return "refused-by-store";
+  }
+  return "unknown";
+}
+
+const char* SignName(CrashSign sign) {
+  switch (sign) {
+    case CrashSign::kRestarted:
+      return "restarted";
+    case CrashSign::kOtherWorker:
+      return "other-worker";
+    case CrashSign::kUnlisted:
+      return "unlisted";
+  }
+  return "unknown";
+}
+
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_log.h
+++ b/src/libhyssopspar/jobs/cell_log.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 
+#include "hyssopspar/jobs/worker.h"
 #include "hyssopspar/jobs/worker_port.h"
 #include "hyssopspar/logging.h"
 
@@ -15,5 +16,7 @@
 
 const char* CauseName(EndCause cause);
 const char* AnswerName(StartAnswer answer);
+const char* FailureName(JobFailure failure);
+const char* SignName(CrashSign sign);
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_store.cpp
+++ b/src/libhyssopspar/jobs/cell_store.cpp
@@ -159,7 +159,7 @@
     return;
   }
   CellLog()->critical("job-unstorable id={} bytes={}", id, refused.m_bytes);
-  EndJob(job, JobState::kFailed, now);
+  FailJob({job, 0}, JobFailure::kRefusedByStore, now);
 }
 
 void Cell::RetryRefusedJobs(TimePoint now) {
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -154,11 +154,12 @@
     CellLog()->warn("worker-unreachable id={} tasks={} error={}",
                     worker.m_entry.m_id, worker.m_tasks.size(),
                     ToString(answer.error()));
-    MarkLost(&worker, now);
+    MarkLost(&worker, answer.error().m_code, now);
   }
   worker.m_reachable = false;
   if (answer.error().m_code == ErrorCode::kNotFound) {
-    EndAllRuns(action.m_worker, EndCause::kWorkerCrashed, now);
+    EndAllRuns(action.m_worker, EndCause::kWorkerCrashed,
+               CrashSign::kOtherWorker, now);
   }
   const milliseconds pause =
       std::min(kMaxHeartbeatRetryDelay,
@@ -376,7 +377,7 @@
     EndAllRuns(
         expiry.second,
         worker.m_listed ? EndCause::kLeaseExpired : EndCause::kWorkerCrashed,
-        now);
+        CrashSign::kUnlisted, now);
   }
 }
 
--- a/src/libhyssopspar/jobs/crash_blame.cpp
+++ b/src/libhyssopspar/jobs/crash_blame.cpp
@@ -167,6 +167,10 @@
   task->m_trial_by = now + kMaxTrialDelay;
 }
 
+double DecadesOfEvidence(const Task& task) {
+  return task.m_crash_evidence / kDecadeFractions;
+}
+
 void Acquit(Task* task) {
   task->m_crashes = 0;
   task->m_crash_evidence = 0;
@@ -217,8 +221,8 @@
         candidate.m_task.m_job->m_submission.m_id, candidate.m_task.m_index,
         task.m_run, crash.m_worker, std::lround(1000 * candidate.m_age.count()),
         candidates.size(), crash.m_unprovoked_losses,
-        crash.m_simultaneous_losses, task.m_crashes,
-        task.m_crash_evidence / kDecadeFractions, is_suspect, give_up);
+        crash.m_simultaneous_losses, task.m_crashes, DecadesOfEvidence(task),
+        is_suspect, give_up);
   }
   if (!explained) {
     unexplained->m_times.push_back(now);
