A worker whose entry is missing has not crashed

Cause: when the lease of a silent worker ran out and the platform's list lacked its entry, its runs ended as crashed and counted as evidence against their tasks. An entry expires after three silent beats, also while the store is down, and so does that of a worker that is cut off; the worker is alive. Four such lapses of a run that was young when the contact was lost gave its job up.

Evidence: CellCrashTest.KeepsTaskWhoseWorkersAreCutOffAndUnlisted. Before: job failed after five starts, no worker had crashed. After: it runs on.

Change: such runs end as lapsed. Whether the worker crashed shows when its address answers again, as another incarnation or another worker; it is asked for 30 s more even if it is not listed.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -278,12 +278,13 @@
   void CountLosses(const Worker& crashed, WorkerCrash* crash) const;
   /// Fails the jobs of tasks that crash their workers.
   void GiveUpTasks(const std::vector<TaskRef>& tasks, TimePoint now);
-  /// Ends all runs of a worker that is gone (kWorkerCrashed) or was not heard
-  /// of for longer than its lease (kLeaseExpired).
-  void EndAllRuns(int worker_index,
-                  EndCause cause,
-                  CrashSign sign,
-                  TimePoint now);
+  /// Ends the runs of a worker at whose address another one answers.
+  void EndRunsOfReplacedWorker(int worker_index, TimePoint now);
+  /// Ends the runs of a worker that was not heard of for longer than its lease.
+  /// That it crashed is not known: it may be cut off, and its entry may have
+  /// expired during an outage of the store.
+  void EndRunsOfSilentWorker(int worker_index, TimePoint now);
+  void EndAllRuns(int worker_index, EndCause cause, TimePoint now);
 
   // cell_pacing.cpp
   void RecordTailLatencies(int worker_index,
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -42,7 +42,6 @@
 enum class CrashSign {
   kRestarted,    ///< It answered as another incarnation.
   kOtherWorker,  ///< Another worker answered at its address.
-  kUnlisted,     ///< The platform's list lacks it, and it does not answer.
 };
 
 /// What is known of the start of a run.
@@ -101,7 +100,7 @@
   /// Jobs with a failed run here since the last successful one.
   std::set<std::string> m_failed_jobs;
   /// Runs whose lease here expired while the worker was unreachable. Whether
-  /// it had crashed shows when it is heard of again.
+  /// it had crashed shows when its address answers again.
   std::vector<LapsedRun> m_lapsed_runs;
   TimePoint m_lost_at;  ///< When the worker last became unreachable.
   /// How the heartbeat ended by which that showed.
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -216,11 +216,6 @@
     CellLog()->info("worker-unlisted id={} tasks={}", id,
                     worker.m_tasks.size());
   }
-  if (!worker.m_reachable && !worker.m_lapsed_runs.empty()) {
-    GiveUpTasks(CountCrash(it->second, {}, worker.m_clock_received_at,
-                           CrashSign::kUnlisted, now),
-                now);
-  }
 }
 
 void Cell::SetViewTimes(TimePoint operators_current_at,
--- a/src/libhyssopspar/jobs/cell_crashes.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes.cpp
@@ -1,6 +1,7 @@
 // Workers that crash or are lost, and the tasks that are blamed for it.
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "hyssopspar/jobs/cell.h"
@@ -29,6 +30,17 @@
   return start;
 }
 
+/// Tasks of the worker whose start was ordered.
+std::vector<TaskRef> StartedTasksOf(const Worker& worker) {
+  std::vector<TaskRef> started;
+  std::copy_if(worker.m_tasks.begin(), worker.m_tasks.end(),
+               std::back_inserter(started), [](const TaskRef& ref) {
+                 return ref.m_job->m_tasks[ref.m_index].m_state !=
+                        TaskState::kRecording;
+               });
+  return started;
+}
+
 }  // namespace
 
 void Cell::EndRunsLostInRestart(int worker_index,
@@ -159,31 +171,30 @@
   }
 }
 
-void Cell::EndAllRuns(int worker_index,
-                      EndCause cause,
-                      CrashSign sign,
-                      TimePoint now) {
+void Cell::EndRunsOfReplacedWorker(int worker_index, TimePoint now) {
+  const Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
+  const std::vector<TaskRef> given_up =
+      CountCrash(worker_index, StartedTasksOf(worker),
+                 worker.m_clock_received_at, CrashSign::kOtherWorker, now);
+  EndAllRuns(worker_index, EndCause::kWorkerCrashed, now);
+  GiveUpTasks(given_up, now);
+}
+
+void Cell::EndRunsOfSilentWorker(int worker_index, TimePoint now) {
   Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
-  CellLog()->warn("worker-ended id={} reason={} tasks={}", worker.m_entry.m_id,
-                  CauseName(cause), worker.m_tasks.size());
-  const std::set<TaskRef> tasks = worker.m_tasks;
-  std::vector<TaskRef> started;
-  for (const TaskRef& ref : tasks) {
-    if (ref.m_job->m_tasks[ref.m_index].m_state != TaskState::kRecording) {
-      started.push_back(ref);
-    }
-  }
-  std::vector<TaskRef> given_up;
-  if (cause == EndCause::kWorkerCrashed) {
-    given_up = CountCrash(worker_index, started, worker.m_clock_received_at,
-                          sign, now);
-  } else {
-    for (const TaskRef& ref : started) {
-      worker.m_lapsed_runs.push_back(
-          {NameOfTask(*ref.m_job, ref.m_index),
-           StartOf(ref.m_job->m_tasks[ref.m_index])});
-    }
+  for (const TaskRef& ref : StartedTasksOf(worker)) {
+    worker.m_lapsed_runs.push_back({NameOfTask(*ref.m_job, ref.m_index),
+                                    StartOf(ref.m_job->m_tasks[ref.m_index])});
   }
+  EndAllRuns(worker_index, EndCause::kLeaseExpired, now);
+}
+
+void Cell::EndAllRuns(int worker_index, EndCause cause, TimePoint now) {
+  const Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
+  CellLog()->warn("worker-ended id={} reason={} listed={} tasks={}",
+                  worker.m_entry.m_id, CauseName(cause), worker.m_listed,
+                  worker.m_tasks.size());
+  const std::set<TaskRef> tasks = worker.m_tasks;
   for (const TaskRef& ref : tasks) {
     if (ref.m_job->m_tasks[ref.m_index].m_state == TaskState::kRecording) {
       ReturnToPending(ref, "worker-ended", now);
@@ -191,7 +202,6 @@
       EndRun(ref, cause, "", now);
     }
   }
-  GiveUpTasks(given_up, now);
 }
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_crashes_test.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes_test.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
+#include <string>
+#include <utility>
 
 #include "hyssopspar/jobs/records.h"
 #include "jobs/cell_fixture.h"
@@ -41,6 +44,30 @@
     }
   }
 
+  /// The worker's process ends, and its connections with it.
+  void EndProcess(const std::string& worker) {
+    m_running[worker].clear();
+    m_heartbeat_errors[worker] = ErrorCode::kConnectionLost;
+    Run(milliseconds(50));
+  }
+
+  /// The worker answers again, as a new incarnation.
+  void BeginProcess(const std::string& worker) {
+    ++m_incarnations[worker];
+    m_heartbeat_errors.erase(worker);
+  }
+
+  void SetLeaving(const std::string& worker) {
+    for (const Worker& listed : m_cell.Workers()) {
+      if (listed.m_entry.m_id == worker) {
+        WorkerEntry entry = listed.m_entry;
+        entry.m_leaving = true;
+        m_cell.SetWorker(entry, m_now);
+        return;
+      }
+    }
+  }
+
   /// Waits for the isolation of a suspect's worker to end.
   void RunUntilStarted(std::size_t starts) {
     for (int i = 0; i < 20 && m_starts.size() < starts; ++i) {
@@ -181,5 +208,33 @@
   EXPECT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 0U);
 }
 
+// Workers that were cut off for longer than their lease counted as crashed
+// because their entries had expired: a job that lasts was shown as failed
+// though no worker had crashed.
+TEST_F(CellCrashTest, KeepsTaskWhoseWorkersAreCutOffAndUnlisted) {
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  std::map<std::string, TimePoint> cut_until;
+  std::size_t cuts = 0;
+  for (int i = 0; i < 3200; ++i) {
+    Run(milliseconds(25));
+    if (StartsOf("a") > cuts) {
+      ++cuts;
+      const std::string& worker = m_start_workers.back();
+      m_heartbeat_errors[worker] = ErrorCode::kTimeout;
+      cut_until[worker] = m_now + std::chrono::seconds(8);
+      m_cell.RemoveWorker(worker, m_now);
+    }
+    for (const std::pair<const std::string, TimePoint>& cut : cut_until) {
+      if (m_now >= cut.second && m_heartbeat_errors.count(cut.first) > 0) {
+        m_running[cut.first].clear();
+        m_heartbeat_errors.erase(cut.first);
+        AddWorker(cut.first);
+      }
+    }
+  }
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+  EXPECT_GT(StartsOf("a"), 5U);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_fixture.h
+++ b/src/libhyssopspar/jobs/cell_fixture.h
@@ -105,6 +105,8 @@
       m_running[action.m_target.m_id].push_back(
           {action.m_order.m_task, action.m_order.m_run, "", 0, m_usage});
       m_cell.OnStartAnswer(action, StartAnswer::kStarted, m_now);
+    } else {
+      m_unanswered_starts.push_back(action);
     }
   }
   void Answer(const StopAction& action) {
@@ -115,6 +117,15 @@
     m_throttles.push_back(action.m_order);
   }
   void Answer(const HeartbeatAction& action) {
+    if (!m_heartbeats_are_answered) {
+      m_unanswered_heartbeats.push_back(action);
+      return;
+    }
+    const auto error = m_heartbeat_errors.find(action.m_target.m_id);
+    if (error != m_heartbeat_errors.end()) {
+      m_cell.OnHeartbeatAnswer(action, Fail(error->second, ""), m_now);
+      return;
+    }
     HeartbeatReport report;
     report.m_now = WorkerTime(milliseconds(ToMillis(m_now.time_since_epoch())));
     report.m_incarnation_unix_ms = 1 + m_incarnations[action.m_target.m_id];
@@ -190,6 +201,9 @@
   TimePoint m_now;
   Cell m_cell;
   bool m_starts_are_answered = true;
+  std::vector<StartAction> m_unanswered_starts;
+  bool m_heartbeats_are_answered = true;
+  std::vector<HeartbeatAction> m_unanswered_heartbeats;
   bool m_list_is_read = true;  ///< The list of workers, in Run().
   bool m_store_is_slow = false;
   std::uint64_t m_unanswered_batch = 0;
@@ -201,6 +215,8 @@
   std::map<std::string, std::vector<RunningRun>> m_running;  ///< By worker.
   std::map<std::string, std::vector<EndedRun>> m_ended;      ///< By worker.
   std::map<std::string, std::int64_t> m_incarnations;        ///< Restarts.
+  /// Errors of the heartbeats to workers that don't answer.
+  std::map<std::string, ErrorCode> m_heartbeat_errors;
   std::vector<StartOrder> m_starts;
   std::vector<std::string> m_start_workers;  ///< Of m_starts.
   std::vector<TimePoint> m_send_before;      ///< Of m_starts.
--- a/src/libhyssopspar/jobs/cell_log.cpp
+++ b/src/libhyssopspar/jobs/cell_log.cpp
@@ -69,8 +69,6 @@
       return "restarted";
     case CrashSign::kOtherWorker:
       return "other-worker";
-    case CrashSign::kUnlisted:
-      return "unlisted";
   }
   return "unknown";
 }
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -31,6 +31,10 @@
 /// long.
 constexpr milliseconds kStopRetryDelay{500};
 
+/// Time for which a worker that is not listed any more is asked whether it has
+/// crashed.
+constexpr std::chrono::seconds kLapsedRunRetention{30};
+
 }  // namespace
 
 WorkerTime WorkerTimeAt(const Worker& worker, TimePoint at) {
@@ -64,7 +68,8 @@
 }
 
 bool NeedsHeartbeat(const Worker& worker) {
-  return (worker.m_listed || !worker.m_tasks.empty()) &&
+  return (worker.m_listed || !worker.m_tasks.empty() ||
+          !worker.m_lapsed_runs.empty()) &&
          !worker.m_heartbeat_in_flight && !worker.m_entry.m_address.empty();
 }
 
@@ -158,8 +163,10 @@
   }
   worker.m_reachable = false;
   if (answer.error().m_code == ErrorCode::kNotFound) {
-    EndAllRuns(action.m_worker, EndCause::kWorkerCrashed,
-               CrashSign::kOtherWorker, now);
+    EndRunsOfReplacedWorker(action.m_worker, now);
+  }
+  if (!worker.m_listed && now - worker.m_lost_at > kLapsedRunRetention) {
+    worker.m_lapsed_runs.clear();
   }
   const milliseconds pause =
       std::min(kMaxHeartbeatRetryDelay,
@@ -372,12 +379,7 @@
       break;
     }
     ++m_work.m_worker_visits;
-    const Worker& worker = m_workers[static_cast<std::size_t>(expiry.second)];
-    // The platform has removed the entry of a worker that is gone for good.
-    EndAllRuns(
-        expiry.second,
-        worker.m_listed ? EndCause::kLeaseExpired : EndCause::kWorkerCrashed,
-        CrashSign::kUnlisted, now);
+    EndRunsOfSilentWorker(expiry.second, now);
   }
 }
 
