Take a run to be as old as it may be at a crash

Cause: the age of a run at the loss of its worker was counted from the moment the owner read the confirmation. An owner that was paused, or whose process is busy, reads the confirmation and the loss of the worker together, and takes a run of five seconds for one that crashed its worker at its start.

Evidence: CellCrashTest.KeepsTaskWhoseCrashesAPausedOwnerSeesLate. Before: the job was given up after four such crashes, each five seconds after the start was sent.

Change: a run's start lies between the time its order was sent and the time its confirmation was read. The age at a crash counts from the first, a proof that it survived from the second; a start that was never confirmed proves nothing. A crash under a run that may have lasted for three seconds, the time after which a run clears its task, adds no evidence.

--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -44,12 +44,11 @@
   kOtherWorker,  ///< Another worker answered at its address.
 };
 
-/// What is known of the start of a run.
+/// What is known of the start of a run: it lies between the two times. An owner
+/// that was paused reads a confirmation late.
 struct RunStart {
-  /// When it was confirmed or, before that, sent; nullopt: an earlier owner may
-  /// have sent it.
-  std::optional<TimePoint> m_at;
-  bool m_is_inherited = false;  ///< Confirmed to this owner; started before.
+  std::optional<TimePoint> m_sent_at;       ///< nullopt: by an earlier owner.
+  std::optional<TimePoint> m_confirmed_at;  ///< nullopt: not confirmed.
 };
 
 /// A run that ended with its lease.
--- a/src/libhyssopspar/jobs/cell_crashes.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes.cpp
@@ -21,11 +21,11 @@
 /// Start of the current run of a placed task.
 RunStart StartOf(const Task& task) {
   RunStart start;
-  start.m_is_inherited = task.m_start_sent_at == TimePoint();
+  if (task.m_start_sent_at != TimePoint()) {
+    start.m_sent_at = task.m_start_sent_at;
+  }
   if (task.m_is_confirmed) {
-    start.m_at = task.m_confirmed_at;
-  } else if (!start.m_is_inherited) {
-    start.m_at = task.m_start_sent_at;
+    start.m_confirmed_at = task.m_confirmed_at;
   }
   return start;
 }
@@ -124,8 +124,8 @@
   for (const TaskRef& ref : worker->m_tasks) {
     const Task& task = ref.m_job->m_tasks[ref.m_index];
     const RunStart start = StartOf(task);
-    const bool is_recent = start.m_at && !start.m_is_inherited &&
-                           now - *start.m_at <= kSimultaneousLosses;
+    const bool is_recent =
+        start.m_sent_at && now - *start.m_sent_at <= kSimultaneousLosses;
     if (is_recent && task.m_crashes > 0) {
       worker->m_loss = LossCircumstance::kRecentSuspectStart;
       return;
--- a/src/libhyssopspar/jobs/cell_crashes_test.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes_test.cpp
@@ -236,5 +236,25 @@
   EXPECT_GT(StartsOf("a"), 5U);
 }
 
+// An owner that was paused after a start saw the confirmation and the loss of
+// the worker at once, and believed that the worker had crashed at the start.
+TEST_F(CellCrashTest, KeepsTaskWhoseCrashesAPausedOwnerSeesLate) {
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  for (std::size_t crash = 1; crash <= 7; ++crash) {
+    m_starts_are_answered = false;
+    RunUntilStarted(crash);
+    ASSERT_EQ(m_starts.size(), crash);
+    const std::string worker = m_start_workers.back();
+    m_now += std::chrono::seconds(5);
+    SetViewsCurrent();
+    m_cell.OnStartAnswer(m_unanswered_starts.back(), StartAnswer::kStarted,
+                         m_now);
+    EndProcess(worker);
+    BeginProcess(worker);
+    Run(milliseconds(250));
+  }
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/crash_blame.cpp
+++ b/src/libhyssopspar/jobs/crash_blame.cpp
@@ -62,6 +62,7 @@
 struct Candidate {
   TaskRef m_task;
   Seconds m_age{0};  ///< At the crash, at most.
+  bool m_is_inherited = false;
   /// Probability, before the crash, that the run causes one at this age.
   double m_guilt = 0;
 };
@@ -75,17 +76,22 @@
 
 /// Share of the crashes of a task that happen as early in its run as this one.
 double CrashShareAt(const RunStart& start, const WorkerCrash& crash) {
-  if (!start.m_at || start.m_is_inherited) {
+  if (!start.m_sent_at) {
     return kInheritedCrashShare;
   }
-  return crash.m_alive_at - *start.m_at < kUnprovenRunAge ? 1 : kLateCrashShare;
+  const bool is_proven =
+      start.m_confirmed_at &&
+      crash.m_alive_at - *start.m_confirmed_at >= kUnprovenRunAge;
+  return is_proven ? kLateCrashShare : 1;
 }
 
+/// Age of the run at the crash, at most.
 Seconds AgeAtCrash(const CrashedRun& run, const WorkerCrash& crash) {
-  if (!run.m_start.m_at || run.m_start.m_is_inherited) {
+  if (!run.m_start.m_sent_at) {
     return kInheritedRunAge;
   }
-  return std::max<Seconds>(kMinRunAge, crash.m_lost_at - *run.m_start.m_at);
+  return std::max<Seconds>(kMinRunAge,
+                           crash.m_lost_at - *run.m_start.m_sent_at);
 }
 
 std::vector<Candidate> FindCandidates(const WorkerCrash& crash,
@@ -93,11 +99,12 @@
   std::vector<Candidate> candidates;
   for (const CrashedRun& run : runs) {
     Task& task = TaskOf(run.m_task);
-    const std::optional<TimePoint> started_at = run.m_start.m_at;
-    if (started_at && crash.m_alive_at - *started_at >= kAcquittedRunAge) {
+    const std::optional<TimePoint> confirmed_at = run.m_start.m_confirmed_at;
+    if (confirmed_at && crash.m_alive_at - *confirmed_at >= kAcquittedRunAge) {
       Acquit(&task);
     } else {
       candidates.push_back({run.m_task, AgeAtCrash(run, crash),
+                            !run.m_start.m_sent_at.has_value(),
                             GuiltOf(task) * CrashShareAt(run.m_start, crash)});
     }
   }
@@ -192,9 +199,14 @@
     Task& task = TaskOf(candidate.m_task);
     explained = explained ||
                 task.m_crash_evidence >= kDecadesToExplain * kDecadeFractions;
+    // A run that may have lasted this long would have shown the opposite.
+    const bool is_young =
+        candidate.m_is_inherited || candidate.m_age < kAcquittedRunAge;
     const double decades =
-        std::min(kMaxDecadesOfCrash, -std::log10(ProbabilityIfInnocent(
-                                         crash, candidate, total_guilt, rate)));
+        is_young ? std::min(kMaxDecadesOfCrash,
+                            -std::log10(ProbabilityIfInnocent(
+                                crash, candidate, total_guilt, rate)))
+                 : 0;
     ++task.m_crashes;
     task.m_crash_evidence += static_cast<std::uint32_t>(
         std::lround(kDecadeFractions * std::max(0.0, decades)));
