A worker that had announced its departure did not crash

Cause: whether a loss is planned was read from the worker's entry when its new incarnation answered. By then the entry is often that of the new incarnation, which isn't leaving; each worker of a rolling update counted as crashed.

Evidence: CellCrashTest.KeepsTaskWhoseWorkersAreUpdated.

Change: the circumstances of a loss, among them whether it was announced, are kept from the moment the worker became unreachable.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -268,6 +268,8 @@
                                   TimePoint alive_at,
                                   CrashSign sign,
                                   TimePoint now);
+  /// What the worker did, if it becomes unreachable now.
+  LossCircumstance CircumstanceOf(const Worker& worker, TimePoint now) const;
   /// Records that the worker no longer answers: the heartbeat ended with
   /// \p error.
   void MarkLost(Worker* worker, ErrorCode error, TimePoint now);
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -38,6 +38,14 @@
   kRecentSuspectStart,  ///< One of a task under which a worker had crashed.
 };
 
+/// How a worker became unreachable.
+struct WorkerLoss {
+  TimePoint m_at;
+  ErrorCode m_error = ErrorCode::kTimeout;  ///< Of the heartbeat.
+  LossCircumstance m_circumstance = LossCircumstance::kNoRecentStart;
+  bool m_is_planned = false;  ///< The worker had announced that it leaves.
+};
+
 /// From what it is concluded that a worker has crashed.
 enum class CrashSign {
   kRestarted,    ///< It answered as another incarnation.
@@ -101,10 +109,7 @@
   /// Runs whose lease here expired while the worker was unreachable. Whether
   /// it had crashed shows when its address answers again.
   std::vector<LapsedRun> m_lapsed_runs;
-  TimePoint m_lost_at;  ///< When the worker last became unreachable.
-  /// How the heartbeat ended by which that showed.
-  ErrorCode m_lost_by = ErrorCode::kTimeout;
-  LossCircumstance m_loss = LossCircumstance::kNoRecentStart;
+  WorkerLoss m_loss;  ///< The last one.
   TimePoint m_quarantined_until;
   /// No placement here before this, because the worker refused a start or the
   /// order could not be sent.
--- a/src/libhyssopspar/jobs/cell_crashes.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes.cpp
@@ -97,14 +97,18 @@
       runs.push_back({ref, lapsed.m_start});
     }
   }
-  if (runs.empty() || worker.m_entry.m_leaving) {
+  const bool was_seen_lost = worker.m_loss.m_at > alive_at;
+  // The entry may already be that of the new incarnation.
+  const bool is_planned =
+      worker.m_entry.m_leaving || (was_seen_lost && worker.m_loss.m_is_planned);
+  if (runs.empty() || is_planned) {
     return {};
   }
   CellLog()->warn(
       "worker-crashed id={} tasks={} sign={} lost_by={} lost_ms={} "
       "alive_ms={} list_age_ms={}",
       worker.m_entry.m_id, runs.size(), SignName(sign),
-      ToString(worker.m_lost_by), ToMillis(now - worker.m_lost_at),
+      ToString(worker.m_loss.m_error), ToMillis(now - worker.m_loss.m_at),
       ToMillis(now - alive_at), ToMillis(now - m_workers_current_at));
   for (const CrashedRun& run : runs) {
     MarkDirty(run.m_task.m_job);
@@ -112,29 +116,37 @@
   WorkerCrash crash;
   crash.m_worker = worker.m_entry.m_id;
   crash.m_alive_at = alive_at;
-  crash.m_lost_at = worker.m_lost_at > alive_at ? worker.m_lost_at : now;
+  crash.m_lost_at = was_seen_lost ? worker.m_loss.m_at : now;
   CountLosses(worker, &crash);
   return BlameForCrash(crash, runs, &m_unexplained_crashes, now);
 }
 
-void Cell::MarkLost(Worker* worker, ErrorCode error, TimePoint now) {
-  worker->m_lost_at = now;
-  worker->m_lost_by = error;
-  worker->m_loss = LossCircumstance::kNoRecentStart;
-  for (const TaskRef& ref : worker->m_tasks) {
+LossCircumstance Cell::CircumstanceOf(const Worker& worker,
+                                      TimePoint now) const {
+  LossCircumstance circumstance = LossCircumstance::kNoRecentStart;
+  for (const TaskRef& ref : worker.m_tasks) {
     const Task& task = ref.m_job->m_tasks[ref.m_index];
     const RunStart start = StartOf(task);
     const bool is_recent =
         start.m_sent_at && now - *start.m_sent_at <= kSimultaneousLosses;
     if (is_recent && task.m_crashes > 0) {
-      worker->m_loss = LossCircumstance::kRecentSuspectStart;
-      return;
+      return LossCircumstance::kRecentSuspectStart;
     }
     if (is_recent) {
-      worker->m_loss = LossCircumstance::kRecentStart;
+      circumstance = LossCircumstance::kRecentStart;
     }
   }
-  m_last_unexplained_loss = now;
+  return circumstance;
+}
+
+void Cell::MarkLost(Worker* worker, ErrorCode error, TimePoint now) {
+  worker->m_loss.m_at = now;
+  worker->m_loss.m_error = error;
+  worker->m_loss.m_circumstance = CircumstanceOf(*worker, now);
+  worker->m_loss.m_is_planned = worker->m_entry.m_leaving;
+  if (worker->m_loss.m_circumstance != LossCircumstance::kRecentSuspectStart) {
+    m_last_unexplained_loss = now;
+  }
 }
 
 bool Cell::AwaitsCalm(const Task& task, TimePoint now) const {
@@ -146,15 +158,17 @@
   crash->m_workers = m_workers.size();
   crash->m_simultaneous_losses = 1;
   for (const Worker& worker : m_workers) {
-    if (worker.m_lost_at < crash->m_lost_at - kSimultaneousLosses ||
-        worker.m_lost_at > crash->m_lost_at + kSimultaneousLosses) {
+    const WorkerLoss& loss = worker.m_loss;
+    if (loss.m_at < crash->m_lost_at - kSimultaneousLosses ||
+        loss.m_at > crash->m_lost_at + kSimultaneousLosses) {
       continue;
     }
-    const bool counts = &worker != &crashed &&
-                        worker.m_loss != LossCircumstance::kRecentSuspectStart;
+    const bool counts =
+        &worker != &crashed &&
+        loss.m_circumstance != LossCircumstance::kRecentSuspectStart;
     crash->m_simultaneous_losses += counts ? 1 : 0;
     crash->m_unprovoked_losses +=
-        worker.m_loss == LossCircumstance::kNoRecentStart ? 1 : 0;
+        loss.m_circumstance == LossCircumstance::kNoRecentStart ? 1 : 0;
   }
 }
 
--- a/src/libhyssopspar/jobs/cell_crashes_test.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes_test.cpp
@@ -256,5 +256,25 @@
   EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
 }
 
+// A worker that was restarted for an update counted as crashed if its new entry
+// was read before its new incarnation had answered.
+TEST_F(CellCrashTest, KeepsTaskWhoseWorkersAreUpdated) {
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  for (std::size_t update = 1; update <= 7; ++update) {
+    RunUntilStarted(update);
+    ASSERT_EQ(m_starts.size(), update);
+    const std::string worker = m_start_workers.back();
+    SetLeaving(worker);
+    Run(milliseconds(2000));
+    EndProcess(worker);
+    ++m_incarnations[worker];
+    AddWorker(worker);
+    m_heartbeat_errors.erase(worker);
+    Run(milliseconds(100));
+  }
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+  EXPECT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 0U);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -165,7 +165,7 @@
   if (answer.error().m_code == ErrorCode::kNotFound) {
     EndRunsOfReplacedWorker(action.m_worker, now);
   }
-  if (!worker.m_listed && now - worker.m_lost_at > kLapsedRunRetention) {
+  if (!worker.m_listed && now - worker.m_loss.m_at > kLapsedRunRetention) {
     worker.m_lapsed_runs.clear();
   }
   const milliseconds pause =
