Never give a task up for crashes once a run of it has lasted

Cause: the evidence against a task began anew after each run that lasted, so that a task that had run for hours was given up after four or five unlucky starts in a row, as in a series of crashes. A task at fault crashes each worker that starts it; one that has run for three seconds is not such a task.

Evidence: CellCrashTest.KeepsTaskThatOnceRan and SuccessorKnowsThatATaskOnceRan.

Change: a run that lasts for three seconds clears its task for good. The column of crash counts stores it with a mark, for tasks that last at once, for others with their next change; the form of the record stays the same.

--- a/src/include/hyssopspar/jobs/crash_blame.h
+++ b/src/include/hyssopspar/jobs/crash_blame.h
@@ -68,8 +68,8 @@
 };
 
 /// Counts the crash against the tasks that may have caused it, and sets which
-/// of them are suspects. Tasks whose runs have lasted are acquitted, also of
-/// earlier crashes.
+/// of them are suspects. Tasks of which a run has lasted are acquitted, also of
+/// earlier and later crashes.
 ///
 /// The evidence against a task is a number of decades: how unlikely it would be
 /// for an innocent task that its workers crashed as they did since a run of it
@@ -88,7 +88,7 @@
 /// Evidence against the task, in decades.
 double DecadesOfEvidence(const Task& task);
 
-/// Drops the evidence against a task of which a run has survived.
+/// Drops the evidence against a task of which a run has survived, for good.
 void Acquit(Task* task);
 
 }  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/jobs/job_progress.h
+++ b/src/include/hyssopspar/jobs/job_progress.h
@@ -28,6 +28,10 @@
   kFailed,  ///< All attempts used.
 };
 
+/// Stands in place of a number of crashes for a task of which a run has
+/// survived: crashes do not count against it.
+inline constexpr std::uint32_t kSurvivedMark = 255;
+
 /// One record per job; each update replaces the complete record. Every vector
 /// except m_workers has one entry per task, ordered by occurrence, step
 /// and index, or is empty. The vectors of completed and failed jobs are empty.
@@ -41,8 +45,8 @@
   std::vector<std::uint32_t> m_worker_slots;
   std::vector<std::string> m_task_checkpoints;  ///< Empty if no task has one.
   std::vector<std::string> m_workers;  ///< Worker ids, each listed once.
-  /// Crashes of workers under each task, and the evidence that it causes them;
-  /// both empty if there were none.
+  /// Crashes of workers under each task or kSurvivedMark, and the evidence that
+  /// it causes them; both empty if there are none.
   std::vector<std::uint32_t> m_crash_counts;
   std::vector<std::uint32_t> m_crash_evidence;
   /// Incarnations of the workers of placed tasks, 0 for others; empty if no
--- a/src/include/hyssopspar/jobs/task.h
+++ b/src/include/hyssopspar/jobs/task.h
@@ -36,6 +36,9 @@
   /// evidence that it causes them, in tenths of a decade; see BlameForCrash().
   std::uint32_t m_crashes = 0;
   std::uint32_t m_crash_evidence = 0;
+  /// A run of the task once lasted for kAcquittedRunAge: it does not crash each
+  /// worker that starts it, and is never given up for crashes.
+  bool m_has_survived = false;
   /// The task had just been started when its worker crashed: until then it is
   /// placed only on a worker without other unproven tasks.
   TimePoint m_isolate_until;
--- a/src/libhyssopspar/jobs/cell_crashes_test.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes_test.cpp
@@ -276,5 +276,38 @@
   EXPECT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 0U);
 }
 
+// A task that had run for long was given up after its workers had crashed some
+// times in a row: a task at fault crashes each worker that starts it.
+TEST_F(CellCrashTest, KeepsTaskThatOnceRan) {
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  RunUntilStarted(1);
+  Run(milliseconds(4000));
+  CrashWorkerOfLastStart();
+  for (std::size_t crash = 2; crash <= 9; ++crash) {
+    for (int i = 0; i < 800 && m_starts.size() < crash; ++i) {
+      Run(milliseconds(25));
+    }
+    ASSERT_EQ(m_starts.size(), crash);
+    CrashWorkerOfLastStart();
+  }
+  Run(milliseconds(100));
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+}
+
+// A change of owner made a task that had run for long a suspect again.
+TEST_F(CellCrashTest, SuccessorKnowsThatATaskOnceRan) {
+  const Submission job = MakeJob("a", LongRunning(Step(1, 1000)));
+  m_cell.OnJob(job, m_now);
+  RunUntilStarted(1);
+  Run(milliseconds(4000));
+  const Result<JobProgress> progress = DecodeProgress(StoredProgressOf("a"));
+  ASSERT_TRUE(progress);
+  Cell successor(Settings(m_now), m_now);
+  successor.OnJob(job, m_now);
+  ASSERT_TRUE(successor.RestoreJobProgress("a", progress.value()));
+  EXPECT_TRUE(successor.FindJob("a")->m_tasks[0].m_has_survived);
+  EXPECT_EQ(successor.FindJob("a")->m_tasks[0].m_crashes, 0U);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -263,10 +263,13 @@
     }
     (*listed)[ref] = run.m_run;
     task.m_worker_incarnation = worker.m_incarnation_unix_ms;
-    if (task.m_crashes > 0 && task.m_is_confirmed &&
+    if (!task.m_has_survived && task.m_is_confirmed &&
         now - task.m_confirmed_at >= kAcquittedRunAge) {
+      const bool was_suspect = task.m_crashes > 0;
       Acquit(&task);
-      MarkDirty(job);
+      if (was_suspect || StepOf(*job, ref.m_index).m_long_running) {
+        MarkDirty(job);
+      }
     }
     task.m_checkpoint = run.m_checkpoint;
     if (task.m_state == TaskState::kStarting) {
--- a/src/libhyssopspar/jobs/crash_blame.cpp
+++ b/src/libhyssopspar/jobs/crash_blame.cpp
@@ -102,7 +102,7 @@
     const std::optional<TimePoint> confirmed_at = run.m_start.m_confirmed_at;
     if (confirmed_at && crash.m_alive_at - *confirmed_at >= kAcquittedRunAge) {
       Acquit(&task);
-    } else {
+    } else if (!task.m_has_survived) {
       candidates.push_back({run.m_task, AgeAtCrash(run, crash),
                             !run.m_start.m_sent_at.has_value(),
                             GuiltOf(task) * CrashShareAt(run.m_start, crash)});
@@ -181,6 +181,7 @@
 void Acquit(Task* task) {
   task->m_crashes = 0;
   task->m_crash_evidence = 0;
+  task->m_has_survived = true;
   task->m_isolate_until = TimePoint();
 }
 
--- a/src/libhyssopspar/jobs/job.cpp
+++ b/src/libhyssopspar/jobs/job.cpp
@@ -32,6 +32,12 @@
   return task.m_state != TaskState::kDone && !task.m_checkpoint.empty();
 }
 
+/// The task's entry in JobProgress::m_crash_counts.
+std::uint32_t CrashCountOf(const Task& task) {
+  return task.m_has_survived ? kSurvivedMark
+                             : std::min(task.m_crashes, kSurvivedMark - 1);
+}
+
 /// True for a column of a progress record that is omitted or has an entry for
 /// each of \p tasks tasks.
 template <class T>
@@ -160,11 +166,11 @@
     }
     progress.m_worker_slots.push_back(slot);
     has_checkpoints = has_checkpoints || NeedsCheckpoint(task);
-    has_crashes = has_crashes || task.m_crashes > 0;
+    has_crashes = has_crashes || CrashCountOf(task) > 0;
   }
   for (const Task& task : job.m_tasks) {
     if (has_crashes) {
-      progress.m_crash_counts.push_back(task.m_crashes);
+      progress.m_crash_counts.push_back(CrashCountOf(task));
       progress.m_crash_evidence.push_back(task.m_crash_evidence);
     }
     if (!slots.empty()) {
@@ -215,7 +221,8 @@
       task.m_checkpoint = progress.m_task_checkpoints[i];
     }
     if (!progress.m_crash_counts.empty()) {
-      task.m_crashes = progress.m_crash_counts[i];
+      task.m_has_survived = progress.m_crash_counts[i] == kSurvivedMark;
+      task.m_crashes = task.m_has_survived ? 0 : progress.m_crash_counts[i];
       task.m_crash_evidence = progress.m_crash_evidence[i];
     }
     const std::uint32_t slot = progress.m_worker_slots[i];
--- a/src/libhyssopspar/jobs/records_test.cpp
+++ b/src/libhyssopspar/jobs/records_test.cpp
@@ -15,7 +15,7 @@
     progress.m_run_numbers.push_back(1000 + i % 7);
     progress.m_failure_counts.push_back(i % 3);
     progress.m_worker_slots.push_back(1 + i % 3000);
-    progress.m_crash_counts.push_back(i % 2);
+    progress.m_crash_counts.push_back(i % 2 == 0 ? kSurvivedMark : 1);
     progress.m_crash_evidence.push_back(1 + i % 2);
     progress.m_worker_incarnations.push_back(1700000000000 + i);
   }
