A report shows what ran when it was asked for, not when it was read

Cause: a run counted as having survived when its report was read three seconds after its confirmation. A paused owner reads a report long after the worker wrote it, and drops the evidence against a task that crashed the worker meanwhile.

Evidence: CellCrashTest.LateReportShowsNoSurvival failed before.

Change: the worker was alive when the last request that it answered was sent; the age of a run that an earlier owner started counts from its first report.

--- a/src/include/hyssopspar/jobs/crash_blame.h
+++ b/src/include/hyssopspar/jobs/crash_blame.h
@@ -28,6 +28,14 @@
 inline constexpr std::uint32_t kCrashesBeforeTrial = 3;
 inline constexpr milliseconds kMaxTrialDelay{15000};
 
+/// Least age of a run of an earlier owner when this owner first hears of it.
+/// Its first report counts in full: without its tail latencies, the throttles
+/// beside it would be relaxed at each takeover.
+inline constexpr milliseconds kMinInheritedRunAge{1500};
+
+/// Start of the current run of a placed task.
+RunStart StartOf(const Task& task);
+
 /// True while a run of the task is placed that has not shown yet that its
 /// worker survives its start.
 bool IsUnproven(const Task& task, TimePoint now);
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -92,6 +92,7 @@
   /// m_clock_received_at.
   WorkerTime m_reported_clock;
   TimePoint m_clock_received_at;
+  TimePoint m_alive_at;  ///< When the request of the last report was sent.
   /// All leases granted by this owner and earlier ones have expired by then.
   TimePoint m_lease_deadline;
 
--- a/src/libhyssopspar/jobs/cell_crashes.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes.cpp
@@ -18,18 +18,6 @@
 /// its task crashes workers.
 constexpr milliseconds kCalmPeriod{1500};
 
-/// Start of the current run of a placed task.
-RunStart StartOf(const Task& task) {
-  RunStart start;
-  if (task.m_start_sent_at != TimePoint()) {
-    start.m_sent_at = task.m_start_sent_at;
-  }
-  if (task.m_is_confirmed) {
-    start.m_confirmed_at = task.m_confirmed_at;
-  }
-  return start;
-}
-
 /// Tasks of the worker whose start was ordered.
 std::vector<TaskRef> StartedTasksOf(const Worker& worker) {
   std::vector<TaskRef> started;
@@ -188,8 +176,8 @@
 void Cell::EndRunsOfReplacedWorker(int worker_index, TimePoint now) {
   const Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
   const std::vector<TaskRef> given_up =
-      CountCrash(worker_index, StartedTasksOf(worker),
-                 worker.m_clock_received_at, CrashSign::kOtherWorker, now);
+      CountCrash(worker_index, StartedTasksOf(worker), worker.m_alive_at,
+                 CrashSign::kOtherWorker, now);
   EndAllRuns(worker_index, EndCause::kWorkerCrashed, now);
   GiveUpTasks(given_up, now);
 }
--- a/src/libhyssopspar/jobs/cell_crashes_test.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes_test.cpp
@@ -309,5 +309,29 @@
   EXPECT_EQ(successor.FindJob("a")->m_tasks[0].m_crashes, 0U);
 }
 
+// The evidence against a task that crashes its workers was dropped when a
+// paused owner read a report late: the run seemed to have lasted.
+TEST_F(CellCrashTest, LateReportShowsNoSurvival) {
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  RunUntilStarted(1);
+  CrashWorkerOfLastStart();
+  RunUntilStarted(2);
+  Run(milliseconds(25));
+  ASSERT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 1U);
+  m_heartbeats_are_answered = false;
+  Run(milliseconds(25));
+  const std::string& worker = m_start_workers.back();
+  const auto heartbeat = std::find_if(m_unanswered_heartbeats.begin(),
+                                      m_unanswered_heartbeats.end(),
+                                      [&worker](const HeartbeatAction& action) {
+                                        return action.m_target.m_id == worker;
+                                      });
+  ASSERT_NE(heartbeat, m_unanswered_heartbeats.end());
+  m_now += std::chrono::seconds(4);
+  m_heartbeats_are_answered = true;
+  Answer(*heartbeat);
+  EXPECT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 1U);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -1,6 +1,7 @@
 // Heartbeats to workers: they extend leases and report running and ended runs.
 
 #include <algorithm>
+#include <optional>
 
 #include "hyssopspar/jobs/cell.h"
 #include "hyssopspar/jobs/crash_blame.h"
@@ -23,10 +24,6 @@
 /// Most ended runs that a worker lists in one report. A report with this many
 /// may be incomplete.
 constexpr std::size_t kMaxListedEnds = 500;
-/// Assumed age of a run that an earlier owner started. Its first report counts
-/// in full: without its tail latencies, the throttles beside it would be
-/// relaxed at each takeover.
-constexpr milliseconds kMinInheritedRunAge{1500};
 /// An unanswered stop of a run that is still reported is sent again after this
 /// long.
 constexpr milliseconds kStopRetryDelay{500};
@@ -198,7 +195,7 @@
   // time of day at the start of a later incarnation may be the earlier one.
   const bool restarted =
       !first && report.m_incarnation_unix_ms != worker.m_incarnation_unix_ms;
-  const TimePoint alive_at = worker.m_clock_received_at;
+  const TimePoint alive_at = worker.m_alive_at;
   if (restarted) {
     BeginIncarnation(worker_index, report.m_incarnation_unix_ms);
   } else {
@@ -207,6 +204,7 @@
   worker.m_incarnation_unix_ms = report.m_incarnation_unix_ms;
   worker.m_reported_clock = report.m_now;
   worker.m_clock_received_at = now;
+  worker.m_alive_at = action.m_sent;
   if (!worker.m_reachable) {
     CellLog()->info("worker-reachable id={} running={} ended={} first={}",
                     worker.m_entry.m_id, report.m_running.size(),
@@ -263,8 +261,10 @@
     }
     (*listed)[ref] = run.m_run;
     task.m_worker_incarnation = worker.m_incarnation_unix_ms;
-    if (!task.m_has_survived && task.m_is_confirmed &&
-        now - task.m_confirmed_at >= kAcquittedRunAge) {
+    // The worker may have written the report long before it was read.
+    const std::optional<TimePoint> confirmed_at = StartOf(task).m_confirmed_at;
+    if (!task.m_has_survived && confirmed_at &&
+        worker.m_alive_at - *confirmed_at >= kAcquittedRunAge) {
       const bool was_suspect = task.m_crashes > 0;
       Acquit(&task);
       if (was_suspect || StepOf(*job, ref.m_index).m_long_running) {
--- a/src/libhyssopspar/jobs/crash_blame.cpp
+++ b/src/libhyssopspar/jobs/crash_blame.cpp
@@ -147,6 +147,20 @@
 
 }  // namespace
 
+RunStart StartOf(const Task& task) {
+  RunStart start;
+  const bool is_inherited = task.m_start_sent_at == TimePoint();
+  if (!is_inherited) {
+    start.m_sent_at = task.m_start_sent_at;
+  }
+  if (task.m_is_confirmed) {
+    // An inherited run may be younger than is assumed elsewhere.
+    start.m_confirmed_at = task.m_confirmed_at +
+                           (is_inherited ? kMinInheritedRunAge : Duration(0));
+  }
+  return start;
+}
+
 bool IsUnproven(const Task& task, TimePoint now) {
   return IsPlaced(task) &&
          (!IsConfirmed(task) || now - task.m_confirmed_at < kUnprovenRunAge);
