Let a run be older at a crash that nobody saw

Cause: the age of a run at a crash was counted to the moment its worker stopped answering, also when it had only been cut off: it may have run on for seconds behind the cut and restarted later.

Evidence: CellCrashTest.KeepsTaskWhoseWorkersRestartBehindACut; failed before.

Change: a loss is witnessed if the connection was closed or refused. After any other, the worker counts as crashed only by the time its new incarnation answers. Whether it was leaving is taken from the time of the loss also when the new entry is leaving again.

--- a/src/include/hyssopspar/error.h
+++ b/src/include/hyssopspar/error.h
@@ -40,6 +40,10 @@
 /// Formats \p error as "code: detail".
 std::string ToString(const Error& error);
 
+/// True if the peer's host answered that nothing listens at the address, unlike
+/// for a connection that could not be established in time.
+bool IsConnectionRefused(const Error& error);
+
 /// Holds a value or an Error. Accessing the one that is absent terminates the
 /// process.
 template <class T>
--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -272,7 +272,7 @@
   LossCircumstance CircumstanceOf(const Worker& worker, TimePoint now) const;
   /// Records that the worker no longer answers: the heartbeat ended with
   /// \p error.
-  void MarkLost(Worker* worker, ErrorCode error, TimePoint now);
+  void MarkLost(Worker* worker, const Error& error, TimePoint now);
   /// True if the task's next run is delayed because workers are being lost for
   /// other reasons, so that the run would prove nothing.
   bool AwaitsCalm(const Task& task, TimePoint now) const;
--- a/src/include/hyssopspar/jobs/crash_blame.h
+++ b/src/include/hyssopspar/jobs/crash_blame.h
@@ -59,14 +59,18 @@
 /// A run that was on the worker when it crashed.
 struct CrashedRun {
   TaskRef m_task;
+  std::uint32_t m_run = 0;
   RunStart m_start;
 };
 
 /// A crash of a worker, between two times at which it was asked for a report.
 struct WorkerCrash {
   std::string m_worker;
-  TimePoint m_alive_at;       ///< The worker last answered.
-  TimePoint m_lost_at;        ///< It had crashed by then.
+  TimePoint m_alive_at;  ///< The worker last answered.
+  TimePoint m_lost_at;   ///< It no longer answered.
+  /// False for a worker that was cut off, or fell silent, before it restarted.
+  bool m_is_witnessed = true;
+  TimePoint m_ended_by;       ///< It had crashed by then.
   std::size_t m_workers = 1;  ///< Of the cell.
   /// Workers that were lost at about the same time: this one, and those on
   /// which no suspect had just been started.
--- a/src/include/hyssopspar/jobs/task.h
+++ b/src/include/hyssopspar/jobs/task.h
@@ -36,6 +36,8 @@
   /// evidence that it causes them, in tenths of a decade; see BlameForCrash().
   std::uint32_t m_crashes = 0;
   std::uint32_t m_crash_evidence = 0;
+  /// Highest run under which a crash has been counted.
+  std::uint32_t m_last_crashed_run = 0;
   /// A run of the task once lasted for kAcquittedRunAge: it does not crash each
   /// worker that starts it, and is never given up for crashes.
   bool m_has_survived = false;
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -43,6 +43,10 @@
   TimePoint m_at;
   ErrorCode m_error = ErrorCode::kTimeout;  ///< Of the heartbeat.
   LossCircumstance m_circumstance = LossCircumstance::kNoRecentStart;
+  /// Its process ended then, as far as can be seen: the connection was closed
+  /// or refused rather than silent, and the owner was in contact with the
+  /// store.
+  bool m_is_witnessed = false;
   bool m_is_planned = false;  ///< The worker had announced that it leaves.
 };
 
@@ -62,6 +66,7 @@
 /// A run that ended with its lease.
 struct LapsedRun {
   TaskName m_task;
+  std::uint32_t m_run = 0;
   RunStart m_start;
 };
 
--- a/src/libhyssopspar/error.cpp
+++ b/src/libhyssopspar/error.cpp
@@ -36,4 +36,9 @@
   return std::string(ToString(error.m_code)) + ": " + error.m_detail;
 }
 
+bool IsConnectionRefused(const Error& error) {
+  return error.m_code == ErrorCode::kNotSent &&
+         error.m_detail == "Connection refused";
+}
+
 }  // namespace hyssopspar
--- a/src/libhyssopspar/jobs/cell_crashes.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes.cpp
@@ -77,18 +77,19 @@
   std::vector<CrashedRun> runs;
   runs.reserve(tasks.size() + worker.m_lapsed_runs.size());
   for (const TaskRef& ref : tasks) {
-    runs.push_back({ref, StartOf(ref.m_job->m_tasks[ref.m_index])});
+    const Task& task = ref.m_job->m_tasks[ref.m_index];
+    runs.push_back({ref, task.m_run, StartOf(task)});
   }
   for (const LapsedRun& lapsed : std::exchange(worker.m_lapsed_runs, {})) {
     const TaskRef ref = FindTaskRef(lapsed.m_task);
     if (ref.m_job != nullptr && !IsTerminal(ref.m_job->m_state)) {
-      runs.push_back({ref, lapsed.m_start});
+      runs.push_back({ref, lapsed.m_run, lapsed.m_start});
     }
   }
   const bool was_seen_lost = worker.m_loss.m_at > alive_at;
-  // The entry may already be that of the new incarnation.
+  // The entry may have changed since the loss.
   const bool is_planned =
-      worker.m_entry.m_leaving || (was_seen_lost && worker.m_loss.m_is_planned);
+      was_seen_lost ? worker.m_loss.m_is_planned : worker.m_entry.m_leaving;
   if (runs.empty() || is_planned) {
     return {};
   }
@@ -105,6 +106,8 @@
   crash.m_worker = worker.m_entry.m_id;
   crash.m_alive_at = alive_at;
   crash.m_lost_at = was_seen_lost ? worker.m_loss.m_at : now;
+  crash.m_is_witnessed = !was_seen_lost || worker.m_loss.m_is_witnessed;
+  crash.m_ended_by = crash.m_is_witnessed ? crash.m_lost_at : now;
   CountLosses(worker, &crash);
   return BlameForCrash(crash, runs, &m_unexplained_crashes, now);
 }
@@ -127,9 +130,11 @@
   return circumstance;
 }
 
-void Cell::MarkLost(Worker* worker, ErrorCode error, TimePoint now) {
+void Cell::MarkLost(Worker* worker, const Error& error, TimePoint now) {
   worker->m_loss.m_at = now;
-  worker->m_loss.m_error = error;
+  worker->m_loss.m_error = error.m_code;
+  worker->m_loss.m_is_witnessed = (error.m_code == ErrorCode::kConnectionLost ||
+                                   IsConnectionRefused(error));
   worker->m_loss.m_circumstance = CircumstanceOf(*worker, now);
   worker->m_loss.m_is_planned = worker->m_entry.m_leaving;
   if (worker->m_loss.m_circumstance != LossCircumstance::kRecentSuspectStart) {
@@ -185,8 +190,9 @@
 void Cell::EndRunsOfSilentWorker(int worker_index, TimePoint now) {
   Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
   for (const TaskRef& ref : StartedTasksOf(worker)) {
-    worker.m_lapsed_runs.push_back({NameOfTask(*ref.m_job, ref.m_index),
-                                    StartOf(ref.m_job->m_tasks[ref.m_index])});
+    const Task& task = ref.m_job->m_tasks[ref.m_index];
+    worker.m_lapsed_runs.push_back(
+        {NameOfTask(*ref.m_job, ref.m_index), task.m_run, StartOf(task)});
   }
   EndAllRuns(worker_index, EndCause::kLeaseExpired, now);
 }
--- a/src/libhyssopspar/jobs/cell_crashes_test.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes_test.cpp
@@ -333,5 +333,24 @@
   EXPECT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 1U);
 }
 
+// The age of a run whose worker was cut off, and restarted behind the cut, was
+// counted to the moment of the cut, though the worker ran on for seconds.
+TEST_F(CellCrashTest, KeepsTaskWhoseWorkersRestartBehindACut) {
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  for (std::size_t crash = 1; crash <= 7; ++crash) {
+    for (int i = 0; i < 800 && m_starts.size() < crash; ++i) {
+      Run(milliseconds(25));
+    }
+    ASSERT_EQ(m_starts.size(), crash);
+    const std::string worker = m_start_workers.back();
+    m_running[worker].clear();
+    m_heartbeat_errors[worker] = ErrorCode::kTimeout;
+    Run(milliseconds(4000));
+    BeginProcess(worker);
+  }
+  Run(milliseconds(500));
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_fixture.h
+++ b/src/libhyssopspar/jobs/cell_fixture.h
@@ -111,7 +111,9 @@
   }
   void Answer(const StopAction& action) {
     m_stops.push_back(action.m_order);
-    m_cell.OnStopAnswer(action, Ok(), m_now);
+    if (m_stops_are_answered) {
+      m_cell.OnStopAnswer(action, Ok(), m_now);
+    }
   }
   void Answer(const ThrottleAction& action) {
     m_throttles.push_back(action.m_order);
@@ -202,6 +204,7 @@
   Cell m_cell;
   bool m_starts_are_answered = true;
   std::vector<StartAction> m_unanswered_starts;
+  bool m_stops_are_answered = true;
   bool m_heartbeats_are_answered = true;
   std::vector<HeartbeatAction> m_unanswered_heartbeats;
   bool m_list_is_read = true;  ///< The list of workers, in Run().
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -156,7 +156,7 @@
     CellLog()->warn("worker-unreachable id={} tasks={} error={}",
                     worker.m_entry.m_id, worker.m_tasks.size(),
                     ToString(answer.error()));
-    MarkLost(&worker, answer.error().m_code, now);
+    MarkLost(&worker, answer.error(), now);
   }
   worker.m_reachable = false;
   if (answer.error().m_code == ErrorCode::kNotFound) {
--- a/src/libhyssopspar/jobs/crash_blame.cpp
+++ b/src/libhyssopspar/jobs/crash_blame.cpp
@@ -91,7 +91,7 @@
     return kInheritedRunAge;
   }
   return std::max<Seconds>(kMinRunAge,
-                           crash.m_lost_at - *run.m_start.m_sent_at);
+                           crash.m_ended_by - *run.m_start.m_sent_at);
 }
 
 std::vector<Candidate> FindCandidates(const WorkerCrash& crash,
@@ -244,12 +244,13 @@
     }
     CellLog()->warn(
         "crash-blamed task={}.{} run={} worker={} age_ms={} candidates={} "
-        "losses={}/{} crashes={} evidence={:.1f} suspect={} given_up={}",
+        "losses={}/{} witnessed={} crashes={} evidence={:.1f} suspect={} "
+        "given_up={}",
         candidate.m_task.m_job->m_submission.m_id, candidate.m_task.m_index,
         task.m_run, crash.m_worker, std::lround(1000 * candidate.m_age.count()),
         candidates.size(), crash.m_unprovoked_losses,
-        crash.m_simultaneous_losses, task.m_crashes, DecadesOfEvidence(task),
-        is_suspect, give_up);
+        crash.m_simultaneous_losses, crash.m_is_witnessed, task.m_crashes,
+        DecadesOfEvidence(task), is_suspect, give_up);
   }
   if (!explained) {
     unexplained->m_times.push_back(now);
--- a/src/node/owner_client.cpp
+++ b/src/node/owner_client.cpp
@@ -121,8 +121,7 @@
                   if (!answer) {
                     // The host answers but no process listens there: the owner
                     // has ended. A time-out would not show that.
-                    if (answer.error().m_code == ErrorCode::kNotSent &&
-                        answer.error().m_detail == "Connection refused") {
+                    if (IsConnectionRefused(answer.error())) {
                       m_cell_host->MarkOwnerUnreachable(epoch);
                     }
                     done(answer.error());
