Count a crash once a run, and only under a run that had begun

Cause: a start without an answer counted as a run at each restart of its worker until its stop was acknowledged, so that one order could add three crashes; and an order sent to a worker that was already silent counted, though it never arrived.

Evidence: CellCrashTest.CountsAnUnansweredStartOnceAtMost (3 crashes before) and CountsNoStartThatMayNeverHaveArrived (1 before).

Change: each run counts once; a start that was not confirmed counts only if the worker's process was seen to end.

--- a/src/libhyssopspar/jobs/cell_crashes_test.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes_test.cpp
@@ -352,5 +352,38 @@
   EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
 }
 
+// A start that a worker had never confirmed counted as a crash at each of the
+// worker's restarts, until its stop was acknowledged.
+TEST_F(CellCrashTest, CountsAnUnansweredStartOnceAtMost) {
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  m_starts_are_answered = false;
+  m_stops_are_answered = false;
+  RunUntilStarted(1);
+  const std::string worker = m_start_workers.back();
+  m_cell.OnStartAnswer(m_unanswered_starts.back(),
+                       Fail(ErrorCode::kConnectionLost, ""), m_now);
+  for (int restart = 0; restart < 3; ++restart) {
+    EndProcess(worker);
+    BeginProcess(worker);
+    Run(milliseconds(250));
+  }
+  EXPECT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 1U);
+}
+
+// A start that was sent to a worker which was dead by then counted as a crash.
+TEST_F(CellCrashTest, CountsNoStartThatMayNeverHaveArrived) {
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  m_starts_are_answered = false;
+  RunUntilStarted(1);
+  const std::string worker = m_start_workers.back();
+  m_heartbeat_errors[worker] = ErrorCode::kTimeout;
+  Run(milliseconds(250));
+  m_cell.OnStartAnswer(m_unanswered_starts.back(),
+                       Fail(ErrorCode::kTimeout, ""), m_now);
+  BeginProcess(worker);
+  Run(milliseconds(500));
+  EXPECT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 0U);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/crash_blame.cpp
+++ b/src/libhyssopspar/jobs/crash_blame.cpp
@@ -94,6 +94,14 @@
                            crash.m_ended_by - *run.m_start.m_sent_at);
 }
 
+/// False for a run under which a crash has been counted already, and for one
+/// that was ordered from a worker which may have been dead by then.
+bool MayHaveCausedCrash(const CrashedRun& run, const WorkerCrash& crash) {
+  const bool may_have_started = run.m_start.m_confirmed_at ||
+                                !run.m_start.m_sent_at || crash.m_is_witnessed;
+  return may_have_started && run.m_run > TaskOf(run.m_task).m_last_crashed_run;
+}
+
 std::vector<Candidate> FindCandidates(const WorkerCrash& crash,
                                       const std::vector<CrashedRun>& runs) {
   std::vector<Candidate> candidates;
@@ -102,7 +110,8 @@
     const std::optional<TimePoint> confirmed_at = run.m_start.m_confirmed_at;
     if (confirmed_at && crash.m_alive_at - *confirmed_at >= kAcquittedRunAge) {
       Acquit(&task);
-    } else if (!task.m_has_survived) {
+    } else if (!task.m_has_survived && MayHaveCausedCrash(run, crash)) {
+      task.m_last_crashed_run = run.m_run;
       candidates.push_back({run.m_task, AgeAtCrash(run, crash),
                             !run.m_start.m_sent_at.has_value(),
                             GuiltOf(task) * CrashShareAt(run.m_start, crash)});
