Let crashes that only a successor saw never suffice

Cause: a placement that an owner finds in the store, on a worker that has restarted since, counted with up to 2.3 decades of evidence, by an assumed age of ten seconds. Its age is not known, nor whether it had begun, nor whether many workers were lost with this one.

Change: such a crash adds one decade at most, so that five of them stay below the limit. RemoveWorker loses a parameter that it no longer needs.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -81,7 +81,7 @@
   void SetWorker(const WorkerEntry& entry, TimePoint now);
   /// Handles the removal of a worker from the platform's list. Tasks placed on
   /// it stay placed until their end is known.
-  void RemoveWorker(const std::string& id, TimePoint now);
+  void RemoveWorker(const std::string& id);
 
   /// Sets the times as of which the views of the operators' decisions and of
   /// the platform's list of workers are current.
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -205,7 +205,7 @@
   }
 }
 
-void Cell::RemoveWorker(const std::string& id, TimePoint now) {
+void Cell::RemoveWorker(const std::string& id) {
   const auto it = m_worker_index.find(id);
   if (it == m_worker_index.end()) {
     return;
--- a/src/libhyssopspar/jobs/cell_crashes_test.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes_test.cpp
@@ -222,7 +222,7 @@
       const std::string& worker = m_start_workers.back();
       m_heartbeat_errors[worker] = ErrorCode::kTimeout;
       cut_until[worker] = m_now + std::chrono::seconds(8);
-      m_cell.RemoveWorker(worker, m_now);
+      m_cell.RemoveWorker(worker);
     }
     for (const std::pair<const std::string, TimePoint>& cut : cut_until) {
       if (m_now >= cut.second && m_heartbeat_errors.count(cut.first) > 0) {
--- a/src/libhyssopspar/jobs/crash_blame.cpp
+++ b/src/libhyssopspar/jobs/crash_blame.cpp
@@ -25,6 +25,9 @@
 constexpr std::uint32_t kRepeatedCrashes = 2;
 /// Most evidence of one crash.
 constexpr double kMaxDecadesOfCrash = 2.5;
+/// Same for a run that an earlier owner started, of which neither the age is
+/// known nor whether it had begun.
+constexpr double kMaxDecadesOfInheritedRun = 1;
 /// A crash under a task with this much evidence from earlier ones is explained.
 constexpr double kDecadesToExplain = 3;
 /// Evidence is stored in this fraction of a decade.
@@ -226,10 +229,11 @@
     // A run that may have lasted this long would have shown the opposite.
     const bool is_young =
         candidate.m_is_inherited || candidate.m_age < kAcquittedRunAge;
+    const double limit = candidate.m_is_inherited ? kMaxDecadesOfInheritedRun
+                                                  : kMaxDecadesOfCrash;
     const double decades =
-        is_young ? std::min(kMaxDecadesOfCrash,
-                            -std::log10(ProbabilityIfInnocent(
-                                crash, candidate, total_guilt, rate)))
+        is_young ? std::min(limit, -std::log10(ProbabilityIfInnocent(
+                                       crash, candidate, total_guilt, rate)))
                  : 0;
     ++task.m_crashes;
     task.m_crash_evidence += static_cast<std::uint32_t>(
--- a/src/node/cell_host_acting.cpp
+++ b/src/node/cell_host_acting.cpp
@@ -45,7 +45,7 @@
           ->warn("worker-record-ignored key={} error={}", record.m_key,
                  ToString(entry.error()));
     }
-    m_cell->RemoveWorker(record.m_key, now);
+    m_cell->RemoveWorker(record.m_key);
   }
   TickAndDispatch();
 }
@@ -57,7 +57,7 @@
   }
   for (const jobs::Worker& worker : m_cell->Workers()) {
     if (listed.count(worker.m_entry.m_id) == 0) {
-      m_cell->RemoveWorker(worker.m_entry.m_id, Clock::now());
+      m_cell->RemoveWorker(worker.m_entry.m_id);
     }
   }
   ApplyWorkerRecords(records);
--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -439,7 +439,7 @@
     if (m_now < owner->m_partition_end &&
         owner->m_partitioned_workers.count(index) > 0) {
       changed = owner->m_listed.erase(index) > 0 || changed;
-      owner->m_cell->RemoveWorker(entry.m_id, m_now);
+      owner->m_cell->RemoveWorker(entry.m_id);
     } else if (m_workers[i]->IsUp() && (listed == owner->m_listed.end() ||
                                         !IsSameEntry(listed->second, entry))) {
       changed = true;
