Never end a job because the store refuses its record

Cause: a job whose progress record was refused alone (400, 403, 413) ended as failed. A store that returns from an outage refuses records that it takes a second later. While the end of such a job was refused as well, no ended run on any worker was acknowledged.

Change: - A job that is refused alone is set aside. Once the store takes one, all others that are set aside are due, in growing batches. - Its runs go on, a cancel stops them. Placements that were not stored are withdrawn, so that they hold no room, and none is made until the record is taken. - Jobs count the changes of their progress, and a batch says which it contains. An ended run is acknowledged once it and all before it on its worker belong to a stored change of their job, whatever other jobs wait for. - While batches are split, the interference model and the removals of old jobs wait: else a job could be set aside for their sake. - record-refused (a warning for each refusal) and record-taken replace the failure reason refused-by-store.

RefusedJobDoesNotStopTheOthers demanded that the refused job fails, which is the fault. It now demands that the job goes on, with no stop and as few refused batches as before, and completes once the store takes it, each task started once.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "hyssopspar/error.h"
@@ -143,17 +144,12 @@
   /// event triggers one earlier.
   static constexpr milliseconds kPlacementRetryDelay{250};
 
-  /// Number of an ended run, which each incarnation of a worker counts anew.
-  struct EndNumber {
-    std::int64_t m_incarnation_unix_ms = 0;
-    std::uint64_t m_number = 0;
-  };
-
   /// What a batch stores of a job.
   struct StoredJob {
     std::string m_id;
     JobState m_state = JobState::kQueued;
-    std::size_t m_parts = 0;  ///< Parts of the progress.
+    std::size_t m_parts = 0;      ///< Parts of the progress.
+    std::uint64_t m_changes = 0;  ///< Those that the progress contains.
   };
 
   /// A batch of progress records that the store has not acknowledged yet.
@@ -161,12 +157,12 @@
     std::uint64_t m_number = 0;
     std::vector<KeyedRecord> m_records;
     std::vector<TaskRef> m_placements;  ///< To be started once it is stored.
-    /// Highest number of an ended run whose effects are in the batch, by
-    /// worker.
-    std::map<int, EndNumber> m_end_numbers;
     std::vector<StoredJob> m_jobs;
     std::vector<std::string> m_dropped_jobs;
     std::size_t m_bytes = 0;  ///< Of the values of all records.
+    /// Contains jobs that are set aside, and nothing else.
+    bool m_is_probe = false;
+    bool m_is_one_job = false;  ///< Contains one job and nothing else.
   };
 
   // cell.cpp
@@ -314,22 +310,40 @@
   /// Records of the job's progress, and removals of stored parts that they
   /// don't replace.
   std::vector<KeyedRecord> ProgressRecords(const Job& job) const;
+  /// Adds the job's progress to the batch unless it would become too large.
+  bool AddJob(Job* job, PendingBatch* batch);
   /// Moves jobs with progress to be stored into the batch, as many as fit.
   void AddDirtyJobs(PendingBatch* batch);
   void AddModel(PendingBatch* batch, TimePoint now);
   void AddDroppedJobs(PendingBatch* batch);
-  /// Handles the store's refusal of the batch in flight, which is final: stores
-  /// its jobs in smaller batches. A job that is refused alone ends as failed.
-  void SplitRefusedBatch(TimePoint now);
-  /// Lets jobs whose end was refused be stored again, once that is due.
-  void RetryRefusedJobs(TimePoint now);
   void ApplyStoredJob(const StoredJob& stored, TimePoint now);
-  void AckStoredEnds(TimePoint now);
+  /// Acknowledges the ended runs of the worker up to the first whose effects
+  /// are not stored.
+  void AckStoredEnds(int worker_index, TimePoint now);
   void StartStoredPlacements(const PendingBatch& batch, TimePoint now);
   void TombstoneEndedJobs(TimePoint now);
   bool MayTombstone(const Job& job, TimePoint now) const;
   void DropExpiredJobs(TimePoint now);
 
+  // cell_refusals.cpp
+  /// Handles the store's refusal of the batch in flight: stores its jobs in
+  /// smaller batches. A job that is refused alone is set aside.
+  void SplitRefusedBatch(const Error& error, TimePoint now);
+  /// Keeps the job out of other jobs' batches, and places none of its tasks,
+  /// until the store takes its record, which is sent again from time to time.
+  void SetAside(Job* job, std::size_t bytes, const Error& error, TimePoint now);
+  static bool IsSetAside(const Job& job);
+  /// Moves jobs that are set aside and due into a batch of their own.
+  void AddProbedJobs(PendingBatch* batch, TimePoint now);
+  /// When the next batch of such jobs is due; max() if there are none.
+  TimePoint NextProbe() const;
+  /// Handles that the store has taken the record of a job that it refused
+  /// before.
+  void EndRefusals(Job* job, TimePoint now);
+  /// Makes all jobs that are set aside due at once, after the store has taken
+  /// the record of one.
+  void ProbeAllJobs(TimePoint now);
+
   // cell_schedule.cpp and cell_placement.cpp
   void Schedule(TimePoint now);
   void ScheduleJob(Job* job, TimePoint now);
@@ -490,11 +504,13 @@
   TimePoint m_last_schedule;
   TimePoint m_next_schedule = TimePoint::max();
   std::set<std::string> m_dirty_jobs;  ///< Ids with progress to be stored.
-  /// Ended jobs whose end the store has refused, and when they are tried again.
-  std::set<std::string> m_refused_jobs;
-  TimePoint m_refused_retry_at = TimePoint::max();
+  /// Jobs that are set aside, by the time at which they are due.
+  std::set<std::pair<TimePoint, std::string>> m_set_aside_jobs;
+  TimePoint m_next_probe;  ///< No earlier batch of such jobs.
+  bool m_last_batch_was_probe = false;
   /// Most jobs in the next batch; lowered while the store refuses batches.
   std::size_t m_batch_job_limit = kMaxBatchJobs;
+  std::size_t m_probe_job_limit = 1;
   std::optional<PendingBatch> m_batch_in_flight;
   std::uint64_t m_last_batch_number = 0;
   TimePoint m_next_flush;
--- a/src/include/hyssopspar/jobs/job.h
+++ b/src/include/hyssopspar/jobs/job.h
@@ -23,7 +23,15 @@
 enum class JobFailure {
   kAttemptsUsed,    ///< A task has failed as often as its queue allows.
   kCrashesWorkers,  ///< A task crashes the workers that run it.
-  kRefusedByStore,  ///< The store takes no record of its progress.
+};
+
+/// What is known of a job whose record the store has refused.
+struct StoreRefusals {
+  std::uint32_t m_count = 0;  ///< In a row, of the record alone.
+  TimePoint m_since;          ///< The first of them.
+  /// The job is set aside until its record, sent then, is taken; max(): it is
+  /// not set aside.
+  TimePoint m_retry_at = TimePoint::max();
 };
 
 /// A job and the counters derived from the states of its tasks.
@@ -32,7 +40,12 @@
   std::uint64_t m_number = 0;  ///< Order of arrival at this owner.
   JobState m_state = JobState::kQueued;
   JobState m_stored_state = JobState::kQueued;  ///< Last stored state.
-  std::size_t m_stored_parts = 0;   ///< Parts of the last stored progress.
+  std::size_t m_stored_parts = 0;  ///< Parts of the last stored progress.
+  /// Number of changes of its progress at this owner, and of those in the last
+  /// stored progress.
+  std::uint64_t m_changes = 0;
+  std::uint64_t m_stored_changes = 0;
+  StoreRefusals m_refusals;
   bool m_cancelled = false;         ///< Cancellation requested.
   bool m_has_started_task = false;  ///< A worker confirmed the start of a task.
   std::vector<Task> m_tasks;        ///< Ordered by occurrence, step and index.
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -59,6 +60,14 @@
   RunStart m_start;
 };
 
+/// An ended run that was processed, and the change of its job's progress that
+/// has to be stored before it is acknowledged to the worker.
+struct UnstoredEnd {
+  std::uint64_t m_number = 0;
+  std::string m_job;
+  std::uint64_t m_change = 0;
+};
+
 struct Worker {
   WorkerEntry m_entry;
   bool m_listed = false;  ///< Is in the platform's current list of workers.
@@ -97,6 +106,8 @@
   std::uint64_t m_received_end_number = 0;
   /// Highest number whose effects are stored; acknowledged to the worker.
   std::uint64_t m_acked_end_number = 0;
+  /// Processed ends that are not acknowledged, by number.
+  std::deque<UnstoredEnd> m_unstored_ends;
 
   /// Jobs with a failed run here since the last successful one.
   std::set<std::string> m_failed_jobs;
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -240,7 +240,8 @@
 }
 
 void Cell::MarkDirty(Job* job) {
-  if (m_refused_jobs.count(job->m_submission.m_id) == 0) {
+  ++job->m_changes;
+  if (!IsSetAside(*job)) {
     m_dirty_jobs.insert(job->m_submission.m_id);
   }
 }
@@ -359,11 +360,9 @@
   TimePoint next = m_next_schedule;
   if (m_batch_in_flight) {
     next = std::min(next, m_batch_retry_at);
-  } else if (!m_dirty_jobs.empty()) {
-    next = std::min(next, m_next_flush);
-  }
-  if (!m_batch_in_flight) {
-    next = std::min(next, m_refused_retry_at);
+  } else {
+    const TimePoint batch_at = m_dirty_jobs.empty() ? NextProbe() : TimePoint();
+    next = std::min(next, std::max(m_next_flush, batch_at));
   }
   if (!m_agenda.m_lease_expiries.empty()) {
     next = std::min(next, m_agenda.m_lease_expiries.begin()->first);
--- a/src/libhyssopspar/jobs/cell_log.cpp
+++ b/src/libhyssopspar/jobs/cell_log.cpp
@@ -57,8 +57,6 @@
       return "attempts-used";
     case JobFailure::kCrashesWorkers:
       return "crashes-workers";
-    case JobFailure::kRefusedByStore:
-      return "refused-by-store";
   }
   return "unknown";
 }
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -84,7 +84,7 @@
     m_starts_in_progress += job->m_recording;
     m_highest_priority =
         std::min(m_highest_priority, job->m_submission.m_queue.m_priority);
-    if (job->m_pending > 0) {
+    if (job->m_pending > 0 && !IsSetAside(*job)) {
       order.emplace_back(UrgencyOf(*job, m_run_times, unix_now), job);
     }
   }
--- a/src/libhyssopspar/jobs/cell_store.cpp
+++ b/src/libhyssopspar/jobs/cell_store.cpp
@@ -19,8 +19,6 @@
 constexpr milliseconds kModelStoreInterval{2000};
 /// Delay before a batch that could not be stored is sent again.
 constexpr milliseconds kBatchRetryDelay{100};
-/// Delay before the end of a job that the store has refused is sent again.
-constexpr milliseconds kRefusedRetryDelay{1000};
 
 }  // namespace
 
@@ -33,24 +31,29 @@
     }
     return;
   }
-  RetryRefusedJobs(now);
-  AckStoredEnds(now);
-  if (m_dirty_jobs.empty() || now < m_next_flush) {
+  const bool probe_due = NextProbe() <= now;
+  if ((m_dirty_jobs.empty() && !probe_due) || now < m_next_flush) {
     return;
   }
   PendingBatch batch;
   batch.m_number = ++m_last_batch_number;
-  AddDirtyJobs(&batch);
-  AddModel(&batch, now);
-  AddDroppedJobs(&batch);
-  // Ended runs may only be acknowledged when all their effects are stored.
-  if (m_dirty_jobs.empty() && m_refused_jobs.empty()) {
-    for (const int index : m_agenda.m_with_unacknowledged_ends) {
-      ++m_work.m_worker_visits;
-      const Worker& worker = m_workers[static_cast<std::size_t>(index)];
-      batch.m_end_numbers[index] = {worker.m_incarnation_unix_ms,
-                                    worker.m_received_end_number};
-    }
+  // Other jobs wait for one probe at most.
+  batch.m_is_probe =
+      probe_due && (m_dirty_jobs.empty() || !m_last_batch_was_probe);
+  m_last_batch_was_probe = batch.m_is_probe;
+  if (batch.m_is_probe) {
+    AddProbedJobs(&batch, now);
+  } else {
+    AddDirtyJobs(&batch);
+  }
+  batch.m_is_one_job = batch.m_jobs.size() == 1;
+  // While batches are split, what else they could contain waits: it may be
+  // what the store refuses.
+  if (!batch.m_is_probe && m_batch_job_limit == kMaxBatchJobs) {
+    const std::size_t records = batch.m_records.size();
+    AddModel(&batch, now);
+    AddDroppedJobs(&batch);
+    batch.m_is_one_job &= batch.m_records.size() == records;
   }
   m_actions.emplace_back(StoreAction{batch.m_number, batch.m_records});
   m_batch_in_flight = std::move(batch);
@@ -74,31 +77,35 @@
   return records;
 }
 
-void Cell::AddDirtyJobs(PendingBatch* batch) {
-  while (!m_dirty_jobs.empty() && batch->m_jobs.size() < m_batch_job_limit) {
-    Job* const job = FindMutableJob(*m_dirty_jobs.begin());
-    std::vector<KeyedRecord> records = ProgressRecords(*job);
-    const std::size_t bytes = BytesOf(records);
-    if (!batch->m_jobs.empty() &&
-        batch->m_bytes + bytes > m_settings.m_store_limits.m_max_batch_bytes) {
-      return;
-    }
-    batch->m_bytes += bytes;
-    const std::size_t parts = static_cast<std::size_t>(std::count_if(
-        records.begin() + 1, records.end(),
-        [](const KeyedRecord& record) { return record.m_value.has_value(); }));
-    batch->m_jobs.push_back({job->m_submission.m_id, job->m_state, parts});
-    batch->m_records.insert(batch->m_records.end(),
-                            std::make_move_iterator(records.begin()),
-                            std::make_move_iterator(records.end()));
-    for (std::size_t i = 0; i < job->m_tasks.size(); ++i) {
-      Task& task = job->m_tasks[i];
-      if (task.m_state == TaskState::kRecording &&
-          task.m_placement_batch == 0) {
-        task.m_placement_batch = batch->m_number;
-        batch->m_placements.push_back({job, i});
-      }
+bool Cell::AddJob(Job* job, PendingBatch* batch) {
+  std::vector<KeyedRecord> records = ProgressRecords(*job);
+  const std::size_t bytes = BytesOf(records);
+  if (!batch->m_jobs.empty() &&
+      batch->m_bytes + bytes > m_settings.m_store_limits.m_max_batch_bytes) {
+    return false;
+  }
+  batch->m_bytes += bytes;
+  const std::size_t parts = static_cast<std::size_t>(std::count_if(
+      records.begin() + 1, records.end(),
+      [](const KeyedRecord& record) { return record.m_value.has_value(); }));
+  batch->m_jobs.push_back(
+      {job->m_submission.m_id, job->m_state, parts, job->m_changes});
+  batch->m_records.insert(batch->m_records.end(),
+                          std::make_move_iterator(records.begin()),
+                          std::make_move_iterator(records.end()));
+  for (std::size_t i = 0; i < job->m_tasks.size(); ++i) {
+    Task& task = job->m_tasks[i];
+    if (task.m_state == TaskState::kRecording && task.m_placement_batch == 0) {
+      task.m_placement_batch = batch->m_number;
+      batch->m_placements.push_back({job, i});
     }
+  }
+  return true;
+}
+
+void Cell::AddDirtyJobs(PendingBatch* batch) {
+  while (!m_dirty_jobs.empty() && batch->m_jobs.size() < m_batch_job_limit &&
+         AddJob(FindMutableJob(*m_dirty_jobs.begin()), batch)) {
     m_dirty_jobs.erase(m_dirty_jobs.begin());
   }
 }
@@ -129,57 +136,24 @@
   }
 }
 
-void Cell::SplitRefusedBatch(TimePoint now) {
-  const PendingBatch refused = std::move(*m_batch_in_flight);
-  m_batch_in_flight.reset();
-  // The store has not counted the append, so the next one has its number.
-  m_last_batch_number = refused.m_number - 1;
-  m_next_flush = now + kBatchRetryDelay;
-  m_dropped_jobs.insert(refused.m_dropped_jobs.begin(),
-                        refused.m_dropped_jobs.end());
-  for (const TaskRef& ref : refused.m_placements) {
-    Task& task = ref.m_job->m_tasks[ref.m_index];
-    if (task.m_placement_batch == refused.m_number) {
-      task.m_placement_batch = 0;
+void Cell::AckStoredEnds(int worker_index, TimePoint now) {
+  ++m_work.m_worker_visits;
+  Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
+  std::deque<UnstoredEnd>& unstored = worker.m_unstored_ends;
+  while (!unstored.empty()) {
+    // The end of a job that is gone is stored.
+    const Job* const job = FindJob(unstored.front().m_job);
+    if (job != nullptr && job->m_stored_changes < unstored.front().m_change) {
+      break;
     }
+    unstored.pop_front();
   }
-  if (refused.m_jobs.size() > 1) {
-    m_batch_job_limit = refused.m_jobs.size() / 2;
-    for (const StoredJob& stored : refused.m_jobs) {
-      m_dirty_jobs.insert(stored.m_id);
-    }
-    return;
-  }
-  const std::string& id = refused.m_jobs.front().m_id;
-  Job* const job = FindMutableJob(id);
-  if (IsTerminal(job->m_state)) {
-    m_refused_jobs.insert(id);
-    m_refused_retry_at = now + kRefusedRetryDelay;
-    m_dirty_jobs.erase(id);
-    return;
-  }
-  CellLog()->critical("job-unstorable id={} bytes={}", id, refused.m_bytes);
-  FailJob({job, 0}, JobFailure::kRefusedByStore, now);
-}
-
-void Cell::RetryRefusedJobs(TimePoint now) {
-  if (now >= m_refused_retry_at) {
-    m_refused_retry_at = TimePoint::max();
-    m_dirty_jobs.merge(m_refused_jobs);
-  }
-}
-
-/// When no changes wait to be stored, acknowledges all ended runs received so
-/// far: their effects are stored, or they had none.
-void Cell::AckStoredEnds(TimePoint now) {
-  if (!m_dirty_jobs.empty() || !m_refused_jobs.empty()) {
-    return;
-  }
-  for (const int index : m_agenda.m_with_unacknowledged_ends) {
-    ++m_work.m_worker_visits;
-    Worker& worker = TouchWorker(index);
-    worker.m_acked_end_number = worker.m_received_end_number;
+  const std::uint64_t acked = unstored.empty() ? worker.m_received_end_number
+                                               : unstored.front().m_number - 1;
+  if (acked > worker.m_acked_end_number) {
+    worker.m_acked_end_number = acked;
     worker.m_next_heartbeat = now;
+    TouchWorker(worker_index);
   }
 }
 
@@ -196,7 +170,7 @@
     if (result.error().m_code == ErrorCode::kFenced) {
       m_is_fenced = true;
     } else if (result.error().m_code == ErrorCode::kInvalidArgument) {
-      SplitRefusedBatch(now);
+      SplitRefusedBatch(result.error(), now);
     } else {
       m_batch_retry_at = now + kBatchRetryDelay;
     }
@@ -205,18 +179,19 @@
   const PendingBatch stored = std::move(*m_batch_in_flight);
   m_batch_in_flight.reset();
   m_next_flush = now + m_settings.m_flush_interval;
-  for (const auto& entry : stored.m_end_numbers) {
-    Worker& worker = TouchWorker(entry.first);
-    if (entry.second.m_incarnation_unix_ms == worker.m_incarnation_unix_ms) {
-      worker.m_acked_end_number =
-          std::max(worker.m_acked_end_number, entry.second.m_number);
-      worker.m_next_heartbeat = now;
-    }
+  if (stored.m_is_probe) {
+    m_probe_job_limit = std::min(kMaxBatchJobs, 2 * m_probe_job_limit);
+    ProbeAllJobs(now);
+  } else {
+    m_batch_job_limit = std::min(kMaxBatchJobs, 2 * m_batch_job_limit);
   }
-  m_batch_job_limit = std::min(kMaxBatchJobs, 2 * m_batch_job_limit);
   for (const StoredJob& job : stored.m_jobs) {
     ApplyStoredJob(job, now);
   }
+  UpdateTouchedWorkers(now);
+  for (const int index : m_agenda.m_with_unacknowledged_ends) {
+    AckStoredEnds(index, now);
+  }
   StartStoredPlacements(stored, now);
 }
 
@@ -232,6 +207,10 @@
   }
   job->m_stored_state = stored.m_state;
   job->m_stored_parts = stored.m_parts;
+  job->m_stored_changes = stored.m_changes;
+  if (job->m_refusals.m_count > 0) {
+    EndRefusals(job, now);
+  }
 }
 
 void Cell::StartStoredPlacements(const PendingBatch& batch, TimePoint now) {
@@ -259,8 +238,7 @@
 bool Cell::MayTombstone(const Job& job, TimePoint now) const {
   return IsTerminal(job.m_state) && job.m_stored_state == job.m_state &&
          now - job.m_terminal_since > m_settings.m_tombstone_age &&
-         m_dirty_jobs.count(job.m_submission.m_id) == 0 &&
-         m_refused_jobs.count(job.m_submission.m_id) == 0 &&
+         m_dirty_jobs.count(job.m_submission.m_id) == 0 && !IsSetAside(job) &&
          std::none_of(job.m_tasks.begin(), job.m_tasks.end(), IsPlaced);
 }
 
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -175,6 +175,7 @@
                   worker.m_entry.m_id, incarnation, worker.m_tasks.size());
   worker.m_received_end_number = 0;
   worker.m_acked_end_number = 0;
+  worker.m_unstored_ends.clear();
   worker.m_failed_jobs.clear();
   worker.m_quarantined_until = TimePoint();
   worker.m_backoff_until = TimePoint();
@@ -331,7 +332,10 @@
     if ((placed_here && task.m_run == run.m_run) || completed_late) {
       EndRun(ref, run.m_cause, run.m_checkpoint, now);
     }
+    worker.m_unstored_ends.push_back(
+        {run.m_number, run.m_task.m_job, job->m_changes});
   }
+  AckStoredEnds(worker_index, now);
 }
 
 void Cell::ResolveUnlistedRuns(int worker_index,
