--- a/src/include/hyssopspar/store/keyed_log.h
+++ b/src/include/hyssopspar/store/keyed_log.h
@@ -69,9 +69,10 @@
 };
 
 /// Asynchronous calls to the store. Each callback runs exactly once, by the
-/// call's deadline. kNotSent and kUnavailable mean that the call had no effect,
-/// and kInvalidArgument that the same call will never have one;
-/// after kTimeout and kConnectionLost it may have taken effect or may still do.
+/// call's deadline. kNotSent, kUnavailable and kInvalidArgument mean that the
+/// call had no effect; with the last, the store has refused its content, but
+/// may take it later. After kTimeout and kConnectionLost it may have taken
+/// effect or may still do.
 class KeyedLog {
  public:
   virtual ~KeyedLog() = default;
