Answer 503, not 413, when the store refuses a request's record

What callers saw: 413 to a submission, or even to a cancel, that the store refused for a moment; that tells them for good that the request is wrong.

Cause: each refusal of a record that shared no append counted as final. But the front checks a job against the store's limits before, and answers 413 itself; what the store refuses nevertheless it may take a second later.

Change: such a request is answered 503 with Retry-After. That it has not run and never will by this answer holds as before: a request of which some append may have taken effect is answered 504, and refused records are not sent again.

--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -8,6 +8,7 @@
 #include "hyssopspar/jobs/records.h"
 #include "hyssopspar/logging.h"
 #include "node/retry_after.h"
+#include "node/store_answer.h"
 
 namespace hyssopspar::node {
 
@@ -50,18 +51,6 @@
   return now + std::max(timeout - kAnswerMargin, kAnswerMargin);
 }
 
-HttpResponse Unavailable(
-    const std::string& detail,
-    std::chrono::seconds retry_after = std::chrono::seconds(1)) {
-  HttpResponse response = ErrorResponse(503, "not-run", detail);
-  response.m_headers["retry-after"] = std::to_string(retry_after.count());
-  return response;
-}
-
-HttpResponse EmptyJsonResponse() {
-  return JsonResponse(200, "{}");
-}
-
 }  // namespace
 
 Front::Front(jobs::PlatformAdapter* platform,
@@ -156,24 +145,8 @@
   m_appender->Store(
       std::move(record), DeadlineOf(request, Clock::now()),
       [this, key, reply](StoreOutcome outcome) {
-        switch (outcome) {
-          case StoreOutcome::kStored:
-            reply(EmptyJsonResponse());
-            break;
-          case StoreOutcome::kNotStored:
-            reply(Unavailable(
-                "the store can't be reached",
-                RetryAfter(m_appender->FailingSince(), key, Clock::now())));
-            break;
-          case StoreOutcome::kUnknown:
-            reply(ErrorResponse(504, "unknown",
-                                "the store did not confirm in time"));
-            break;
-          case StoreOutcome::kRefused:
-            reply(ErrorResponse(413, "too-large",
-                                "the store takes no such record"));
-            break;
-        }
+        reply(StoreAnswer(outcome, RetryAfter(m_appender->FailingSince(), key,
+                                              Clock::now())));
       });
 }
 
--- a/src/node/job_appender.h
+++ b/src/node/job_appender.h
@@ -22,7 +22,7 @@
   kStored,
   kNotStored,  ///< The record is not in the store and will not get there.
   kUnknown,    ///< The record may be in the store, or may get there later.
-  kRefused,    ///< The store takes no such record.
+  kRefused,    ///< The store has refused it. It will not get there.
 };
 
 /// Keeps one append of callers' requests in flight; requests that arrive
--- /dev/null
+++ b/src/node/store_answer_test.cpp
@@ -0,0 +1,28 @@
+#include "node/store_answer.h"
+
+#include <gtest/gtest.h>
+
+namespace hyssopspar::node {
+namespace {
+
+constexpr std::chrono::seconds kRetryAfter{3};
+
+// A caller whose request the store refused for a moment was told for good that
+// it is too large.
+TEST(StoreAnswerTest, CallersOfRefusedRequestsMayTryAgain) {
+  const HttpResponse refused = StoreAnswer(StoreOutcome::kRefused, kRetryAfter);
+  EXPECT_EQ(refused.m_status, 503);
+  EXPECT_EQ(HeaderOr(refused.m_headers, "retry-after"), "3");
+}
+
+TEST(StoreAnswerTest, TellsStoredNotStoredAndUnknown) {
+  EXPECT_EQ(StoreAnswer(StoreOutcome::kStored, kRetryAfter).m_status, 200);
+  const HttpResponse not_stored =
+      StoreAnswer(StoreOutcome::kNotStored, kRetryAfter);
+  EXPECT_EQ(not_stored.m_status, 503);
+  EXPECT_EQ(HeaderOr(not_stored.m_headers, "retry-after"), "3");
+  EXPECT_EQ(StoreAnswer(StoreOutcome::kUnknown, kRetryAfter).m_status, 504);
+}
+
+}  // namespace
+}  // namespace hyssopspar::node
