Don't take the refusal of a request's record for an outage of the store

What callers saw: after one refused request, its node turned away the records that other nodes relayed through it ("the store can't be reached", 503), sent its own by way of other nodes for a second, and told callers to wait longer.

Cause: the choice of the route, and Retry-After, took each append that failed for one that did not reach the store.

Evidence, failed before: WaitFor("a") Which is: <02-00 00-00> expected StoreOutcome::kStored [ FAILED ] JobAppenderTest.RefusedRequestIsNoOutageOfTheStore

Change: a refusal is an answer of the store, so the route to it works.

Result: node_test passes with the test.

--- a/src/node/job_appender.cpp
+++ b/src/node/job_appender.cpp
@@ -65,9 +65,12 @@
   const auto finish = [this, route, sent,
                        done = std::move(done)](const Result<Offset>& end) {
     const StorePathStatus before = m_path_status;
-    RecordAppendResult(&m_path_status, route, end.has_value(), sent,
-                       Clock::now());
-    m_failing_since = end ? TimePoint::max() : std::min(m_failing_since, sent);
+    // A refusal is an answer of the store: it is in reach.
+    const bool reached =
+        end || end.error().m_code == ErrorCode::kInvalidArgument;
+    RecordAppendResult(&m_path_status, route, reached, sent, Clock::now());
+    m_failing_since =
+        reached ? TimePoint::max() : std::min(m_failing_since, sent);
     if (before.m_store_unreachable != m_path_status.m_store_unreachable ||
         before.m_slow != m_path_status.m_slow) {
       Log(kLogComponent)
--- a/src/node/job_appender_test.cpp
+++ b/src/node/job_appender_test.cpp
@@ -250,6 +250,16 @@
   EXPECT_EQ(WaitFor("c"), StoreOutcome::kStored);
 }
 
+// One refused request made the node believe that it can't reach the store:
+// it turned relayed records away and sent its own by way of other nodes.
+TEST_F(JobAppenderTest, RefusedRequestIsNoOutageOfTheStore) {
+  m_log.RefuseKey("b");
+  Store("b", kRequestTimeout);
+  EXPECT_EQ(WaitFor("b"), StoreOutcome::kRefused);
+  StoreForPeer("a");
+  EXPECT_EQ(WaitFor("a"), StoreOutcome::kStored);
+}
+
 // Many large requests made an append that the store refuses.
 TEST_F(JobAppenderTest, AppendsStayBelowTheLimitOfTheStore) {
   m_log.DeferAnswers();
--- a/src/node/store_path.cpp
+++ b/src/node/store_path.cpp
@@ -36,21 +36,21 @@
 
 void RecordAppendResult(StorePathStatus* path,
                         StoreRoute route,
-                        bool stored,
+                        bool reached,
                         TimePoint sent,
                         TimePoint now) {
   path->m_slow = now - sent > kSlowAppendThreshold;
   path->m_unanswered_owner_relays =
-      route == StoreRoute::kOwner && path->m_slow && !stored
+      route == StoreRoute::kOwner && path->m_slow && !reached
           ? path->m_unanswered_owner_relays + 1
           : 0;
   if (route == StoreRoute::kDirect) {
-    path->m_store_unreachable = !stored;
+    path->m_store_unreachable = !reached;
     path->m_retry_direct_at = now + kDirectRetryInterval;
     return;
   }
   ++path->m_relayed_appends;
-  path->m_relay_failed = !stored;
+  path->m_relay_failed = !reached;
 }
 
 }  // namespace hyssopspar::node
--- a/src/node/store_path.h
+++ b/src/node/store_path.h
@@ -38,10 +38,11 @@
                        TimePoint now);
 
 /// Updates \p path with the outcome of an append that was sent at \p sent on
-/// \p route and answered, or timed out, at \p now.
+/// \p route and answered, or timed out, at \p now. \p reached: the store has
+/// taken or refused its records.
 void RecordAppendResult(StorePathStatus* path,
                         StoreRoute route,
-                        bool stored,
+                        bool reached,
                         TimePoint sent,
                         TimePoint now);
 
