Don't hand a cell over because the store refuses one job's record

What callers saw: nothing started for the time of a change of owner, over and over while one job's record was refused.

Cause: the owner counted a refused batch as a call that did not reach the store. Two of them 250 ms apart without another call between make it ask its peers, one of which reads the store and takes the cell.

Evidence, failed before: m_a->m_handover.m_questions Which is: 1 expected 0 [ FAILED ] CellHostTest.OwnerKeepsTheCellWhileOneRecordIsRefused

Change: a refused batch counts as an answer of the store. Refused access (401, 403) does not, so that an owner whose key alone is revoked hands over as before.

--- a/src/node/cell_host_acting.cpp
+++ b/src/node/cell_host_acting.cpp
@@ -209,7 +209,9 @@
           [this, batch = action.m_batch,
            sent = Clock::now()](const Result<Offset>& end) {
             m_cell->OnStored(batch, end, Clock::now());
-            OnStoreCall(end.has_value(), sent);
+            // A refusal is an answer of the store: it is in reach.
+            OnStoreCall(
+                end || end.error().m_code == ErrorCode::kInvalidArgument, sent);
             TickAndDispatch();
           }));
 }
--- a/src/node/cell_host_test.cpp
+++ b/src/node/cell_host_test.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <thread>
 
+#include "hyssopspar/jobs/records.h"
 #include "hyssopspar/logging.h"
 
 namespace hyssopspar::node {
@@ -56,7 +57,13 @@
               TimePoint /*deadline*/,
               std::function<void(Result<Offset>)> done) override {
     Result<Offset> answer = Refusal();
-    if (m_reachable) {
+    const auto refusals = m_refusals.find(partition.m_stream);
+    if (!records.empty() && refusals != m_refusals.end() &&
+        refusals->second > 0) {
+      --refusals->second;
+      ++m_refused_appends;
+      answer = Fail(ErrorCode::kInvalidArgument, "record refused");
+    } else if (m_reachable) {
       answer = m_store->Append(partition, records, guard);
     }
     m_store->Loop()->Post([done, answer] { done(answer); });
@@ -113,6 +120,12 @@
 
   void SetReachable(bool reachable) { m_reachable = reachable; }
 
+  /// Lets the next \p count appends of records to the stream be refused.
+  void RefuseAppends(const std::string& stream, int count) {
+    m_refusals[stream] = count;
+  }
+  int RefusedAppends() const { return m_refused_appends; }
+
  private:
   static Result<Offset> Refusal() {
     return Fail(ErrorCode::kUnavailable, "refused");
@@ -120,6 +133,8 @@
 
   SharedStore* m_store;
   bool m_reachable = true;
+  std::map<std::string, int> m_refusals;  ///< Still to come, by stream.
+  int m_refused_appends = 0;
 };
 
 /// Platform without workers and adviser. Every operator record is a
@@ -204,21 +219,23 @@
   int m_questions = 0;
 };
 
-NodeSettings Settings(const std::string& name) {
+NodeSettings Settings(const std::string& name, milliseconds renewal_interval) {
   NodeSettings settings;
   settings.m_name = name;
   settings.m_ownership.m_node = name;
   settings.m_ownership.m_process = name + "-1";
   settings.m_ownership.m_min_tenure = milliseconds(0);
-  settings.m_ownership.m_renewal_interval = milliseconds(50);
+  settings.m_ownership.m_renewal_interval = renewal_interval;
   return settings;
 }
 
 struct Node {
-  Node(const std::string& name, SharedStore* store)
+  Node(const std::string& name,
+       SharedStore* store,
+       milliseconds renewal_interval = milliseconds(50))
       : m_platform(store),
         m_view(&m_platform, store->Loop()),
-        m_host(Settings(name),
+        m_host(Settings(name, renewal_interval),
                0,
                &m_platform,
                store->Loop(),
@@ -245,12 +262,27 @@
   CellHostTest() : m_loop(100), m_store(&m_loop) {
     SetLogLevel("off");
     m_store.Records({"operators", 0}).push_back({"config", "x"});
-    m_a = std::make_unique<Node>("a", &m_store);
     m_b = std::make_unique<Node>("b", &m_store);
+    CreateA(milliseconds(50));
+  }
+
+  void CreateA(milliseconds renewal_interval) {
+    m_a = std::make_unique<Node>("a", &m_store, renewal_interval);
     m_a->m_handover.m_peer = &m_b->m_host;
     m_b->m_handover.m_peer = &m_a->m_host;
   }
 
+  /// Adds a job that was cancelled before it began.
+  void AddCancelledJob(const std::string& id) {
+    jobs::Submission job;
+    job.m_id = id;
+    job.m_plan.m_steps.resize(1);
+    m_store.Records({jobs::kJobStream, 0})
+        .push_back({id, jobs::EncodeSubmission(job)});
+    m_store.Records({jobs::kJobStream, 0})
+        .push_back({jobs::CancelKey(id), "1"});
+  }
+
   ~CellHostTest() override {
     m_loop.Stop();
     SetLogLevel("info");
@@ -349,6 +381,18 @@
   EXPECT_FALSE(answer.get_future().get());
 }
 
+// An owner took the refusal of one job's record for the loss of the store, and
+// gave the cell to another node.
+TEST_F(CellHostTest, OwnerKeepsTheCellWhileOneRecordIsRefused) {
+  CreateA(milliseconds(2000));
+  AddCancelledJob("job");
+  m_a->m_platform.Log().RefuseAppends(jobs::kProgressStream, 100);
+  StartWithOwnerA();
+  WaitUntil([this] { return m_a->m_platform.Log().RefusedAppends() >= 3; });
+  EXPECT_EQ(OnLoop([this] { return m_a->m_handover.m_questions; }), 0);
+  EXPECT_TRUE(OnLoop([this] { return m_a->m_host.OwnedCell() != nullptr; }));
+}
+
 // The state of a cell may be half changed when an event ends with an exception.
 TEST_F(CellHostTest, OwnerGivesTheCellUpAfterAnUnexpectedError) {
   StartWithOwnerA();
