Repeat a failed append of tombstones or removals of ended jobs

What callers saw: possibly a job that had ended long ago running again; not seen in a record, found by reading every path on which a refusal is final.

Cause: the append that replaces an ended job's record by a tombstone was sent once; an error was only logged. When the job's progress is removed later, its record alone is left, and the next owner takes it for a new job.

Change: such an append is repeated every second until it succeeds or the owner changes. It may take effect twice, which changes nothing.

--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -103,8 +103,8 @@
   /// Replaces the owner record, unless another was written since it was read.
   void AppendOwner(const jobs::OwnerRecord& record,
                    std::function<void(Result<Offset>)> done);
-  /// Runs \p step after a delay, unless ownership has changed by then.
-  void RetryLater(std::function<void()> step);
+  /// Runs \p step after \p delay, unless ownership has changed by then.
+  void RetryLater(std::function<void()> step, milliseconds delay);
   void OnClaimAnswer(const Result<Offset>& result);
   /// Makes the store refuse writes of earlier owners that are still in flight.
   void Fence();
@@ -159,8 +159,11 @@
   void Execute(const jobs::TombstoneJobsAction& action);
   void Execute(const jobs::DropJobsAction& action);
   /// Appends \p records, which replace or remove records of ended jobs, to the
-  /// job stream. A failure only lengthens the next load of the cell.
+  /// job stream.
   void CompactJobStream(const std::vector<KeyedRecord>& records);
+  /// Repeats the append until it has succeeded: a job whose tombstone is
+  /// missing when its progress is removed would run again under the next owner.
+  void AppendCompaction(const std::vector<KeyedRecord>& records);
   Partition PartitionOf(const char* stream) const;
 
   /// Wraps \p handler in a callback that runs it on the loop, unless ownership
--- a/src/node/cell_host_acting.cpp
+++ b/src/node/cell_host_acting.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds kAdviceTimeout{5000};
 /// Most records of ended jobs in one append.
 constexpr std::size_t kMaxCompactedRecords = 5000;
+/// Delay before such an append that has failed is repeated.
+constexpr milliseconds kCompactionRetryDelay{1000};
 
 }  // namespace
 
@@ -240,15 +242,23 @@
     const auto end =
         records.begin() + static_cast<std::ptrdiff_t>(std::min(
                               records.size(), first + kMaxCompactedRecords));
-    m_platform->Log().Append(
-        PartitionOf(jobs::kJobStream), {begin, end}, AppendGuard(),
-        Clock::now() + kStoreTimeout, [](const Result<Offset>& result) {
-          if (!result) {
-            Log(kOwnerLogComponent)
-                ->warn("compaction-failed error={}", ToString(result.error()));
-          }
-        });
+    AppendCompaction({begin, end});
   }
 }
 
+void CellHost::AppendCompaction(const std::vector<KeyedRecord>& records) {
+  m_platform->Log().Append(
+      PartitionOf(jobs::kJobStream), records, AppendGuard(),
+      Clock::now() + kStoreTimeout,
+      BindToGeneration<Result<Offset>>(
+          [this, records](const Result<Offset>& end) {
+            if (!end) {
+              Log(kOwnerLogComponent)
+                  ->warn("compaction-failed error={}", ToString(end.error()));
+              RetryLater([this, records] { AppendCompaction(records); },
+                         kCompactionRetryDelay);
+            }
+          }));
+}
+
 }  // namespace hyssopspar::node
--- a/src/node/cell_host_loading.cpp
+++ b/src/node/cell_host_loading.cpp
@@ -18,8 +18,8 @@
 
 }  // namespace
 
-void CellHost::RetryLater(std::function<void()> step) {
-  m_loop->PostAt(Clock::now() + kStoreRetryDelay,
+void CellHost::RetryLater(std::function<void()> step, milliseconds delay) {
+  m_loop->PostAt(Clock::now() + delay,
                  [this, generation = m_generation, step = std::move(step)] {
                    if (generation == m_generation) {
                      step();
@@ -49,7 +49,7 @@
           StepDown("fenced");
           return;
         }
-        RetryLater([this] { Fence(); });
+        RetryLater([this] { Fence(); }, kStoreRetryDelay);
       }));
 }
 
@@ -105,7 +105,7 @@
     Log(kOwnerLogComponent)
         ->warn("load-failed cell={} epoch={} error={}", m_cell_number,
                m_claim.m_epoch, ToString(page.error()));
-    RetryLater([this] { LoadProgress(""); });
+    RetryLater([this] { LoadProgress(""); }, kStoreRetryDelay);
     return;
   }
   for (const KeyedRecord& record : page.value().m_records) {
--- a/src/node/cell_host_test.cpp
+++ b/src/node/cell_host_test.cpp
@@ -226,6 +226,8 @@
   settings.m_ownership.m_process = name + "-1";
   settings.m_ownership.m_min_tenure = milliseconds(0);
   settings.m_ownership.m_renewal_interval = renewal_interval;
+  settings.m_cell.m_tombstone_age = milliseconds(0);
+  settings.m_cell.m_tombstone_interval = milliseconds(0);
   return settings;
 }
 
@@ -393,6 +395,20 @@
   EXPECT_TRUE(OnLoop([this] { return m_a->m_host.OwnedCell() != nullptr; }));
 }
 
+// An ended job whose tombstone was refused once kept its record for good; when
+// its progress was removed later, the next owner ran it again.
+TEST_F(CellHostTest, RefusedTombstoneIsStoredLater) {
+  AddCancelledJob("job");
+  m_a->m_platform.Log().RefuseAppends(jobs::kJobStream, 1);
+  StartWithOwnerA();
+  WaitUntil([this] {
+    const KeyedRecord& last = m_store.Records({jobs::kJobStream, 0}).back();
+    return last.m_key == "job" && last.m_value == jobs::kTombstoneValue;
+  });
+  EXPECT_EQ(OnLoop([this] { return m_a->m_platform.Log().RefusedAppends(); }),
+            1);
+}
+
 // The state of a cell may be half changed when an event ends with an exception.
 TEST_F(CellHostTest, OwnerGivesTheCellUpAfterAnUnexpectedError) {
   StartWithOwnerA();
