Don't give a batch's number to another one while it may be stored

What callers saw: possibly a task that ran twice, or that nobody knew of after a change of owner; not seen in a record, found by reading.

Cause: when a batch had no answer and its repeat was refused, the owner split it and gave its number to the next batch. If the first sending had taken effect, the store took that batch for the repeat and confirmed it without storing it; its placements were started. An outage in which calls time out and are refused as the store returns is the likely case.

Change: such a batch is sent again, unchanged, until the store confirms it. If its repeats are refused while renewals of the ownership are stored over 5 s, the refusal is due to the batch, and the owner gives the cell up: the next epoch keeps the old sending out and loads what is stored. Without renewals it goes on.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -132,7 +132,7 @@
   /// Number of unfinished jobs of a queue of which no task has been started.
   std::size_t CountPendingJobs(const std::string& queue) const;
   /// True once the store or a worker has refused this owner's epoch because it
-  /// has seen a higher one.
+  /// has seen a higher one, or this owner can't find out what is stored.
   bool IsFenced() const { return m_is_fenced; }
 
   const std::vector<Worker>& Workers() const { return m_workers; }
@@ -163,6 +163,10 @@
     /// Contains jobs that are set aside, and nothing else.
     bool m_is_probe = false;
     bool m_is_one_job = false;  ///< Contains one job and nothing else.
+    /// An earlier sending has not been answered, and may have taken effect.
+    bool m_may_be_stored = false;
+    /// End of the ownership lease at the first refusal of such a batch.
+    std::optional<TimePoint> m_lease_when_refused;
   };
 
   // cell.cpp
@@ -326,7 +330,12 @@
   void DropExpiredJobs(TimePoint now);
 
   // cell_refusals.cpp
-  /// Handles the store's refusal of the batch in flight: stores its jobs in
+  /// Handles the store's refusal of the batch in flight.
+  void OnRefusedBatch(const Error& error, TimePoint now);
+  /// Sends the batch in flight, which may be stored, again after a refusal, or
+  /// gives the cell up if that lasts while the store takes renewals.
+  void RepeatUncertainBatch(TimePoint now);
+  /// Handles the refusal of a batch that is not stored: stores its jobs in
   /// smaller batches. A job that is refused alone is set aside.
   void SplitRefusedBatch(const Error& error, TimePoint now);
   /// Keeps the job out of other jobs' batches, and places none of its tasks,
--- a/src/libhyssopspar/jobs/cell_fixture.h
+++ b/src/libhyssopspar/jobs/cell_fixture.h
@@ -144,9 +144,22 @@
                       m_now);
       return;
     }
+    if (action.m_batch == m_unconfirmed_batch) {
+      // The store answers a repeated number as it answered the first.
+      m_unconfirmed_batch = 0;
+      m_cell.OnStored(action.m_batch, Offset{1}, m_now);
+      return;
+    }
     EXPECT_EQ(action.m_batch, ++m_last_stored_batch);
     m_stored.insert(m_stored.end(), action.m_records.begin(),
                     action.m_records.end());
+    if (m_next_confirmation_is_lost) {
+      m_next_confirmation_is_lost = false;
+      m_unconfirmed_batch = action.m_batch;
+      m_cell.OnStored(action.m_batch, Fail(ErrorCode::kTimeout, "no answer"),
+                      m_now);
+      return;
+    }
     m_cell.OnStored(action.m_batch, Offset{1}, m_now);
   }
   void Answer(const TombstoneJobsAction& /*action*/) {}
@@ -202,6 +215,8 @@
   std::set<std::string> m_refused_keys;  ///< It refuses batches with these.
   bool m_store_refuses = false;          ///< It refuses all batches.
   std::size_t m_refused_batches = 0;
+  bool m_next_confirmation_is_lost = false;  ///< Of the next stored batch.
+  std::uint64_t m_unconfirmed_batch = 0;     ///< Whose confirmation was lost.
   std::uint64_t m_last_stored_batch = 0;
   double m_usage = 0;  ///< Reported for every run.
   std::map<std::string, std::vector<RunningRun>> m_running;  ///< By worker.
--- a/src/libhyssopspar/jobs/cell_refusals.cpp
+++ b/src/libhyssopspar/jobs/cell_refusals.cpp
@@ -19,6 +19,11 @@
 constexpr milliseconds kMinProbeDelay{1000};
 constexpr milliseconds kMaxProbeDelay{4000};
 
+/// Delay before a refused batch that may be stored is sent again, and the time
+/// after which the cell is given up, if the store takes renewals all the while.
+constexpr milliseconds kUncertainRetryDelay{200};
+constexpr milliseconds kMaxUncertainTime{5000};
+
 milliseconds ProbeDelay(std::uint32_t refusals) {
   return std::min(kMaxProbeDelay,
                   kMinProbeDelay * (1 << std::min(refusals - 1, 8U)));
@@ -26,6 +31,30 @@
 
 }  // namespace
 
+void Cell::OnRefusedBatch(const Error& error, TimePoint now) {
+  if (m_batch_in_flight->m_may_be_stored) {
+    RepeatUncertainBatch(now);
+  } else {
+    SplitRefusedBatch(error, now);
+  }
+}
+
+/// Another batch may not get the number of one that may be stored: the store
+/// would take it for the repeat.
+void Cell::RepeatUncertainBatch(TimePoint now) {
+  PendingBatch& batch = *m_batch_in_flight;
+  m_batch_retry_at = now + kUncertainRetryDelay;
+  if (!batch.m_lease_when_refused) {
+    batch.m_lease_when_refused = m_ownership_lease_deadline;
+  }
+  if (m_ownership_lease_deadline - kMaxUncertainTime >
+      *batch.m_lease_when_refused) {
+    CellLog()->critical("batch-uncertain batch={} jobs={} bytes={}",
+                        batch.m_number, batch.m_jobs.size(), batch.m_bytes);
+    m_is_fenced = true;
+  }
+}
+
 void Cell::SplitRefusedBatch(const Error& error, TimePoint now) {
   const PendingBatch refused = std::move(*m_batch_in_flight);
   m_batch_in_flight.reset();
--- a/src/libhyssopspar/jobs/cell_store.cpp
+++ b/src/libhyssopspar/jobs/cell_store.cpp
@@ -170,8 +170,11 @@
     if (result.error().m_code == ErrorCode::kFenced) {
       m_is_fenced = true;
     } else if (result.error().m_code == ErrorCode::kInvalidArgument) {
-      SplitRefusedBatch(result.error(), now);
+      OnRefusedBatch(result.error(), now);
     } else {
+      m_batch_in_flight->m_may_be_stored |=
+          result.error().m_code != ErrorCode::kNotSent &&
+          result.error().m_code != ErrorCode::kUnavailable;
       m_batch_retry_at = now + kBatchRetryDelay;
     }
     return;
--- a/src/libhyssopspar/jobs/cell_store_test.cpp
+++ b/src/libhyssopspar/jobs/cell_store_test.cpp
@@ -278,6 +278,46 @@
   EXPECT_LE(m_refused_batches - refused_before, 15U);
 }
 
+// A batch whose confirmation was lost and whose repeat was refused was replaced
+// by another one with its number, which the store takes for the repeat:
+// progress counted as stored that was not.
+TEST_F(CellStoreTest, RefusedRepeatMayBeStored) {
+  m_next_confirmation_is_lost = true;
+  m_cell.OnJob(MakeJob("first", Step(1, 1000)), m_now);
+  Run(milliseconds(25));
+  m_store_refuses = true;
+  Run(milliseconds(500));
+  EXPECT_TRUE(m_starts.empty());
+  m_store_refuses = false;
+  m_cell.OnJob(MakeJob("second", Step(1, 1000)), m_now);
+  Run(milliseconds(3000));
+  for (const std::string id : {"first", "second"}) {
+    EXPECT_EQ(StartsOf(id), 1U) << id;
+    EXPECT_NE(StoredProgressOf(id), "") << id;
+  }
+}
+
+// A repeat that is refused for ever must not stop all jobs: the next owner
+// finds out what is stored.
+TEST_F(CellStoreTest, OwnerGivesUpOverARepeatThatIsAlwaysRefused) {
+  const TimePoint lease_end = m_now + milliseconds(40000);
+  m_cell.SetOwnershipLeaseDeadline(lease_end);
+  m_next_confirmation_is_lost = true;
+  m_cell.OnJob(MakeJob("first", Step(1, 1000)), m_now);
+  Run(milliseconds(25));
+  m_store_refuses = true;
+  // Without renewals, the store may refuse everything.
+  Run(milliseconds(20000));
+  EXPECT_FALSE(m_cell.IsFenced());
+  m_cell.SetOwnershipLeaseDeadline(lease_end + milliseconds(4500));
+  Run(milliseconds(1000));
+  EXPECT_FALSE(m_cell.IsFenced());
+  m_cell.SetOwnershipLeaseDeadline(lease_end + milliseconds(5500));
+  Run(milliseconds(1000));
+  EXPECT_TRUE(m_cell.IsFenced());
+  EXPECT_TRUE(m_starts.empty());
+}
+
 // A crash of one worker made the record of a job with many occurrences larger
 // than the store's records.
 TEST_F(CellStoreTest, StoresAScheduleOfManyOccurrencesBriefly) {
