Don't move a task whose job's record the store refuses

What callers saw: possibly a filling task that stopped and stayed away while the store refused its job's record; found by reading.

Cause: to bring down a tail latency, a task is stopped in order to be started elsewhere, which a job that is set aside does not allow.

Evidence, on the commit before: m_stops.empty() Actual: false Expected: true [ FAILED ] CellStoreTest.TasksOfARefusedJobAreNotMoved

Change: such a task is only paused. It is moved when its record is taken and the pause has lasted too long.

Result: the tests of CellStoreTest, CellTest and CellCrashesTest pass (41 of 41).

--- a/src/libhyssopspar/jobs/cell_pacing.cpp
+++ b/src/libhyssopspar/jobs/cell_pacing.cpp
@@ -149,8 +149,10 @@
 void Cell::ApplyThrottle(const TaskRef& ref, int percent, TimePoint now) {
   Job* const job = ref.m_job;
   Task& task = job->m_tasks[ref.m_index];
+  // A task of a job that is set aside could not be started elsewhere.
+  const bool may_move = !IsSetAside(*job);
   if (percent == task.m_throttle_percent) {
-    if (percent == 0 &&
+    if (percent == 0 && may_move &&
         now - task.m_paused_since > kMaxPauseWithoutCheckpoints) {
       SendStop(ref, "paused-too-long", now);
     }
@@ -170,7 +172,8 @@
                      {NameOfTask(*job, ref.m_index), task.m_run, percent,
                       m_settings.m_epoch}});
   // The pause takes effect before the stop does.
-  if (percent == 0 && StepOf(*job, ref.m_index).m_supports_checkpoints) {
+  if (percent == 0 && may_move &&
+      StepOf(*job, ref.m_index).m_supports_checkpoints) {
     SendStop(ref, "moved", now);
   }
 }
--- a/src/libhyssopspar/jobs/cell_store_test.cpp
+++ b/src/libhyssopspar/jobs/cell_store_test.cpp
@@ -258,6 +258,40 @@
   EXPECT_EQ(m_cell.FindJob("refused")->m_stored_state, JobState::kCancelled);
 }
 
+// A task of a job whose record is refused can't be started elsewhere: stopping
+// it to move it would only end it.
+TEST_F(CellStoreTest, TasksOfARefusedJobAreNotMoved) {
+  StepPlan serving = LongRunning(Step(40, 4000));
+  serving.m_max_tasks_per_worker = 1;
+  serving.m_image = "web";
+  serving.m_tail_latency_target = milliseconds(100);
+  m_cell.OnJob(MakeJob("serving", serving), m_now);
+  m_usage = 50;
+  Run(milliseconds(500));
+  StepPlan movable = Step(2, 4000);
+  movable.m_is_best_effort = true;
+  movable.m_supports_checkpoints = true;
+  movable.m_image = "mould";
+  m_cell.OnJob(MakeJob("movable", movable), m_now);
+  m_usage = 4000;
+  Run(milliseconds(1000));
+  ASSERT_EQ(RunsOf("movable"), 2U);
+  m_refused_keys.insert("movable");
+  EndRuns("movable");
+  Run(milliseconds(500));
+  for (auto& worker : m_running) {
+    for (RunningRun& run : worker.second) {
+      run.m_usage = run.m_task.m_job == "serving" ? 900 : run.m_usage;
+    }
+  }
+  Run(milliseconds(1500));
+  ASSERT_FALSE(m_throttles.empty());
+  EXPECT_TRUE(m_stops.empty());
+  m_refused_keys.clear();
+  Run(milliseconds(8000));
+  EXPECT_FALSE(m_stops.empty());
+}
+
 // Every retry of a refused record was a batch with other jobs, which had to be
 // split again.
 TEST_F(CellStoreTest, RetriesOfRefusedJobsAreFewAndShareNoBatch) {
