Simulate a store that refuses everything for a while

The simulated store gets an option of periods of 0.5 to 5 s in which it answers all batches with kInvalidArgument, beside the usual faults, lost answers and changes of the owner. It is off in all other tests, whose courses don't change.

--- a/testsuite/job_state/job_state_test.cpp
+++ b/testsuite/job_state/job_state_test.cpp
@@ -121,6 +121,25 @@
 // In KNOWN-RED.txt.
 INSTANTIATE_TEST_SUITE_P(KnownRed, CrashingWorkersTest, testing::Values(50));
 
+class RefusingStoreTest : public JobSimulationTest,
+                          public testing::WithParamInterface<int> {};
+
+// Jobs were ended as failed because the store refused their records for a
+// while.
+TEST_P(RefusingStoreTest, NoJobFailsBecauseTheStoreRefusesItsRecord) {
+  JobSimulationOptions options;
+  options.m_seed = static_cast<std::uint64_t>(GetParam());
+  options.m_store_refusals = 10;
+  options.m_decide_at_deadlines = true;
+  JobSimulation simulation(options);
+  simulation.Run();
+  EXPECT_EQ(Join(simulation.Violations()), "") << "seed " << GetParam();
+  EXPECT_EQ(simulation.FailedWithoutCrashingTask(), 0U)
+      << "seed " << GetParam();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RefusingStoreTest, testing::Range(1, 31));
+
 class QuietCellTest : public JobSimulationTest,
                       public testing::WithParamInterface<int> {};
 
--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -347,6 +347,15 @@
   }
 }
 
+void JobSimulation::ScheduleStoreRefusals() {
+  for (int i = 0; i < m_options.m_store_refusals; ++i) {
+    ScheduleAfter(kFaultPeriod * i / m_options.m_store_refusals, [this] {
+      m_store_refuses_until =
+          m_now + milliseconds(500 + static_cast<int>(m_random() % 4500));
+    });
+  }
+}
+
 void JobSimulation::ScheduleGroupCrashes() {
   for (int i = 0; i < m_options.m_group_crashes; ++i) {
     ScheduleAfter(kFaultPeriod * i / m_options.m_group_crashes, [this] {
@@ -751,6 +760,11 @@
       answer(RandomNetworkDelay(), Fail(ErrorCode::kFenced, "older epoch"));
       return;
     }
+    if (m_now < m_store_refuses_until) {
+      answer(RandomNetworkDelay(),
+             Fail(ErrorCode::kInvalidArgument, "refused for a while"));
+      return;
+    }
     if (action.m_batch == m_store_sequence + 1) {
       m_store_sequence = action.m_batch;
       for (const KeyedRecord& record : action.m_records) {
@@ -909,6 +923,7 @@
   if (m_options.m_faults) {
     ScheduleFaults();
   }
+  ScheduleStoreRefusals();
   ScheduleGroupCrashes();
   if (m_options.m_capacities_change) {
     ScheduleCapacityChanges();
--- a/testsuite/job_state/job_world.h
+++ b/testsuite/job_state/job_world.h
@@ -43,6 +43,8 @@
   /// Number of times that a seventh of the workers crash together, evenly
   /// spread over the fault period.
   int m_group_crashes = 0;
+  /// Periods of up to five seconds in which the store refuses all batches.
+  int m_store_refusals = 0;
   /// Number of faults in the fault period.
   int m_fault_count = 12;
 };
@@ -80,6 +82,7 @@
   void ScheduleJobs();
   void ScheduleFaults();
   void ScheduleGroupCrashes();
+  void ScheduleStoreRefusals();
   Submission RandomJob(int number);
   RunBehavior BehaviorOf(const TaskName& task);
 
@@ -168,6 +171,7 @@
   std::uint64_t m_store_epoch = 0;
   std::uint64_t m_store_sequence = 0;
   TimePoint m_store_down_until;
+  TimePoint m_store_refuses_until;
   std::vector<KeyedRecord> m_job_records;
 
   std::vector<std::unique_ptr<Owner>> m_owners;
