Count attempts only at ends as failed

Callers saw a job as failed though none of its tasks had failed, or fewer times than its queue allows, after a run had been stopped, had lapsed or had been lost with its worker.

Cause: Cell::EndRun compared the number of failed runs with the limit at every end, not only at ends as failed. The comparison held at once for a limit of 0 (maxAttempts of 0 or below 1), and for a task that had failed as often as a limit that became lower after its acceptance: the record of a job that is submitted again replaces the first one, and the next owner reads the limit in force at the second.

Evidence: both tests failed before (state 3, failed, instead of 1, running; job-failed reason=attempts-used failures=2/2 after cause=stopped).

Change: only an end as failed uses up attempts.

--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -126,8 +126,10 @@
   if (!checkpoint.empty()) {
     task.m_checkpoint = checkpoint;
   }
+  // Decided at an end that counts only: the limit is 0 in a queue without one,
+  // and lower than before after a second submission under another policy.
   const bool out_of_attempts =
-      !step.m_long_running &&
+      cause == EndCause::kFailed && !step.m_long_running &&
       task.m_failures >= job->m_submission.m_queue.m_max_attempts;
   if (cause == EndCause::kDone && !step.m_long_running) {
     SetTaskState(job, ref.m_index, TaskState::kDone);
