Pin which ends count as attempts

Ten tests of leads that proved unfounded; all passed on the code before: an end listed again to a successor, with the task placed again or with an older record; ends whose numbers begin anew with an incarnation; the end of a run on another worker, of one that was ordered to stop, and of one whose lease had expired; a second submission with another limit while the owner has the job; a gang whose members fail in turn; a task that lasts after ends of every kind; 500 unacknowledged ends of other runs before that of a task that lasts.

The fixture's workers can now leave heartbeats unanswered.

--- a/src/libhyssopspar/jobs/cell_attempts_test.cpp
+++ b/src/libhyssopspar/jobs/cell_attempts_test.cpp
@@ -23,7 +23,7 @@
 
   /// Restores job "a" of one task, which has failed \p failures times. Its run
   /// \p run is placed on w0, or no run if \p placed is false.
-  void RestoreTask(Submission job,
+  void RestoreTask(const Submission& job,
                    std::uint32_t run,
                    std::uint32_t failures,
                    bool placed) {
@@ -106,5 +106,193 @@
   EXPECT_EQ(StartsOf("a"), 1U);
 }
 
+// An end would count twice if a successor with the stored count, which finds
+// the end listed again, took it for that of the run placed since.
+TEST_F(CellAttemptsTest, CountsAnEndThatASuccessorFindsListedAgainOnce) {
+  RestoreTask(MakeJob("a", Step(1, 1000)), 2, 1, true);
+  m_running["w0"].push_back({{"a", 0, 0, 0}, 2, "", 0, 0});
+  m_ended["w0"].push_back({1, {"a", 0, 0, 0}, 1, EndCause::kFailed, ""});
+  ActivateWithWorkers(2);
+  Run(milliseconds(1000));
+  EXPECT_EQ(TaskAt(0).m_failures, 1U);
+  EXPECT_EQ(TaskAt(0).m_state, TaskState::kRunning);
+}
+
+// Same for one whose record is older than the end: it counts the end, though
+// the store takes its batches late and the worker lists the end meanwhile.
+TEST_F(CellAttemptsTest, CountsAnEndOnceWhileItsStoringIsPending) {
+  RestoreTask(MakeJob("a", Step(1, 1000)), 1, 0, true);
+  m_ended["w0"].push_back({1, {"a", 0, 0, 0}, 1, EndCause::kFailed, ""});
+  m_store_is_slow = true;
+  ActivateWithWorkers(1);
+  Run(milliseconds(3000));
+  EXPECT_EQ(TaskAt(0).m_failures, 1U);
+  m_store_is_slow = false;
+  m_cell.OnStored(m_unanswered_batch, Offset{1}, m_now);
+  Run(milliseconds(3000));
+  EXPECT_EQ(TaskAt(0).m_failures, 1U);
+  EXPECT_EQ(TaskAt(0).m_state, TaskState::kRunning);
+}
+
+// The numbers of ends begin anew with an incarnation. Ends of earlier runs that
+// are listed under new numbers would use up the attempts.
+TEST_F(CellAttemptsTest, CountsAnEndOnceWhenItsNumberBeginsAnew) {
+  ActivateWithWorkers(1);
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  Run(milliseconds(200));
+  EndCurrentRun(0, EndCause::kFailed);
+  Run(milliseconds(1000));
+  ASSERT_EQ(TaskAt(0).m_run, 2U);
+  ++m_incarnations["w0"];
+  Run(milliseconds(1000));
+  m_ended["w0"].push_back({2, {"a", 0, 0, 0}, 1, EndCause::kFailed, ""});
+  Run(milliseconds(1000));
+  EXPECT_EQ(TaskAt(0).m_failures, 1U);
+  EXPECT_NE(m_cell.StateOf("a"), JobState::kFailed);
+}
+
+// Only the worker on which a run is placed tells how it ends.
+TEST_F(CellAttemptsTest, IgnoresTheEndOfARunOnAnotherWorker) {
+  ActivateWithWorkers(2);
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  Run(milliseconds(200));
+  const std::string other = WorkerOf(0) == "w0" ? "w1" : "w0";
+  m_ended[other].push_back(
+      {1, {"a", 0, 0, 0}, TaskAt(0).m_run, EndCause::kFailed, ""});
+  Run(milliseconds(1000));
+  EXPECT_EQ(TaskAt(0).m_failures, 0U);
+  EXPECT_EQ(TaskAt(0).m_state, TaskState::kRunning);
+}
+
+// A run that was ordered to stop and has failed counts by RULES BUDGET. It must
+// count once, though the stop is confirmed as well.
+TEST_F(CellAttemptsTest, CountsARunThatFailsWhileItIsStoppedOnce) {
+  ActivateWithWorkers(1);
+  m_starts_are_answered = false;
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  Run(milliseconds(200));
+  ASSERT_EQ(StartsOf("a"), 1U);
+  m_starts_are_answered = true;
+  StartAction start;
+  start.m_worker = TaskAt(0).m_worker;
+  start.m_task = {const_cast<Job*>(m_cell.FindJob("a")), 0};
+  start.m_order = m_starts[0];
+  m_cell.OnStartAnswer(start, Fail(ErrorCode::kTimeout, "no answer"), m_now);
+  for (int i = 0; i < 40 && TaskAt(0).m_state != TaskState::kStopping; ++i) {
+    Run(milliseconds(25));
+  }
+  ASSERT_EQ(TaskAt(0).m_state, TaskState::kStopping);
+  EndCurrentRun(0, EndCause::kFailed);
+  EndCurrentRun(0, EndCause::kStopped);
+  Run(milliseconds(1000));
+  EXPECT_EQ(TaskAt(0).m_failures, 1U);
+  EXPECT_EQ(TaskAt(0).m_run, 2U);
+}
+
+// The end of a run that is listed after its lease had expired here, and the
+// task had been started elsewhere, is not one of the run in progress.
+TEST_F(CellAttemptsTest, IgnoresAFailureListedAfterTheLeaseHasExpired) {
+  ActivateWithWorkers(2);
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  Run(milliseconds(200));
+  const std::string lost = WorkerOf(0);
+  m_silent_workers.insert(lost);
+  EndCurrentRun(0, EndCause::kFailed);
+  Run(std::chrono::seconds(20));
+  ASSERT_EQ(TaskAt(0).m_run, 2U);
+  ASSERT_NE(WorkerOf(0), lost);
+  m_silent_workers.clear();
+  Run(milliseconds(2000));
+  EXPECT_GT(m_cell.Workers()[0].m_received_end_number +
+                m_cell.Workers()[1].m_received_end_number,
+            0U);
+  EXPECT_EQ(TaskAt(0).m_failures, 0U);
+  EXPECT_EQ(TaskAt(0).m_state, TaskState::kRunning);
+}
+
+// A submission under another policy changes nothing for a job that an owner
+// has: the limit is that of its acceptance.
+TEST_F(CellAttemptsTest, KeepsTheLimitOfTheFirstSubmission) {
+  ActivateWithWorkers(1);
+  Submission job = MakeJob("a", Step(1, 1000));
+  m_cell.OnJob(job, m_now);
+  job.m_queue.m_max_attempts = 1;
+  m_cell.OnJob(job, m_now);
+  Run(milliseconds(200));
+  for (int i = 0; i < 2; ++i) {
+    EndCurrentRun(0, EndCause::kFailed);
+    Run(milliseconds(1000));
+    ASSERT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+  }
+  EndCurrentRun(0, EndCause::kFailed);
+  Run(milliseconds(1000));
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kFailed);
+}
+
+// A gang counts an attempt for the member that fails only; the ends of the
+// others follow from it. No task has failed as often as the queue allows here.
+TEST_F(CellAttemptsTest, GangCountsAFailureForTheMemberThatFailsOnly) {
+  ActivateWithWorkers(2);
+  StepPlan step = Step(3, 1000);
+  step.m_gang = true;
+  m_cell.OnJob(MakeJob("a", step), m_now);
+  Run(milliseconds(200));
+  for (std::size_t failing = 0; failing < 3; ++failing) {
+    for (std::size_t i = 0; i < 3; ++i) {
+      ASSERT_EQ(TaskAt(i).m_state, TaskState::kRunning);
+      EndCurrentRun(i, i == failing   ? EndCause::kFailed
+                       : failing == 0 ? EndCause::kGangIncomplete
+                                      : EndCause::kGangBroken);
+    }
+    Run(milliseconds(1000));
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    EXPECT_EQ(TaskAt(i).m_failures, 1U);
+    EXPECT_EQ(TaskAt(i).m_run, 4U);
+  }
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+}
+
+// A task that lasts was not started again after an end of any kind.
+TEST_F(CellAttemptsTest, TaskThatLastsIsStartedAgainHoweverItEnds) {
+  ActivateWithWorkers(2);
+  Submission job = MakeJob("a", LongRunning(Step(1, 1000)));
+  job.m_queue.m_max_attempts = 1;
+  m_cell.OnJob(job, m_now);
+  Run(milliseconds(200));
+  std::size_t starts = 1;
+  for (int round = 0; round < 4; ++round) {
+    for (const EndCause cause :
+         {EndCause::kDone, EndCause::kFailed, EndCause::kStopped,
+          EndCause::kLeaseExpired, EndCause::kGangBroken,
+          EndCause::kGangIncomplete}) {
+      EndCurrentRun(0, cause);
+      Run(milliseconds(1000));
+      ASSERT_EQ(StartsOf("a"), ++starts);
+      ASSERT_EQ(TaskAt(0).m_state, TaskState::kRunning);
+      ASSERT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+    }
+  }
+}
+
+// A worker lists 500 ends at a time: the end of a task that lasts, beyond them,
+// is found once the others are acknowledged.
+TEST_F(CellAttemptsTest, FindsTheEndOfATaskThatLastsBehindManyOthers) {
+  ActivateWithWorkers(1);
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  Run(milliseconds(200));
+  m_running["w0"].clear();
+  for (std::uint64_t i = 1; i <= 500; ++i) {
+    m_ended["w0"].push_back({i, {"other", 0, 0, 0}, 1, EndCause::kDone, ""});
+  }
+  Run(milliseconds(1000));
+  EXPECT_EQ(m_cell.Workers()[0].m_acked_end_number, 500U);
+  EXPECT_EQ(TaskAt(0).m_state, TaskState::kRunning);
+  m_ended["w0"] = {{501, {"a", 0, 0, 0}, 1, EndCause::kFailed, ""}};
+  Run(milliseconds(1000));
+  EXPECT_EQ(TaskAt(0).m_run, 2U);
+  EXPECT_EQ(TaskAt(0).m_state, TaskState::kRunning);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_fixture.h
+++ b/src/libhyssopspar/jobs/cell_fixture.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -115,6 +116,11 @@
     m_throttles.push_back(action.m_order);
   }
   void Answer(const HeartbeatAction& action) {
+    if (m_silent_workers.count(action.m_target.m_id) > 0) {
+      m_cell.OnHeartbeatAnswer(action, Fail(ErrorCode::kTimeout, "no answer"),
+                               m_now);
+      return;
+    }
     HeartbeatReport report;
     report.m_now = WorkerTime(milliseconds(ToMillis(m_now.time_since_epoch())));
     report.m_incarnation_unix_ms = 1 + m_incarnations[action.m_target.m_id];
@@ -201,6 +207,7 @@
   std::map<std::string, std::vector<RunningRun>> m_running;  ///< By worker.
   std::map<std::string, std::vector<EndedRun>> m_ended;      ///< By worker.
   std::map<std::string, std::int64_t> m_incarnations;        ///< Restarts.
+  std::set<std::string> m_silent_workers;  ///< Answer no heartbeats.
   std::vector<StartOrder> m_starts;
   std::vector<std::string> m_start_workers;  ///< Of m_starts.
   std::vector<TimePoint> m_send_before;      ///< Of m_starts.
