Simulate jobs with tasks that last

LongRunningTaskTest gives 40 percent of the jobs a last step that lasts, whose runs end as done or failed after up to 10 s in the fault period. At the end the job must be running, unless another task of it has failed as often as the queue allows, and each of its tasks must run on a worker.

--- a/testsuite/job_state/job_state_test.cpp
+++ b/testsuite/job_state/job_state_test.cpp
@@ -139,6 +139,25 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, QuietCellTest, testing::Range(1, 121));
 
+class LongRunningTaskTest : public JobSimulationTest,
+                            public testing::WithParamInterface<int> {};
+
+// Jobs with tasks that last ended as failed, and such tasks were not started
+// again, though only their other tasks have a limit of attempts.
+TEST_P(LongRunningTaskTest, RunsOnHoweverItEndsUnderFaults) {
+  JobSimulationOptions options;
+  options.m_seed = static_cast<std::uint64_t>(GetParam());
+  options.m_fault_count = 24;
+  options.m_long_running_share = 0.4;
+  options.m_decide_at_deadlines = true;
+  JobSimulation simulation(options);
+  simulation.Run();
+  EXPECT_EQ(Join(simulation.Violations()), "") << "seed " << GetParam();
+  EXPECT_GT(simulation.Starts(), 100U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, LongRunningTaskTest, testing::Range(1, 41));
+
 class ChangingKindTest : public JobSimulationTest,
                          public testing::WithParamInterface<int> {};
 
--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -50,6 +50,15 @@
          a.m_capacity.m_memory_mib == b.m_capacity.m_memory_mib;
 }
 
+const StepPlan& StepOfTask(const Submission& job, const TaskName& task) {
+  return job.m_plan.m_steps[task.m_step];
+}
+
+bool HasLongRunningStep(const Submission& job) {
+  return std::any_of(job.m_plan.m_steps.begin(), job.m_plan.m_steps.end(),
+                     [](const StepPlan& step) { return step.m_long_running; });
+}
+
 bool IsTaskOf(const std::string& task, const std::string& job_id) {
   return task.compare(0, job_id.size() + 1, job_id + ".") == 0;
 }
@@ -128,6 +137,9 @@
     m_workers.push_back(std::make_unique<SimulatedWorker>(entry, rate, m_now));
     SimulatedWorker* const worker = m_workers.back().get();
     worker->m_on_end = [this](const SimulatedRun& run, EndCause cause) {
+      if (StepOfTask(m_jobs.at(run.m_task.m_job), run.m_task).m_long_running) {
+        return;
+      }
       if (cause == EndCause::kDone) {
         m_succeeded_tasks.insert(ToString(run.m_task));
       } else if (cause == EndCause::kFailed) {
@@ -135,6 +147,9 @@
       }
     };
     worker->m_on_acknowledged = [this](const EndedRun& run) {
+      if (StepOfTask(m_jobs.at(run.m_task.m_job), run.m_task).m_long_running) {
+        return;
+      }
       if (run.m_cause == EndCause::kDone) {
         m_acknowledged_successes.insert(ToString(run.m_task));
       } else if (run.m_cause == EndCause::kFailed) {
@@ -169,6 +184,13 @@
       step.m_is_best_effort = false;
       step.m_max_tasks_per_worker = 0;
     }
+    if (m_options.m_long_running_share > 0 && s + 1 == steps &&
+        RandomBool(m_options.m_long_running_share)) {
+      step.m_long_running = true;
+      step.m_is_best_effort = false;
+      step.m_size.m_cpu_milli = 1000;
+      step.m_size.m_memory_mib = 1000;
+    }
     if (s > 0 && RandomBool(0.8)) {
       step.m_depends_on.push_back(static_cast<std::uint32_t>(s - 1));
     }
@@ -188,6 +210,12 @@
     behavior.m_run_time = kCrashingRunTime;
     behavior.m_will_fail = false;
   }
+  if (step.m_long_running) {
+    behavior.m_will_fail = RandomBool(0.5);
+    behavior.m_run_time = m_now < m_faults_end
+                              ? milliseconds(100 + m_random() % 10000)
+                              : kFaultPeriod + kSettleTime;
+  }
   behavior.m_runs_until_gang_ends = step.m_gang;
   return behavior;
 }
@@ -872,8 +900,40 @@
   return completed;
 }
 
+void JobSimulation::CheckLongRunningJob(const Submission& job) {
+  const std::optional<JobState> state =
+      m_current_owner->m_cell->StateOf(job.m_id);
+  if (state == JobState::kFailed && HasUsedAllAttempts(job.m_id)) {
+    return;
+  }
+  if (state != JobState::kRunning) {
+    ReportViolation("job that lasts is not running: " + job.m_id);
+    return;
+  }
+  const std::vector<StepPlan>& steps = job.m_plan.m_steps;
+  for (std::uint32_t s = 0; s < steps.size(); ++s) {
+    for (std::uint32_t i = 0; steps[s].m_long_running && i < steps[s].m_tasks;
+         ++i) {
+      const std::string name = ToString(TaskName{job.m_id, 0, s, i});
+      const bool runs =
+          std::any_of(m_workers.begin(), m_workers.end(),
+                      [&name](const std::unique_ptr<SimulatedWorker>& worker) {
+                        return worker->Runs().count(name) > 0;
+                      });
+      if (!runs) {
+        ReportViolation("task that lasts does not run: " + name);
+      }
+    }
+  }
+}
+
 void JobSimulation::CheckFinalStates() {
   for (const auto& entry : m_jobs) {
+    if (HasLongRunningStep(entry.second) &&
+        m_cancel_times.count(entry.first) == 0) {
+      CheckLongRunningJob(entry.second);
+      continue;
+    }
     const std::optional<JobState> state =
         m_current_owner->m_cell->StateOf(entry.first);
     if (!state || !IsTerminal(*state)) {
--- a/testsuite/job_state/job_world.h
+++ b/testsuite/job_state/job_world.h
@@ -45,6 +45,9 @@
   int m_group_crashes = 0;
   /// Number of faults in the fault period.
   int m_fault_count = 12;
+  /// Share of jobs with a step that lasts, whose runs end as done or failed at
+  /// any time in the fault period.
+  double m_long_running_share = 0;
 };
 
 /// Submits random jobs and simulates a fixed period with faults, followed by
@@ -146,6 +149,8 @@
   bool IsCrashing(const std::string& task) const;
   /// Crashes the worker under a run of a crashing task.
   void CrashUnder(SimulatedWorker* worker, const StartOrder& order);
+  /// Checks that a job with a step that lasts goes on and that its tasks run.
+  void CheckLongRunningJob(const Submission& job);
   /// True if the end of the job as failed has a cause.
   bool MayHaveFailed(const std::string& job_id) const;
   /// True if a task of the job failed as often as its queue allows.
