--- a/src/libhyssopspar/jobs/cell_attempts_test.cpp
+++ b/src/libhyssopspar/jobs/cell_attempts_test.cpp
@@ -294,5 +294,87 @@
   EXPECT_EQ(TaskAt(0).m_state, TaskState::kRunning);
 }
 
+// A task that lasts waited for ever after its failure domain had been taken
+// back.
+TEST_F(CellAttemptsTest, TaskThatLastsReturnsWithItsFailureDomain) {
+  ActivateWithWorkers(1);
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  Run(milliseconds(200));
+  m_cell.SetDomainExcluded("", true);
+  EndCurrentRun(0, EndCause::kFailed);
+  Run(std::chrono::seconds(5));
+  ASSERT_EQ(StartsOf("a"), 1U);
+  m_cell.SetDomainExcluded("", false);
+  Run(std::chrono::seconds(2));
+  EXPECT_EQ(TaskAt(0).m_state, TaskState::kRunning);
+}
+
+// Same after the refusals of its worker, which was the only one.
+TEST_F(CellAttemptsTest, TaskThatLastsIsStartedAfterRefusals) {
+  for (const StartAnswer refusal :
+       {StartAnswer::kRejected, StartAnswer::kUnhealthy, StartAnswer::kOldRun,
+        StartAnswer::kLate, StartAnswer::kNoCapacity, StartAnswer::kNoTicket,
+        StartAnswer::kWrongWorker}) {
+    if (m_cell.Workers().empty()) {
+      ActivateWithWorkers(1);
+      m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+    } else {
+      EndCurrentRun(0, EndCause::kFailed);
+    }
+    m_start_refusal = refusal;
+    Run(std::chrono::seconds(5));
+    ASSERT_NE(TaskAt(0).m_state, TaskState::kRunning);
+    m_start_refusal.reset();
+    Run(std::chrono::seconds(5));
+    ASSERT_EQ(TaskAt(0).m_state, TaskState::kRunning);
+  }
+}
+
+// Same after the quarantine of the only worker that has its label.
+TEST_F(CellAttemptsTest, TaskThatLastsIsStartedAfterAQuarantine) {
+  ActivateWithWorkers(3);
+  WorkerEntry entry = m_cell.Workers()[0].m_entry;
+  entry.m_labels = {"only"};
+  m_cell.SetWorker(entry, m_now);
+  StepPlan step = LongRunning(Step(1, 1000));
+  step.m_label = "only";
+  m_cell.OnJob(MakeJob("a", step), m_now);
+  m_cell.OnJob(MakeJob("b", step), m_now);
+  Run(milliseconds(200));
+  m_running["w0"].clear();
+  m_ended["w0"] = {{1, {"a", 0, 0, 0}, 1, EndCause::kFailed, ""},
+                   {2, {"b", 0, 0, 0}, 1, EndCause::kFailed, ""}};
+  Run(milliseconds(1000));
+  ASSERT_GT(m_cell.Workers()[0].m_quarantined_until, m_now);
+  Run(CellSettings().m_quarantine_period);
+  EXPECT_EQ(TaskAt(0).m_state, TaskState::kRunning);
+  EXPECT_EQ(m_cell.FindJob("b")->m_tasks[0].m_state, TaskState::kRunning);
+}
+
+// Same after a stop that was never answered, of a worker that stays silent.
+TEST_F(CellAttemptsTest, TaskThatLastsIsStartedElsewhereAfterAnUnansweredStop) {
+  ActivateWithWorkers(2);
+  m_starts_are_answered = false;
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  Run(milliseconds(200));
+  ASSERT_EQ(StartsOf("a"), 1U);
+  m_starts_are_answered = true;
+  StartAction start;
+  start.m_worker = TaskAt(0).m_worker;
+  start.m_task = {const_cast<Job*>(m_cell.FindJob("a")), 0};
+  start.m_order = m_starts[0];
+  m_cell.OnStartAnswer(start, Fail(ErrorCode::kTimeout, "no answer"), m_now);
+  m_stops_are_answered = false;
+  for (int i = 0; i < 40 && m_stops.empty(); ++i) {
+    Run(milliseconds(25));
+  }
+  ASSERT_EQ(TaskAt(0).m_state, TaskState::kStopping);
+  const std::string silent = WorkerOf(0);
+  m_silent_workers.insert(silent);
+  Run(std::chrono::seconds(20));
+  EXPECT_EQ(TaskAt(0).m_state, TaskState::kRunning);
+  EXPECT_NE(WorkerOf(0), silent);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_fixture.h
+++ b/src/libhyssopspar/jobs/cell_fixture.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -102,7 +103,9 @@
     m_starts.push_back(action.m_order);
     m_start_workers.push_back(action.m_target.m_id);
     m_send_before.push_back(action.m_send_before);
-    if (m_starts_are_answered) {
+    if (m_start_refusal) {
+      m_cell.OnStartAnswer(action, *m_start_refusal, m_now);
+    } else if (m_starts_are_answered) {
       m_running[action.m_target.m_id].push_back(
           {action.m_order.m_task, action.m_order.m_run, "", 0, m_usage});
       m_cell.OnStartAnswer(action, StartAnswer::kStarted, m_now);
@@ -110,7 +113,12 @@
   }
   void Answer(const StopAction& action) {
     m_stops.push_back(action.m_order);
-    m_cell.OnStopAnswer(action, Ok(), m_now);
+    m_cell.OnStopAnswer(
+        action,
+        m_stops_are_answered
+            ? Ok()
+            : Result<void>(Fail(ErrorCode::kTimeout, "no answer")),
+        m_now);
   }
   void Answer(const ThrottleAction& action) {
     m_throttles.push_back(action.m_order);
@@ -196,6 +204,8 @@
   TimePoint m_now;
   Cell m_cell;
   bool m_starts_are_answered = true;
+  std::optional<StartAnswer> m_start_refusal;  ///< Answer to every start.
+  bool m_stops_are_answered = true;
   bool m_list_is_read = true;  ///< The list of workers, in Run().
   bool m_store_is_slow = false;
   std::uint64_t m_unanswered_batch = 0;
