Let a gang that lasts have its room as a whole

Cause: Cell::HoldBackGrowth let as many first runs of tasks that last pass as the room beside that for short jobs allows, rounded up so that nothing waits for ever. Of a gang it let a part pass, which is never placed, and took the room of that part from other steps as well.

Evidence: LargeGangThatLastsIsNotHeldBackForEver failed before: 0 starts of 7 in 10 s, 7 x 4 of 32 processors, none in use, headroom=9 held_back=1.

Change: a gang is let pass or held back as a whole, rounded up like one task.

--- a/src/libhyssopspar/jobs/cell_attempts_test.cpp
+++ b/src/libhyssopspar/jobs/cell_attempts_test.cpp
@@ -376,5 +376,23 @@
   EXPECT_NE(WorkerOf(0), silent);
 }
 
+// A gang that lasts and needs more room than is left beside that for short jobs
+// was held back for as long as short jobs arrived.
+TEST_F(CellAttemptsTest, LargeGangThatLastsIsNotHeldBackForEver) {
+  ActivateWithWorkers(2);
+  StepPlan gang = LongRunning(Step(7, 4000));
+  gang.m_gang = true;
+  StepPlan waiting = Step(8, 1000);
+  waiting.m_label = "none";
+  for (int i = 0; i < 10; ++i) {
+    Submission job = MakeJob("short" + std::to_string(i), waiting);
+    job.m_accepted_unix_ms += std::int64_t{1000} * i;
+    m_cell.OnJob(job, m_now);
+    m_cell.OnJob(MakeJob("a", gang), m_now);
+    Run(milliseconds(1000));
+  }
+  EXPECT_EQ(StartsOf("a"), 7U);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -230,9 +230,13 @@
     return;
   }
   std::int64_t& budget = GrowthBudgetOf(job.m_submission.m_queue, now);
-  // Rounded up: a task that is larger than the budget must not wait for ever.
-  const std::int64_t allowed = std::clamp<std::int64_t>(
-      (budget + cpu - 1) / cpu, 0, pending->end() - growth);
+  // A gang is placed as a whole or not at all.
+  const std::int64_t unit = plan.m_gang ? pending->end() - growth : 1;
+  const std::int64_t unit_cpu = unit * cpu;
+  // Rounded up: what is larger than the budget must not wait for ever.
+  const std::int64_t allowed =
+      unit * std::clamp<std::int64_t>((budget + unit_cpu - 1) / unit_cpu, 0,
+                                      (pending->end() - growth) / unit);
   budget -= allowed * cpu;
   const auto held_back = growth + allowed;
   if (held_back != pending->end()) {
