Pin how a limit of attempts and an end as failed are read

A configuration whose maxAttempts is of another type, negative or beyond 32 bits is set aside as a whole, so that the one before stays in force; a fraction is cut off; a missing or null limit is 1, and 0 is kept (an end as failed then ends the job, like 1).

Of the words for an end only "failed" counts as an attempt; an unknown one counts as a stop.

--- a/testsuite/platform/wire_test.cpp
+++ b/testsuite/platform/wire_test.cpp
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 #include <websocketpp/base64/base64.hpp>
 
 namespace platform {
@@ -184,6 +188,59 @@
   EXPECT_FALSE(DecodeOperatorRecord({"config", std::string("{")}));
 }
 
+// A limit of attempts that is read as lower than it is would end jobs as
+// failed. One that can't be read sets the whole configuration aside instead, so
+// that the one before stays in force.
+TEST(WireTest, ReadsNoLowerLimitOfAttemptsThanTheConfigurationHas) {
+  const std::vector<std::pair<std::string, std::optional<std::uint32_t>>>
+      limits = {{R"(,"maxAttempts":3)", 3U},
+                {R"(,"maxAttempts":3.0)", 3U},
+                {R"(,"maxAttempts":2.5)", 2U},
+                {R"(,"maxAttempts":4294967295)", 4294967295U},
+                // No page says what these mean; an end as failed ends a job.
+                {"", 1U},
+                {R"(,"maxAttempts":null)", 1U},
+                {R"(,"maxAttempts":0)", 0U},
+                {R"(,"maxAttempts":"3")", std::nullopt},
+                {R"(,"maxAttempts":true)", std::nullopt},
+                {R"(,"maxAttempts":[3])", std::nullopt},
+                {R"(,"maxAttempts":-1)", std::nullopt},
+                {R"(,"maxAttempts":4294967296)", std::nullopt},
+                {R"(,"maxAttempts":1e300)", std::nullopt}};
+  for (const auto& limit : limits) {
+    const hs::Result<jobs::OperatorChange> change = DecodeOperatorRecord(
+        {"config", R"({"version":7,"routes":[{"name":"r","host":"h",
+          "pathPrefix":"/p/","service":"s")" +
+                       limit.first + "}]}"});
+    ASSERT_EQ(change.has_value(), limit.second.has_value()) << limit.first;
+    if (change) {
+      EXPECT_EQ(std::get<jobs::SiteConfig>(change.value())
+                    .m_queues.at(0)
+                    .m_policy.m_max_attempts,
+                *limit.second)
+          << limit.first;
+    }
+  }
+}
+
+// Only the word that PROTOCOL gives for it counts as an attempt.
+TEST(WireTest, OnlyFailedIsAnEndAsFailed) {
+  for (const char* const how :
+       {"done", "stopped", "lapsed", "broken", "alone", "Failed", "failed ",
+        "failure", "", "unknown"}) {
+    const hs::Result<jobs::HeartbeatReport> report = DecodeHoldAnswer(
+        std::string(
+            R"({"clockMs":1,"running":[],"ended":[[1,"5c0e.0.1.9",1,")") +
+        how + R"(",""]]})");
+    ASSERT_TRUE(report) << how;
+    EXPECT_NE(report.value().m_ended.at(0).m_cause, jobs::EndCause::kFailed)
+        << how;
+  }
+  const hs::Result<jobs::HeartbeatReport> report = DecodeHoldAnswer(
+      R"({"clockMs":1,"running":[],"ended":[[1,"5c0e.0.1.9",1,"failed",""]]})");
+  EXPECT_EQ(report.value().m_ended.at(0).m_cause, jobs::EndCause::kFailed);
+}
+
 TEST(WireTest, DecodesFramedRecordsAndDetectsGapsAndTruncation) {
   const std::string frames =
       FrameRecords({{"key", std::string("value")}, {"gone", std::nullopt}});
