Start a gang as a whole or not at all

Cause: Cell::StartStoredPlacements decided for each member by itself. While the placement was being stored, a worker's capacity could shrink, its report could show unexpected runs, or its lease could expire; only the members there returned to pending.

Change: before the starts of a batch, the placements of a gang with such a member are released together.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -325,6 +325,9 @@
   void RetryRefusedJobs(TimePoint now);
   void ApplyStoredJob(const StoredJob& stored, TimePoint now);
   void AckStoredEnds(TimePoint now);
+  /// Releases the stored placements of gangs of which some member may not be
+  /// started: the others would wait for it in vain.
+  void ReleaseGangsNotToStart(const PendingBatch& batch, TimePoint now);
   void StartStoredPlacements(const PendingBatch& batch, TimePoint now);
   void TombstoneEndedJobs(TimePoint now);
   bool MayTombstone(const Job& job, TimePoint now) const;
--- a/src/libhyssopspar/jobs/cell_store.cpp
+++ b/src/libhyssopspar/jobs/cell_store.cpp
@@ -22,6 +22,12 @@
 /// Delay before the end of a job that the store has refused is sent again.
 constexpr milliseconds kRefusedRetryDelay{1000};
 
+/// True while the batch is to start the task.
+bool IsRecordedBy(std::uint64_t batch, const Task& task) {
+  return task.m_state == TaskState::kRecording &&
+         task.m_placement_batch == batch;
+}
+
 }  // namespace
 
 void Cell::Flush(TimePoint now) {
@@ -234,7 +240,27 @@
   job->m_stored_parts = stored.m_parts;
 }
 
+void Cell::ReleaseGangsNotToStart(const PendingBatch& batch, TimePoint now) {
+  for (const TaskRef& ref : batch.m_placements) {
+    Job* const job = ref.m_job;
+    const StepPlan& step = StepOf(*job, ref.m_index);
+    const Task& task = job->m_tasks[ref.m_index];
+    if (!step.m_gang ||
+        (IsRecordedBy(batch.m_number, task) && MayStart(*job, task, now))) {
+      continue;
+    }
+    const std::size_t first =
+        ref.m_index - NameOfTask(*job, ref.m_index).m_index;
+    for (std::size_t i = first; i < first + step.m_tasks; ++i) {
+      if (IsRecordedBy(batch.m_number, job->m_tasks[i])) {
+        ReturnToPending({job, i}, "gang-not-allowed", now);
+      }
+    }
+  }
+}
+
 void Cell::StartStoredPlacements(const PendingBatch& batch, TimePoint now) {
+  ReleaseGangsNotToStart(batch, now);
   std::vector<TaskRef> placements = batch.m_placements;
   std::stable_sort(placements.begin(), placements.end(),
                    [](const TaskRef& a, const TaskRef& b) {
@@ -243,8 +269,7 @@
                    });
   for (const TaskRef& ref : placements) {
     const Task& task = ref.m_job->m_tasks[ref.m_index];
-    if (task.m_state != TaskState::kRecording ||
-        task.m_placement_batch != batch.m_number) {
+    if (!IsRecordedBy(batch.m_number, task)) {
       continue;
     }
     if (MayStart(*ref.m_job, task, now)) {
