--- a/testsuite/job_state/job_state_test.cpp
+++ b/testsuite/job_state/job_state_test.cpp
@@ -156,6 +156,19 @@
   EXPECT_GT(simulation.Starts(), 100U);
 }
 
+// Same for gangs, whose members end in different ways.
+TEST_P(LongRunningTaskTest, GangsRunOnHoweverTheyEnd) {
+  JobSimulationOptions options;
+  options.m_seed = static_cast<std::uint64_t>(GetParam());
+  options.m_faults = false;
+  options.m_gangs = true;
+  options.m_long_running_share = 0.4;
+  JobSimulation simulation(options);
+  simulation.Run();
+  EXPECT_EQ(Join(simulation.Violations()), "") << "seed " << GetParam();
+  EXPECT_GT(simulation.Starts(), 100U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, LongRunningTaskTest, testing::Range(1, 41));
 
 class ChangingKindTest : public JobSimulationTest,
--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -610,8 +610,11 @@
       RunningGangMembers(order);
   if (members.size() == step.m_tasks) {
     m_complete_gangs.insert(name);
+    const Duration work_time = step.m_long_running && m_now >= m_faults_end
+                                   ? Duration(kFaultPeriod + kSettleTime)
+                                   : Duration(kGangWorkTime);
     for (const auto& member : members) {
-      member.second->CompleteAt(member.first, m_now + kGangWorkTime);
+      member.second->CompleteAt(member.first, m_now + work_time);
     }
   } else if (members.size() == 1) {
     ScheduleAfter(kGangFormationTimeout, [this, job = gang.m_job, name] {
