--- a/testsuite/job_state/job_state_test.cpp
+++ b/testsuite/job_state/job_state_test.cpp
@@ -171,6 +171,27 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, LongRunningTaskTest, testing::Range(1, 41));
 
+class LongRunningCapacityTest : public JobSimulationTest,
+                                public testing::WithParamInterface<int> {};
+
+// Same beside workers whose capacity changes.
+TEST_P(LongRunningCapacityTest, RunsOnHoweverItEndsUnderFaults) {
+  JobSimulationOptions options;
+  options.m_seed = static_cast<std::uint64_t>(GetParam());
+  options.m_fault_count = 24;
+  options.m_long_running_share = 0.3;
+  options.m_capacities_change = true;
+  JobSimulation simulation(options);
+  simulation.Run();
+  EXPECT_EQ(Join(simulation.Violations()), "") << "seed " << GetParam();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, LongRunningCapacityTest, testing::Range(1, 41));
+// In KNOWN-RED.txt.
+INSTANTIATE_TEST_SUITE_P(KnownRed,
+                         LongRunningCapacityTest,
+                         testing::Values(3355));
+
 class ChangingKindTest : public JobSimulationTest,
                          public testing::WithParamInterface<int> {};
 
