--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -327,6 +327,9 @@
   /// Acknowledges the ended runs of the worker up to the first whose effects
   /// are not stored.
   void AckStoredEnds(int worker_index, TimePoint now);
+  /// Releases the stored placements of gangs of which some member may not be
+  /// started: the others would wait for it in vain.
+  void ReleaseGangsNotToStart(const PendingBatch& batch, TimePoint now);
   void StartStoredPlacements(const PendingBatch& batch, TimePoint now);
   void TombstoneEndedJobs(TimePoint now);
   bool MayTombstone(const Job& job, TimePoint now) const;
