Count a lapse without entry as a possible crash, without evidence

An owner that took over after a freeze found a run on a worker that was neither listed nor reachable, and its lapse counted for nothing.

Change: such a lapse counts as a crash that adds no evidence. A task is given up only by the evidence of crashes that are known, as before; the count decides how many of them are awaited. Workers that are not listed are not asked any further.

--- a/src/include/hyssopspar/jobs/crash_blame.h
+++ b/src/include/hyssopspar/jobs/crash_blame.h
@@ -94,6 +94,10 @@
                                    UnexplainedCrashes* unexplained,
                                    TimePoint now);
 
+/// Counts that the run's worker may have crashed, which is no evidence. It last
+/// answered a request that was sent at \p alive_at.
+void CountPossibleCrash(const CrashedRun& run, TimePoint alive_at);
+
 /// Keeps the next run of the task apart from other unproven ones.
 void IsolateSuspect(Task* task, TimePoint now);
 
--- a/src/libhyssopspar/jobs/cell_crashes.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes.cpp
@@ -191,8 +191,12 @@
   Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
   for (const TaskRef& ref : StartedTasksOf(worker)) {
     const Task& task = ref.m_job->m_tasks[ref.m_index];
-    worker.m_lapsed_runs.push_back(
-        {NameOfTask(*ref.m_job, ref.m_index), task.m_run, StartOf(task)});
+    if (worker.m_listed) {
+      worker.m_lapsed_runs.push_back(
+          {NameOfTask(*ref.m_job, ref.m_index), task.m_run, StartOf(task)});
+    } else {
+      CountPossibleCrash({ref, task.m_run, StartOf(task)}, worker.m_alive_at);
+    }
   }
   EndAllRuns(worker_index, EndCause::kLeaseExpired, now);
 }
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -28,10 +28,6 @@
 /// long.
 constexpr milliseconds kStopRetryDelay{500};
 
-/// Time for which a worker that is not listed any more is asked whether it has
-/// crashed.
-constexpr std::chrono::seconds kLapsedRunRetention{30};
-
 }  // namespace
 
 WorkerTime WorkerTimeAt(const Worker& worker, TimePoint at) {
@@ -65,8 +61,7 @@
 }
 
 bool NeedsHeartbeat(const Worker& worker) {
-  return (worker.m_listed || !worker.m_tasks.empty() ||
-          !worker.m_lapsed_runs.empty()) &&
+  return (worker.m_listed || !worker.m_tasks.empty()) &&
          !worker.m_heartbeat_in_flight && !worker.m_entry.m_address.empty();
 }
 
@@ -162,9 +157,6 @@
   if (answer.error().m_code == ErrorCode::kNotFound) {
     EndRunsOfReplacedWorker(action.m_worker, now);
   }
-  if (!worker.m_listed && now - worker.m_loss.m_at > kLapsedRunRetention) {
-    worker.m_lapsed_runs.clear();
-  }
   const milliseconds pause =
       std::min(kMaxHeartbeatRetryDelay,
                kMinHeartbeatRetryDelay *
--- a/src/libhyssopspar/jobs/crash_blame.cpp
+++ b/src/libhyssopspar/jobs/crash_blame.cpp
@@ -97,6 +97,11 @@
                            crash.m_ended_by - *run.m_start.m_sent_at);
 }
 
+bool HasSurvived(const CrashedRun& run, TimePoint alive_at) {
+  const std::optional<TimePoint> confirmed_at = run.m_start.m_confirmed_at;
+  return confirmed_at && alive_at - *confirmed_at >= kAcquittedRunAge;
+}
+
 /// False for a run under which a crash has been counted already, and for one
 /// that was ordered from a worker which may have been dead by then.
 bool MayHaveCausedCrash(const CrashedRun& run, const WorkerCrash& crash) {
@@ -110,8 +115,7 @@
   std::vector<Candidate> candidates;
   for (const CrashedRun& run : runs) {
     Task& task = TaskOf(run.m_task);
-    const std::optional<TimePoint> confirmed_at = run.m_start.m_confirmed_at;
-    if (confirmed_at && crash.m_alive_at - *confirmed_at >= kAcquittedRunAge) {
+    if (HasSurvived(run, crash.m_alive_at)) {
       Acquit(&task);
     } else if (!task.m_has_survived && MayHaveCausedCrash(run, crash)) {
       task.m_last_crashed_run = run.m_run;
@@ -211,6 +215,16 @@
   task->m_isolate_until = TimePoint();
 }
 
+void CountPossibleCrash(const CrashedRun& run, TimePoint alive_at) {
+  Task& task = TaskOf(run.m_task);
+  if (HasSurvived(run, alive_at)) {
+    Acquit(&task);
+  } else if (!task.m_has_survived && run.m_run > task.m_last_crashed_run) {
+    ++task.m_crashes;
+    task.m_last_crashed_run = run.m_run;
+  }
+}
+
 std::vector<TaskRef> BlameForCrash(const WorkerCrash& crash,
                                    const std::vector<CrashedRun>& runs,
                                    UnexplainedCrashes* unexplained,
