Bound a crash that nobody saw by the new incarnation's clock

The clock of an incarnation begins at its start, so that the earlier one had ended by then, however late the owner hears of it.

--- a/src/libhyssopspar/jobs/cell_crashes.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes.cpp
@@ -108,6 +108,13 @@
   crash.m_lost_at = was_seen_lost ? worker.m_loss.m_at : now;
   crash.m_is_witnessed = !was_seen_lost || worker.m_loss.m_is_witnessed;
   crash.m_ended_by = crash.m_is_witnessed ? crash.m_lost_at : now;
+  if (sign == CrashSign::kRestarted) {
+    // The clock of the new incarnation began at its start.
+    const TimePoint restarted_by =
+        worker.m_clock_received_at - worker.m_reported_clock.time_since_epoch();
+    crash.m_ended_by =
+        std::clamp(restarted_by, crash.m_lost_at, crash.m_ended_by);
+  }
   CountLosses(worker, &crash);
   return BlameForCrash(crash, runs, &m_unexplained_crashes, now);
 }
--- a/src/libhyssopspar/jobs/cell_crashes_test.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes_test.cpp
@@ -30,6 +30,7 @@
     const std::string worker = m_start_workers.back();
     m_running[worker].clear();
     ++m_incarnations[worker];
+    m_restarted_at[worker] = m_now;
   }
 
   /// Crashes the worker of each new start, until nothing is started any more.
@@ -54,6 +55,7 @@
   /// The worker answers again, as a new incarnation.
   void BeginProcess(const std::string& worker) {
     ++m_incarnations[worker];
+    m_restarted_at[worker] = m_now;
     m_heartbeat_errors.erase(worker);
   }
 
@@ -188,6 +190,7 @@
   for (const std::string& worker : m_start_workers) {
     m_running[worker].clear();
     ++m_incarnations[worker];
+    m_restarted_at[worker] = m_now;
   }
   Run(milliseconds(500));
   EXPECT_EQ(m_starts.size(), 24U);
@@ -268,6 +271,7 @@
     Run(milliseconds(2000));
     EndProcess(worker);
     ++m_incarnations[worker];
+    m_restarted_at[worker] = m_now;
     AddWorker(worker);
     m_heartbeat_errors.erase(worker);
     Run(milliseconds(100));
--- a/src/libhyssopspar/jobs/cell_fixture.h
+++ b/src/libhyssopspar/jobs/cell_fixture.h
@@ -138,7 +138,8 @@
     m_acked[action.m_target.m_id] =
         std::max(m_acked[action.m_target.m_id], action.m_order.m_acked_up_to);
     HeartbeatReport report;
-    report.m_now = WorkerTime(milliseconds(ToMillis(m_now.time_since_epoch())));
+    report.m_now = WorkerTime(
+        milliseconds(ToMillis(m_now - m_restarted_at[action.m_target.m_id])));
     report.m_incarnation_unix_ms = 1 + m_incarnations[action.m_target.m_id];
     report.m_running = m_running[action.m_target.m_id];
     report.m_ended = m_ended[action.m_target.m_id];
@@ -247,6 +248,7 @@
   std::map<std::string, std::vector<EndedRun>> m_ended;      ///< By worker.
   std::map<std::string, std::uint64_t> m_acked;              ///< By worker.
   std::map<std::string, std::int64_t> m_incarnations;        ///< Restarts.
+  std::map<std::string, TimePoint> m_restarted_at;           ///< By worker.
   /// Errors of the heartbeats to workers that don't answer.
   std::map<std::string, ErrorCode> m_heartbeat_errors;
   std::vector<StartOrder> m_starts;
