--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -1,25 +1,19 @@
 #include "job_state/job_world.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
-#include "hyssopspar/jobs/cell_loader.h"
 #include "hyssopspar/jobs/records.h"
+#include "job_state/job_world_internal.h"
 
 namespace hyssopspar::jobs {
 
 namespace {
 
-/// Period in which jobs arrive and faults are injected.
-constexpr milliseconds kFaultPeriod{40000};
 /// Time without faults afterwards, in which all jobs must end.
 constexpr milliseconds kSettleTime{60000};
 /// Time after which an order without an answer fails at its owner.
 constexpr milliseconds kOrderTimeout{1000};
-/// One worker in this many crashes in a crash of a group.
-constexpr int kGroupDivisor = 7;
-constexpr milliseconds kGroupDowntime{1000};
 /// Run time of a task that crashes its worker.
 constexpr milliseconds kCrashingRunTime{10000};
 /// Time within which an owner notices that a worker's process has ended.
@@ -28,21 +22,6 @@
 constexpr milliseconds kStorePollInterval{400};
 /// Time after which an append without an answer fails.
 constexpr milliseconds kStoreTimeout{1500};
-/// Time for which an owner that has lost the store may still send starts and
-/// heartbeats.
-constexpr milliseconds kOwnershipLease{6000};
-/// Without faults, no task of a job may start later than this after the job was
-/// cancelled.
-constexpr milliseconds kMaxStartAfterCancel{3000};
-constexpr std::uint32_t kMaxAttempts = 4;
-/// Time after which a shrunk capacity counts for new runs.
-constexpr milliseconds kShrinkNotice{3000};
-/// A task under which this many workers have crashed may be given up.
-constexpr std::uint32_t kCrashesToGiveUp = 2;
-/// A task that has crashed this many workers must not be started as often as
-/// kMaxStartsAfterLimit again.
-constexpr std::uint32_t kCrashesBeforeLimit = 3;
-constexpr std::uint32_t kMaxStartsAfterLimit = 3;
 
 bool IsSameEntry(const WorkerEntry& a, const WorkerEntry& b) {
   return a.m_incarnation_unix_ms == b.m_incarnation_unix_ms &&
@@ -50,11 +29,6 @@
          a.m_capacity.m_memory_mib == b.m_capacity.m_memory_mib;
 }
 
-bool IsTaskOf(const std::string& task, const std::string& job_id) {
-  return task.compare(0, job_id.size() + 1, job_id + ".") == 0;
-}
-/// Labels of workers that may change when they restart.
-constexpr std::array<const char*, 2> kKinds = {"a", "b"};
 /// Time within which all members of a gang must run.
 constexpr milliseconds kGangFormationTimeout{3000};
 /// Time for which a complete gang runs.
@@ -67,25 +41,6 @@
 
 }  // namespace
 
-struct JobSimulation::Owner {
-  std::unique_ptr<Cell> m_cell;
-  std::uint64_t m_epoch = 0;
-  CellLoader m_loader;
-  std::size_t m_job_records_applied = 0;  ///< Number of m_job_records.
-  bool m_active = true;                   ///< False once killed or fenced.
-  bool m_loaded = false;                  ///< Stored progress has been applied.
-  TimePoint m_store_unreachable_until;
-  /// Workers that only this owner cannot reach, and that its worker list lacks,
-  /// until m_partition_end.
-  std::set<int> m_partitioned_workers;
-  TimePoint m_partition_end;
-  TimePoint m_views_current_at;
-  TimePoint m_decide_at = TimePoint::max();  ///< Next scheduled decision.
-  /// Entry of each worker that the owner was last given; none while the list
-  /// lacks the worker.
-  std::map<int, WorkerEntry> m_listed;
-};
-
 JobSimulation::JobSimulation(const JobSimulationOptions& options)
     : m_options(options),
       m_random(options.m_seed),
@@ -209,184 +164,6 @@
   }
 }
 
-bool JobSimulation::IsCrashing(const std::string& task) const {
-  const std::size_t hash =
-      std::hash<std::string>()(task + "/" + std::to_string(m_options.m_seed));
-  return static_cast<double>(hash % 10000) <
-         10000 * m_options.m_crashing_task_share;
-}
-
-void JobSimulation::CrashUnder(SimulatedWorker* worker,
-                               const StartOrder& order) {
-  const std::string name = ToString(order.m_task);
-  const std::uint32_t crashes = m_crashes[name];
-  if (crashes >= kCrashesBeforeLimit &&
-      ++m_starts_after_third_crash[name] >= kMaxStartsAfterLimit) {
-    ReportViolation("task started again after it crashed three workers: " +
-                    name);
-  }
-  ScheduleAfter(milliseconds(m_random() % 300),
-                [this, worker, name, run = order.m_run] {
-                  worker->Advance(m_now);
-                  const auto it = worker->Runs().find(name);
-                  if (it == worker->Runs().end() || it->second.m_run != run) {
-                    return;
-                  }
-                  CrashWorker(std::stoi(worker->Entry().m_id.substr(1)),
-                              milliseconds(500 + m_random() % 4000));
-                });
-}
-
-bool JobSimulation::HasUsedAllAttempts(const std::string& job_id) const {
-  return std::any_of(
-      m_failures.begin(), m_failures.end(), [&](const auto& entry) {
-        return IsTaskOf(entry.first, job_id) && entry.second >= kMaxAttempts;
-      });
-}
-
-bool JobSimulation::MayHaveFailed(const std::string& job_id) const {
-  return HasUsedAllAttempts(job_id) ||
-         std::any_of(m_crashes.begin(), m_crashes.end(),
-                     [&](const auto& entry) {
-                       return IsTaskOf(entry.first, job_id) &&
-                              entry.second >= kCrashesToGiveUp;
-                     });
-}
-
-std::size_t JobSimulation::FailedWithoutCrashingTask() const {
-  return static_cast<std::size_t>(
-      std::count_if(m_jobs.begin(), m_jobs.end(), [this](const auto& job) {
-        const bool has_crashing_task = std::any_of(
-            m_crashes.begin(), m_crashes.end(), [&](const auto& entry) {
-              return IsTaskOf(entry.first, job.first) &&
-                     IsCrashing(entry.first);
-            });
-        return m_current_owner->m_cell->StateOf(job.first) ==
-                   JobState::kFailed &&
-               !has_crashing_task && !HasUsedAllAttempts(job.first);
-      }));
-}
-
-void JobSimulation::CrashWorker(int worker, Duration downtime) {
-  SimulatedWorker* const crashed =
-      m_workers[static_cast<std::size_t>(worker)].get();
-  crashed->Advance(m_now);
-  for (const auto& run : crashed->Runs()) {
-    ++m_crashes[run.first];
-  }
-  crashed->Crash();
-  ScheduleAfter(downtime, [this, worker, crashed] {
-    crashed->Restart(m_now);
-    m_silent_workers.erase(worker);
-    // Half of the workers of each kind stay as they are.
-    if (m_options.m_workers_change_kind && worker % 4 < 2) {
-      crashed->SetLabels({kKinds[m_random() % 2]});
-    }
-  });
-}
-
-void JobSimulation::ScheduleCapacityChanges() {
-  for (const std::unique_ptr<SimulatedWorker>& worker : m_workers) {
-    const Resources full = worker->Entry().m_capacity;
-    for (int i = 0; i < 4; ++i) {
-      const Duration when = milliseconds(m_random() % kFaultPeriod.count());
-      const auto percent = static_cast<std::int64_t>(20 + m_random() % 60);
-      const Resources shrunk{full.m_cpu_milli * percent / 100,
-                             full.m_memory_mib * percent / 100, 0};
-      ScheduleAfter(when, [this, target = worker.get(), shrunk] {
-        target->SetCapacity(shrunk, m_now);
-      });
-      ScheduleAfter(when + milliseconds(1000 + m_random() % 8000),
-                    [this, target = worker.get(), full] {
-                      target->SetCapacity(full, m_now);
-                    });
-    }
-  }
-}
-
-void JobSimulation::ScheduleFaults() {
-  for (int i = 0; i < m_options.m_fault_count; ++i) {
-    const Duration when = milliseconds(1000 + m_random() % 36000);
-    const int worker = static_cast<int>(m_random() % m_workers.size());
-    const Duration duration = milliseconds(500 + m_random() % 7000);
-    switch (m_random() % 5) {
-      case 0:
-        ScheduleAfter(when, [this, worker, duration] {
-          // Half of the lost machines reset no connections.
-          if (RandomBool(0.5)) {
-            m_silent_workers.insert(worker);
-          }
-          CrashWorker(worker, duration);
-        });
-        break;
-      case 1:
-        ScheduleAfter(when, [this, worker, duration] {
-          m_unreachable_until[worker] = m_now + duration;
-        });
-        break;
-      case 2:
-        ScheduleAfter(
-            when, [this, duration] { m_store_down_until = m_now + duration; });
-        break;
-      case 3:  // The owner is killed and replaced.
-        ScheduleAfter(when, [this] {
-          m_current_owner->m_active = false;
-          StartNewOwner();
-        });
-        break;
-      default:  // The owner loses the store and is replaced while still active.
-        ScheduleAfter(when, [this, duration] {
-          m_current_owner->m_store_unreachable_until = m_now + duration;
-          m_current_owner->m_cell->SetOwnershipLeaseDeadline(m_now +
-                                                             kOwnershipLease);
-          StartNewOwner();
-          PartitionWorkersFromNewOwner(duration);
-        });
-        break;
-    }
-  }
-}
-
-void JobSimulation::ScheduleGroupCrashes() {
-  for (int i = 0; i < m_options.m_group_crashes; ++i) {
-    ScheduleAfter(kFaultPeriod * i / m_options.m_group_crashes, [this] {
-      for (int n = 0; n < m_options.m_workers / kGroupDivisor; ++n) {
-        const int worker = static_cast<int>(
-            m_random() % static_cast<std::uint64_t>(m_options.m_workers));
-        if (m_workers[static_cast<std::size_t>(worker)]->IsUp()) {
-          CrashWorker(worker, kGroupDowntime);
-        }
-      }
-    });
-  }
-}
-
-/// In half of the cases, the partition that separates the old owner from the
-/// store also separates every other worker from the store and the new owner,
-/// while the old owner still reaches them.
-void JobSimulation::PartitionWorkersFromNewOwner(Duration duration) {
-  if (RandomBool(0.5)) {
-    return;
-  }
-  m_current_owner->m_partition_end = m_now + duration;
-  for (std::size_t i = 0; i < m_workers.size(); i += 2) {
-    m_current_owner->m_partitioned_workers.insert(static_cast<int>(i));
-  }
-}
-
-bool JobSimulation::IsSilent(int worker) const {
-  return m_silent_workers.count(worker) > 0;
-}
-
-bool JobSimulation::IsUnreachable(const Owner& owner, int worker) const {
-  const auto partition = m_unreachable_until.find(worker);
-  const bool partitioned_from_all =
-      partition != m_unreachable_until.end() && m_now < partition->second;
-  return partitioned_from_all ||
-         (m_now < owner.m_partition_end &&
-          owner.m_partitioned_workers.count(worker) > 0);
-}
-
 void JobSimulation::StartNewOwner() {
   m_owners.push_back(std::make_unique<Owner>());
   Owner* const owner = m_owners.back().get();
@@ -783,125 +560,6 @@
 void JobSimulation::Execute(Owner* /*owner*/,
                             const DropJobsAction& /*action*/) {}
 
-void JobSimulation::CheckNewRun(SimulatedWorker* worker,
-                                const StartOrder& order) {
-  ++m_starts;
-  const std::string name = ToString(order.m_task);
-  if (IsCrashing(name)) {
-    CrashUnder(worker, order);
-  }
-  CheckCapacity(*worker);
-  for (const std::unique_ptr<SimulatedWorker>& other : m_workers) {
-    other->Advance(m_now);
-    if (other.get() != worker && other->IsUp() &&
-        other->Runs().count(name) > 0) {
-      ReportViolation("task runs on two workers at once: " + name);
-    }
-  }
-  if (m_acknowledged_successes.count(name) > 0) {
-    ReportViolation("task started after its completion was acknowledged: " +
-                    name);
-  }
-  if (m_acknowledged_failures[name] >= kMaxAttempts) {
-    ReportViolation("task started after its last attempt failed: " + name);
-  }
-  const Submission& job = m_jobs.at(order.m_task.m_job);
-  for (const std::uint32_t dependency :
-       job.m_plan.m_steps[order.m_task.m_step].m_depends_on) {
-    for (std::uint32_t i = 0; i < job.m_plan.m_steps[dependency].m_tasks; ++i) {
-      if (m_succeeded_tasks.count(
-              ToString(TaskName{job.m_id, 0, dependency, i})) == 0) {
-        ReportViolation(
-            "task started before the steps it depends on completed: " + name);
-      }
-    }
-  }
-  const auto cancelled = m_cancel_times.find(job.m_id);
-  if (!m_options.m_faults && cancelled != m_cancel_times.end() &&
-      m_now > cancelled->second + kMaxStartAfterCancel) {
-    ReportViolation("task of a cancelled job started: " + name);
-  }
-}
-
-void JobSimulation::CheckLabel(const Owner& owner,
-                               const StartAction& action,
-                               const SimulatedWorker& worker) {
-  const TaskName& task = action.m_order.m_task;
-  const std::string& label =
-      m_jobs.at(task.m_job).m_plan.m_steps[task.m_step].m_label;
-  const WorkerEntry& entry = worker.Entry();
-  const Worker& known =
-      owner.m_cell->Workers()[static_cast<std::size_t>(action.m_worker)];
-  if (!label.empty() &&
-      known.m_incarnation_unix_ms == entry.m_incarnation_unix_ms &&
-      std::find(entry.m_labels.begin(), entry.m_labels.end(), label) ==
-          entry.m_labels.end()) {
-    ReportViolation("start sent to a worker without its label: " +
-                    ToString(task));
-  }
-}
-
-void JobSimulation::CheckCapacity(const SimulatedWorker& worker) {
-  Resources used;
-  std::map<std::string, std::uint32_t> step_tasks;
-  for (const auto& entry : worker.Runs()) {
-    used += entry.second.m_behavior.m_resources;
-    const TaskName& task = entry.second.m_task;
-    const StepPlan& step = m_jobs.at(task.m_job).m_plan.m_steps[task.m_step];
-    const std::uint32_t count =
-        ++step_tasks[task.m_job + "." + std::to_string(task.m_step)];
-    if (step.m_max_tasks_per_worker > 0 &&
-        count > step.m_max_tasks_per_worker) {
-      ReportViolation("per-worker limit of a step exceeded on " +
-                      worker.Entry().m_id);
-    }
-  }
-  if (!Fits(used, worker.HighestCapacitySince(m_now - kShrinkNotice))) {
-    ReportViolation("capacity exceeded on " + worker.Entry().m_id);
-  }
-}
-
-std::size_t JobSimulation::Completed() const {
-  std::size_t completed = 0;
-  for (const auto& entry : m_jobs) {
-    completed +=
-        m_current_owner->m_cell->StateOf(entry.first) == JobState::kCompleted
-            ? 1
-            : 0;
-  }
-  return completed;
-}
-
-void JobSimulation::CheckFinalStates() {
-  for (const auto& entry : m_jobs) {
-    const std::optional<JobState> state =
-        m_current_owner->m_cell->StateOf(entry.first);
-    if (!state || !IsTerminal(*state)) {
-      ReportViolation("job not in a terminal state: " + entry.first);
-      continue;
-    }
-    if (m_cancel_times.count(entry.first) == 0 &&
-        *state == JobState::kCancelled) {
-      ReportViolation("job cancelled without a request: " + entry.first);
-    }
-    if (*state == JobState::kFailed && !MayHaveFailed(entry.first)) {
-      ReportViolation("job failed without a cause: " + entry.first);
-    }
-    if (*state != JobState::kCompleted) {
-      continue;
-    }
-    const std::vector<StepPlan>& steps = entry.second.m_plan.m_steps;
-    for (std::uint32_t s = 0; s < steps.size(); ++s) {
-      for (std::uint32_t i = 0; i < steps[s].m_tasks; ++i) {
-        const std::string name = ToString(TaskName{entry.first, 0, s, i});
-        if (m_succeeded_tasks.count(name) == 0) {
-          ReportViolation("job completed without a successful run of " + name);
-        }
-      }
-    }
-  }
-}
-
 void JobSimulation::Run() {
   AddWorkers();
   StartNewOwner();
