Simulated cell: owners that observe the ends of workers wrongly

New faults, off by default: the owner's process stands still, answers to heartbeats are late, entries of workers expire and come back, workers are updated one after the other, cut off again and again, lost silently, or lost in one event that is seen up to two seconds apart; and jobs that last, some with a task that crashes its workers.

Answers keep the content of the time when the worker made them; the owner gets them, and its timers, once it runs again.

--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -12,8 +12,6 @@
 
 /// Time without faults afterwards, in which all jobs must end.
 constexpr milliseconds kSettleTime{60000};
-/// Time after which an order without an answer fails at its owner.
-constexpr milliseconds kOrderTimeout{1000};
 /// Run time of a task that crashes its worker.
 constexpr milliseconds kCrashingRunTime{10000};
 /// Time within which an owner notices that a worker's process has ended.
@@ -26,9 +24,18 @@
 bool IsSameEntry(const WorkerEntry& a, const WorkerEntry& b) {
   return a.m_incarnation_unix_ms == b.m_incarnation_unix_ms &&
          a.m_capacity.m_cpu_milli == b.m_capacity.m_cpu_milli &&
-         a.m_capacity.m_memory_mib == b.m_capacity.m_memory_mib;
+         a.m_capacity.m_memory_mib == b.m_capacity.m_memory_mib &&
+         a.m_leaving == b.m_leaving;
 }
 
+/// Time at which an owner gives up waiting for the answer.
+TimePoint HeartbeatDeadline(const HeartbeatAction& action) {
+  return action.m_sent + kOrderTimeout + action.m_order.m_wait;
+}
+
+/// Additional time of answers to heartbeats in slow periods.
+constexpr milliseconds kMinAnswerDelay{200};
+constexpr milliseconds kMaxAnswerDelay{2000};
 /// Time within which all members of a gang must run.
 constexpr milliseconds kGangFormationTimeout{3000};
 /// Time for which a complete gang runs.
@@ -38,12 +45,15 @@
 constexpr milliseconds kAdviserDelay{60};
 /// Share of the adviser's answers that are lost during the fault period.
 constexpr double kLostAdviceShare = 0.1;
+/// Separates the two generators of random numbers.
+constexpr std::uint64_t kFaultSeed = 0x9e3779b97f4a7c15;
 
 }  // namespace
 
 JobSimulation::JobSimulation(const JobSimulationOptions& options)
     : m_options(options),
       m_random(options.m_seed),
+      m_fault_random(options.m_seed ^ kFaultSeed),
       m_now(std::chrono::hours(1)),
       m_faults_end(m_now + kFaultPeriod),
       m_adviser(kTicketValidity) {}
@@ -81,6 +91,8 @@
     }
     const double rate = 0.98 + 0.02 * static_cast<double>(i % 3) / 2;
     m_workers.push_back(std::make_unique<SimulatedWorker>(entry, rate, m_now));
+    m_contacts.emplace_back();
+    m_contacts.back().m_last_beat = m_now;
     SimulatedWorker* const worker = m_workers.back().get();
     worker->m_on_end = [this](const SimulatedRun& run, EndCause cause) {
       if (cause == EndCause::kDone) {
@@ -143,7 +155,7 @@
     behavior.m_run_time = kCrashingRunTime;
     behavior.m_will_fail = false;
   }
-  behavior.m_runs_until_gang_ends = step.m_gang;
+  behavior.m_runs_until_gang_ends = step.m_gang || step.m_long_running;
   return behavior;
 }
 
@@ -217,8 +229,16 @@
         owner->m_partitioned_workers.count(index) > 0) {
       changed = owner->m_listed.erase(index) > 0 || changed;
       owner->m_cell->RemoveWorker(entry.m_id, m_now);
-    } else if (m_workers[i]->IsUp() && (listed == owner->m_listed.end() ||
-                                        !IsSameEntry(listed->second, entry))) {
+    } else if (m_contacts[i].m_entry_expired) {
+      if (listed != owner->m_listed.end()) {
+        changed = true;
+        owner->m_listed.erase(listed);
+        owner->m_cell->RemoveWorker(entry.m_id, m_now);
+      }
+    } else if (m_workers[i]->IsUp() &&
+               m_now >= m_contacts[i].m_entry_hidden_until &&
+               (listed == owner->m_listed.end() ||
+                !IsSameEntry(listed->second, entry))) {
       changed = true;
       owner->m_listed[index] = entry;
       owner->m_cell->SetWorker(entry, m_now);
@@ -240,6 +260,11 @@
   if (!owner->m_active) {
     return;
   }
+  if (m_now < owner->m_paused_until) {
+    ScheduleAfter(owner->m_paused_until - m_now,
+                  [this, owner] { PollStore(owner); });
+    return;
+  }
   if (ReadStore(owner)) {
     DispatchActions(owner);
   }
@@ -256,7 +281,7 @@
   owner->m_decide_at = at;
   ScheduleAfter(at - m_now, [this, owner, at] {
     if (owner->m_decide_at == at) {
-      DispatchActions(owner);
+      RunAtOwner(owner, [] {});
     }
   });
 }
@@ -266,6 +291,9 @@
     owner->m_active = false;
     return;
   }
+  if (m_now < owner->m_paused_until) {
+    return;
+  }
   if (!m_options.m_decide_at_deadlines) {
     ReadStore(owner);
   }
@@ -280,18 +308,26 @@
   }
 }
 
+void JobSimulation::RunAtOwner(Owner* owner,
+                               const std::function<void()>& event) {
+  if (m_now < owner->m_paused_until) {
+    ScheduleAfter(owner->m_paused_until - m_now,
+                  [this, owner, event] { RunAtOwner(owner, event); });
+  } else if (owner->m_active) {
+    event();
+    DispatchActions(owner);
+  }
+}
+
 template <class Answer>
 void JobSimulation::DeliverOrder(
     Owner* owner,
     int worker,
     std::function<Answer()> deliver,
     std::function<void(const Result<Answer>&)> answered) {
-  const auto fail_with_timeout = [this, owner, answered] {
-    ScheduleAfter(kOrderTimeout, [this, owner, answered] {
-      if (owner->m_active) {
-        answered(Fail(ErrorCode::kTimeout, "no answer"));
-        DispatchActions(owner);
-      }
+  const auto fail_with_timeout = [this, answered] {
+    ScheduleAfter(kOrderTimeout, [answered] {
+      answered(Fail(ErrorCode::kTimeout, "no answer"));
     });
   };
   SimulatedWorker* const target =
@@ -311,26 +347,26 @@
   }
   ScheduleAfter(RandomNetworkDelay(), [this, owner, worker, target, deliver,
                                        answered, fail_with_timeout] {
-    if (IsUnreachable(*owner, worker) || IsSilent(worker)) {
+    const bool reset_by_cut =
+        IsCut(worker) &&
+        m_contacts[static_cast<std::size_t>(worker)].m_cut_resets;
+    const Duration unseen =
+        target->IsUp() ? Duration(0)
+                       : std::max(Duration(0), LossSeenAt(worker) - m_now);
+    if (!reset_by_cut && (IsUnreachable(*owner, worker) || IsSilent(worker) ||
+                          unseen >= kOrderTimeout)) {
       fail_with_timeout();
       return;
     }
-    if (!target->IsUp()) {
-      ScheduleAfter(RandomNetworkDelay(), [this, owner, answered] {
-        if (owner->m_active) {
-          answered(Fail(ErrorCode::kConnectionLost, "connection reset"));
-          DispatchActions(owner);
-        }
+    if (!target->IsUp() || reset_by_cut) {
+      ScheduleAfter(unseen + RandomNetworkDelay(), [answered] {
+        answered(Fail(ErrorCode::kConnectionLost, "connection reset"));
       });
       return;
     }
     const Answer answer = deliver();
-    ScheduleAfter(RandomNetworkDelay(), [this, owner, answered, answer] {
-      if (owner->m_active) {
-        answered(answer);
-        DispatchActions(owner);
-      }
-    });
+    ScheduleAfter(RandomNetworkDelay(),
+                  [answered, answer] { answered(answer); });
   });
 }
 
@@ -375,9 +411,10 @@
   if (m_options.m_unsent_start_share > 0 &&
       RandomBool(m_options.m_unsent_start_share)) {
     ScheduleAfter(kOrderTimeout, [this, owner, action] {
-      owner->m_cell->OnStartAnswer(
-          action, Fail(ErrorCode::kNotSent, "no connection"), m_now);
-      DispatchActions(owner);
+      RunAtOwner(owner, [this, owner, action] {
+        owner->m_cell->OnStartAnswer(
+            action, Fail(ErrorCode::kNotSent, "no connection"), m_now);
+      });
     });
     return;
   }
@@ -408,7 +445,9 @@
         return answer;
       },
       [this, owner, action](const Result<StartAnswer>& answer) {
-        owner->m_cell->OnStartAnswer(action, answer, m_now);
+        RunAtOwner(owner, [this, owner, action, answer] {
+          owner->m_cell->OnStartAnswer(action, answer, m_now);
+        });
       });
 }
 
@@ -424,16 +463,14 @@
       m_adviser.IssueTickets(action.m_step, workers, m_now);
   ScheduleAfter(kAdviserDelay + RandomNetworkDelay(), [this, owner, action,
                                                        lost, advised] {
-    if (!owner->m_active) {
-      return;
-    }
-    if (lost) {
-      owner->m_cell->OnAdvice(action, Fail(ErrorCode::kTimeout, "answer lost"),
-                              m_now);
-    } else {
-      owner->m_cell->OnAdvice(action, advised, m_now);
-    }
-    DispatchActions(owner);
+    RunAtOwner(owner, [this, owner, action, lost, advised] {
+      if (lost) {
+        owner->m_cell->OnAdvice(
+            action, Fail(ErrorCode::kTimeout, "answer lost"), m_now);
+      } else {
+        owner->m_cell->OnAdvice(action, advised, m_now);
+      }
+    });
   });
 }
 
@@ -454,7 +491,9 @@
         } else if (code.value() == ErrorCode::kFenced) {
           answer = Fail(ErrorCode::kFenced, "older epoch");
         }
-        owner->m_cell->OnStopAnswer(action, answer, m_now);
+        RunAtOwner(owner, [this, owner, action, answer] {
+          owner->m_cell->OnStopAnswer(action, answer, m_now);
+        });
       });
 }
 
@@ -478,7 +517,10 @@
        wait](const Result<std::shared_ptr<Result<HeartbeatReport>>>& answer) {
         const Result<HeartbeatReport> report =
             answer ? *answer.value() : Result<HeartbeatReport>(answer.error());
-        AnswerHeartbeat(owner, action, report, m_now + wait);
+        if (owner->m_active) {
+          AnswerHeartbeat(owner, action, report, m_now + wait);
+          DispatchActions(owner);
+        }
       });
 }
 
@@ -494,28 +536,65 @@
     const bool lost = report &&
                       !m_workers[static_cast<std::size_t>(worker)]->IsUp() &&
                       !IsSilent(worker);
-    if (!lost && m_now < at) {
+    const TimePoint deadline = HeartbeatDeadline(action);
+    if (lost && m_now < std::min(LossSeenAt(worker), deadline)) {
+      AnswerHeartbeat(owner, action, report,
+                      std::min(LossSeenAt(worker), deadline));
+    } else if (lost && m_now < LossSeenAt(worker)) {
+      DeliverHeartbeatAnswer(owner, action,
+                             Fail(ErrorCode::kTimeout, "no answer"));
+    } else if (lost) {
+      DeliverHeartbeatAnswer(
+          owner, action, Fail(ErrorCode::kConnectionLost, "connection reset"));
+    } else if (m_now < at) {
       AnswerHeartbeat(owner, action, report, at);
-      return;
+    } else {
+      DeliverHeartbeatAnswer(owner, action, report);
     }
-    owner->m_cell->OnHeartbeatAnswer(
-        action,
-        lost ? Result<HeartbeatReport>(
-                   Fail(ErrorCode::kConnectionLost, "connection reset"))
-             : report,
-        m_now);
-    DispatchActions(owner);
   });
 }
 
+void JobSimulation::DeliverHeartbeatAnswer(
+    Owner* owner,
+    const HeartbeatAction& action,
+    const Result<HeartbeatReport>& answer) {
+  const int worker = std::stoi(action.m_target.m_id.substr(1));
+  Result<HeartbeatReport> seen = answer;
+  Duration delay(0);
+  const Duration time_left =
+      std::max(Duration(0), HeartbeatDeadline(action) - m_now);
+  if (answer && IsCut(worker)) {
+    const bool reset =
+        m_contacts[static_cast<std::size_t>(worker)].m_cut_resets;
+    delay = reset ? Duration(0) : time_left;
+    seen = Fail(reset ? ErrorCode::kConnectionLost : ErrorCode::kTimeout,
+                "cut off");
+  } else if (answer && m_now < m_slow_answers_until) {
+    delay = FaultDuration(kMinAnswerDelay, kMaxAnswerDelay);
+    if (delay > time_left) {
+      delay = time_left;
+      seen = Fail(ErrorCode::kTimeout, "late answer");
+    }
+  }
+  const auto deliver = [this, owner, action, seen] {
+    RunAtOwner(owner, [this, owner, action, seen] {
+      owner->m_cell->OnHeartbeatAnswer(action, seen, m_now);
+    });
+  };
+  if (delay > Duration(0)) {
+    ScheduleAfter(delay, deliver);
+  } else {
+    deliver();
+  }
+}
+
 void JobSimulation::Execute(Owner* owner, const StoreAction& action) {
   const auto answer = [this, owner, batch = action.m_batch](
                           Duration delay, const Result<Offset>& result) {
     ScheduleAfter(delay, [this, owner, batch, result] {
-      if (owner->m_active) {
+      RunAtOwner(owner, [this, owner, batch, result] {
         owner->m_cell->OnStored(batch, result, m_now);
-        DispatchActions(owner);
-      }
+      });
     });
   };
   ScheduleAfter(RandomNetworkDelay(), [this, owner, action, answer] {
@@ -568,6 +647,7 @@
     ScheduleFaults();
   }
   ScheduleGroupCrashes();
+  ScheduleMisobservedFaults();
   if (m_options.m_capacities_change) {
     ScheduleCapacityChanges();
   }
--- a/testsuite/job_state/job_world.h
+++ b/testsuite/job_state/job_world.h
@@ -16,6 +16,7 @@
 
 #include "hyssopspar/jobs/cell.h"
 #include "job_state/adviser_sim.h"
+#include "job_state/misobserved_faults.h"
 #include "job_state/worker_sim.h"
 
 namespace hyssopspar::jobs {
@@ -45,6 +46,22 @@
   int m_group_crashes = 0;
   /// Number of faults in the fault period.
   int m_fault_count = 12;
+  MisobservedFaults m_misobserved;
+};
+
+/// What the network and the store show of a worker.
+struct WorkerContact {
+  /// No owner reaches the worker until then.
+  TimePoint m_cut_until;
+  bool m_cut_resets = false;  ///< The cut resets connections.
+  bool m_cut_from_store = false;
+  /// The end of the worker's process resets connections only from then on.
+  TimePoint m_loss_seen_at;
+  /// The present entry can't be read until then, but an earlier one.
+  TimePoint m_entry_hidden_until;
+  TimePoint m_last_beat;  ///< Last contact to the store.
+  bool m_entry_expired = false;
+  TimePoint m_entry_back_at = TimePoint::max();
 };
 
 /// Submits random jobs and simulates a fixed period with faults, followed by
@@ -81,17 +98,46 @@
   void ScheduleFaults();
   void ScheduleGroupCrashes();
   Submission RandomJob(int number);
+  /// Schedules the faults of m_options.m_misobserved.
+  void ScheduleMisobservedFaults();
+  void ScheduleLastingJobs();
+  /// Runs \p event at \p count random times in the fault period.
+  void ScheduleAtRandom(int count, const std::function<void()>& event);
+  /// Random numbers of the faults of m_options.m_misobserved.
+  Duration FaultDuration(milliseconds min, milliseconds max);
+  bool FaultBool(double probability);
+  int RandomWorker();
+  void PauseOwner();
+  void CutSomeWorkers();
+  void LoseWorkersAtOnce();
+  void LoseWorkerSilently();
+  /// Restarts the worker as planned, then those \p lanes further.
+  void UpdateWorkers(int worker, int lanes);
+  void ExitForUpdate(int worker, int lanes);
+  /// Lets entries expire and come back, repeatedly.
+  void ExpireEntries();
+  void UpdateEntry(int worker, bool store_is_up);
   RunBehavior BehaviorOf(const TaskName& task);
 
   void PartitionWorkersFromNewOwner(Duration duration);
   /// True while the worker is down without resetting its connections.
   bool IsSilent(int worker) const;
+  bool IsCut(int worker) const;
+  /// Time until which the end of the worker's process stays unseen.
+  TimePoint LossSeenAt(int worker) const;
+  /// Runs \p event in the owner's process, after a pause of it, and lets the
+  /// owner decide.
+  void RunAtOwner(Owner* owner, const std::function<void()>& event);
   /// Gives the owner the report at \p at or, if the worker's process ends
   /// earlier, an error then.
   void AnswerHeartbeat(Owner* owner,
                        const HeartbeatAction& action,
                        const Result<HeartbeatReport>& report,
                        TimePoint at);
+  /// Passes the answer to the owner, unless a cut or a delay changes it.
+  void DeliverHeartbeatAnswer(Owner* owner,
+                              const HeartbeatAction& action,
+                              const Result<HeartbeatReport>& answer);
   /// True if messages between the owner and the worker are lost.
   bool IsUnreachable(const Owner& owner, int worker) const;
   /// Creates the owner of the next epoch, which first loads the store.
@@ -140,10 +186,13 @@
                   const StartAction& action,
                   const SimulatedWorker& worker);
   void CheckFinalStates();
+  /// Checks that each task of the job runs.
+  void CheckLastingJob(const Submission& job);
   void CrashWorker(int worker, Duration downtime);
   void ScheduleCapacityChanges();
   /// True for a task that crashes its workers; depends on the seed only.
   bool IsCrashing(const std::string& task) const;
+  bool HasCrashingTask(const Submission& job) const;
   /// Crashes the worker under a run of a crashing task.
   void CrashUnder(SimulatedWorker* worker, const StartOrder& order);
   /// True if the end of the job as failed has a cause.
@@ -153,12 +202,21 @@
 
   JobSimulationOptions m_options;
   std::mt19937_64 m_random;
+  std::mt19937_64 m_fault_random;  ///< For m_options.m_misobserved.
   TimePoint m_now;
   TimePoint m_faults_end;
   std::multimap<TimePoint, std::function<void()>> m_events;
 
   std::vector<std::unique_ptr<SimulatedWorker>> m_workers;
   std::set<int> m_silent_workers;
+  std::vector<WorkerContact> m_contacts;  ///< By worker.
+  TimePoint m_slow_answers_until;
+  /// End of the last outage of the store that was seen, and whether entries
+  /// expire in it.
+  TimePoint m_outage_end;
+  bool m_outage_expires_entries = false;
+  /// Lasting tasks that crash their workers.
+  std::set<std::string> m_crashing_lasting_tasks;
   SimulatedAdviser m_adviser;
   /// End of the network partition between a worker and all owners, by worker.
   std::map<int, TimePoint> m_unreachable_until;
--- a/testsuite/job_state/job_world_checks.cpp
+++ b/testsuite/job_state/job_world_checks.cpp
@@ -22,6 +22,10 @@
 constexpr std::uint32_t kCrashesBeforeLimit = 3;
 constexpr std::uint32_t kMaxStartsAfterLimit = 3;
 
+bool IsLasting(const Submission& job) {
+  return job.m_plan.m_steps.front().m_long_running;
+}
+
 bool IsTaskOf(const std::string& task, const std::string& job_id) {
   return task.compare(0, job_id.size() + 1, job_id + ".") == 0;
 }
@@ -29,6 +33,9 @@
 }  // namespace
 
 bool JobSimulation::IsCrashing(const std::string& task) const {
+  if (m_crashing_lasting_tasks.count(task) > 0) {
+    return true;
+  }
   const std::size_t hash =
       std::hash<std::string>()(task + "/" + std::to_string(m_options.m_seed));
   return static_cast<double>(hash % 10000) <
@@ -175,8 +182,41 @@
   return completed;
 }
 
+bool JobSimulation::HasCrashingTask(const Submission& job) const {
+  for (std::uint32_t s = 0; s < job.m_plan.m_steps.size(); ++s) {
+    for (std::uint32_t i = 0; i < job.m_plan.m_steps[s].m_tasks; ++i) {
+      if (IsCrashing(ToString(TaskName{job.m_id, 0, s, i}))) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void JobSimulation::CheckLastingJob(const Submission& job) {
+  for (const std::unique_ptr<SimulatedWorker>& worker : m_workers) {
+    worker->Advance(m_now);
+  }
+  const std::uint32_t tasks = job.m_plan.m_steps.front().m_tasks;
+  for (std::uint32_t i = 0; i < tasks; ++i) {
+    const std::string name = ToString(TaskName{job.m_id, 0, 0, i});
+    const bool runs =
+        std::any_of(m_workers.begin(), m_workers.end(),
+                    [&name](const std::unique_ptr<SimulatedWorker>& worker) {
+                      return worker->IsUp() && worker->Runs().count(name) > 0;
+                    });
+    if (!runs) {
+      ReportViolation("lasting task does not run at the end: " + name);
+    }
+  }
+}
+
 void JobSimulation::CheckFinalStates() {
   for (const auto& entry : m_jobs) {
+    if (IsLasting(entry.second) && !HasCrashingTask(entry.second)) {
+      CheckLastingJob(entry.second);
+      continue;
+    }
     const std::optional<JobState> state =
         m_current_owner->m_cell->StateOf(entry.first);
     if (!state || !IsTerminal(*state)) {
--- a/testsuite/job_state/job_world_faults.cpp
+++ b/testsuite/job_state/job_world_faults.cpp
@@ -17,6 +17,9 @@
 void JobSimulation::CrashWorker(int worker, Duration downtime) {
   SimulatedWorker* const crashed =
       m_workers[static_cast<std::size_t>(worker)].get();
+  if (!crashed->IsUp() && !m_options.m_misobserved.IsOff()) {
+    return;
+  }
   crashed->Advance(m_now);
   for (const auto& run : crashed->Runs()) {
     ++m_crashes[run.first];
@@ -126,6 +129,9 @@
 }
 
 bool JobSimulation::IsUnreachable(const Owner& owner, int worker) const {
+  if (IsCut(worker)) {
+    return true;
+  }
   const auto partition = m_unreachable_until.find(worker);
   const bool partitioned_from_all =
       partition != m_unreachable_until.end() && m_now < partition->second;
--- a/testsuite/job_state/job_world_internal.h
+++ b/testsuite/job_state/job_world_internal.h
@@ -16,6 +16,8 @@
 
 /// Period in which jobs arrive and faults are injected.
 inline constexpr milliseconds kFaultPeriod{40000};
+/// Time after which an order without an answer fails at its owner.
+inline constexpr milliseconds kOrderTimeout{1000};
 /// Time for which an owner that has lost the store may still send starts and
 /// heartbeats.
 inline constexpr milliseconds kOwnershipLease{6000};
@@ -38,6 +40,7 @@
   TimePoint m_partition_end;
   TimePoint m_views_current_at;
   TimePoint m_decide_at = TimePoint::max();  ///< Next scheduled decision.
+  TimePoint m_paused_until;  ///< The process stands still until then.
   /// Entry of each worker that the owner was last given; none while the list
   /// lacks the worker.
   std::map<int, WorkerEntry> m_listed;
--- a/testsuite/job_state/worker_sim.cpp
+++ b/testsuite/job_state/worker_sim.cpp
@@ -175,6 +175,7 @@
   m_up = true;
   m_started_at = now;
   ++m_entry.m_incarnation_unix_ms;
+  m_entry.m_leaving = false;
 }
 
 }  // namespace hyssopspar::jobs
--- a/testsuite/job_state/worker_sim.h
+++ b/testsuite/job_state/worker_sim.h
@@ -46,6 +46,8 @@
   void SetLabels(std::vector<std::string> labels) {
     m_entry.m_labels = std::move(labels);
   }
+  /// Reports that the worker will exit soon, until it restarts.
+  void SetLeaving() { m_entry.m_leaving = true; }
   /// Highest capacity reported since \p since.
   Resources HighestCapacitySince(TimePoint since) const;
   /// Runs that have not ended, by task name.
