--- a/testsuite/job_state/job_world_internal.h
+++ b/testsuite/job_state/job_world_internal.h
@@ -21,6 +21,7 @@
 /// Time for which an owner that has lost the store may still send starts and
 /// heartbeats.
 inline constexpr milliseconds kOwnershipLease{6000};
+inline constexpr milliseconds kTicketValidity{900};
 /// Failed runs after which a task and its job have failed.
 inline constexpr std::uint32_t kMaxAttempts = 4;
 /// Labels of workers that may change when they restart.
