--- a/testsuite/job_state/job_world.h
+++ b/testsuite/job_state/job_world.h
@@ -79,9 +79,12 @@
   std::size_t Starts() const { return m_starts; }
   /// Number of jobs completed according to the current owner.
   std::size_t Completed() const;
-  /// Number of failed jobs of which no task used all attempts and no task
-  /// crashes its workers.
-  std::size_t FailedWithoutCrashingTask() const;
+  /// Failed jobs of which no task used all attempts and no task crashes its
+  /// workers.
+  std::vector<std::string> JobsFailedWithoutCrashingTask() const;
+  std::size_t FailedWithoutCrashingTask() const {
+    return JobsFailedWithoutCrashingTask().size();
+  }
 
  private:
   struct Owner;
--- a/testsuite/job_state/job_world_checks.cpp
+++ b/testsuite/job_state/job_world_checks.cpp
@@ -79,18 +79,19 @@
                      });
 }
 
-std::size_t JobSimulation::FailedWithoutCrashingTask() const {
-  return static_cast<std::size_t>(
-      std::count_if(m_jobs.begin(), m_jobs.end(), [this](const auto& job) {
-        const bool has_crashing_task = std::any_of(
-            m_crashes.begin(), m_crashes.end(), [&](const auto& entry) {
-              return IsTaskOf(entry.first, job.first) &&
-                     IsCrashing(entry.first);
-            });
-        return m_current_owner->m_cell->StateOf(job.first) ==
-                   JobState::kFailed &&
-               !has_crashing_task && !HasUsedAllAttempts(job.first);
-      }));
+std::vector<std::string> JobSimulation::JobsFailedWithoutCrashingTask() const {
+  std::vector<std::string> failed;
+  for (const auto& job : m_jobs) {
+    const bool has_crashing_task =
+        std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto& entry) {
+          return IsTaskOf(entry.first, job.first) && IsCrashing(entry.first);
+        });
+    if (m_current_owner->m_cell->StateOf(job.first) == JobState::kFailed &&
+        !has_crashing_task && !HasUsedAllAttempts(job.first)) {
+      failed.push_back(job.first);
+    }
+  }
+  return failed;
 }
 
 void JobSimulation::CheckNewRun(SimulatedWorker* worker,
