--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -268,9 +268,11 @@
                                   TimePoint alive_at,
                                   CrashSign sign,
                                   TimePoint now);
+  /// What the worker did, if it becomes unreachable now.
+  LossCircumstance CircumstanceOf(const Worker& worker, TimePoint now) const;
   /// Records that the worker no longer answers: the heartbeat ended with
   /// \p error.
-  void MarkLost(Worker* worker, ErrorCode error, TimePoint now);
+  void MarkLost(Worker* worker, const Error& error, TimePoint now);
   /// True if the task's next run is delayed because workers are being lost for
   /// other reasons, so that the run would prove nothing.
   bool AwaitsCalm(const Task& task, TimePoint now) const;
@@ -278,12 +280,13 @@
   void CountLosses(const Worker& crashed, WorkerCrash* crash) const;
   /// Fails the jobs of tasks that crash their workers.
   void GiveUpTasks(const std::vector<TaskRef>& tasks, TimePoint now);
-  /// Ends all runs of a worker that is gone (kWorkerCrashed) or was not heard
-  /// of for longer than its lease (kLeaseExpired).
-  void EndAllRuns(int worker_index,
-                  EndCause cause,
-                  CrashSign sign,
-                  TimePoint now);
+  /// Ends the runs of a worker at whose address another one answers.
+  void EndRunsOfReplacedWorker(int worker_index, TimePoint now);
+  /// Ends the runs of a worker that was not heard of for longer than its lease.
+  /// That it crashed is not known: it may be cut off, and its entry may have
+  /// expired during an outage of the store.
+  void EndRunsOfSilentWorker(int worker_index, TimePoint now);
+  void EndAllRuns(int worker_index, EndCause cause, TimePoint now);
 
   // cell_pacing.cpp
   void RecordTailLatencies(int worker_index,
--- a/src/include/hyssopspar/jobs/crash_blame.h
+++ b/src/include/hyssopspar/jobs/crash_blame.h
@@ -28,6 +28,14 @@
 inline constexpr std::uint32_t kCrashesBeforeTrial = 3;
 inline constexpr milliseconds kMaxTrialDelay{15000};
 
+/// Least age of a run of an earlier owner when this owner first hears of it.
+/// Its first report counts in full: without its tail latencies, the throttles
+/// beside it would be relaxed at each takeover.
+inline constexpr milliseconds kMinInheritedRunAge{1500};
+
+/// Start of the current run of a placed task.
+RunStart StartOf(const Task& task);
+
 /// True while a run of the task is placed that has not shown yet that its
 /// worker survives its start.
 bool IsUnproven(const Task& task, TimePoint now);
@@ -51,14 +59,18 @@
 /// A run that was on the worker when it crashed.
 struct CrashedRun {
   TaskRef m_task;
+  std::uint32_t m_run = 0;
   RunStart m_start;
 };
 
 /// A crash of a worker, between two times at which it was asked for a report.
 struct WorkerCrash {
   std::string m_worker;
-  TimePoint m_alive_at;       ///< The worker last answered.
-  TimePoint m_lost_at;        ///< It had crashed by then.
+  TimePoint m_alive_at;  ///< The worker last answered.
+  TimePoint m_lost_at;   ///< It no longer answered.
+  /// False for a worker that was cut off, or fell silent, before it restarted.
+  bool m_is_witnessed = true;
+  TimePoint m_ended_by;       ///< It had crashed by then.
   std::size_t m_workers = 1;  ///< Of the cell.
   /// Workers that were lost at about the same time: this one, and those on
   /// which no suspect had just been started.
@@ -68,8 +80,8 @@
 };
 
 /// Counts the crash against the tasks that may have caused it, and sets which
-/// of them are suspects. Tasks whose runs have lasted are acquitted, also of
-/// earlier crashes.
+/// of them are suspects. Tasks of which a run has lasted are acquitted, also of
+/// earlier and later crashes.
 ///
 /// The evidence against a task is a number of decades: how unlikely it would be
 /// for an innocent task that its workers crashed as they did since a run of it
@@ -88,7 +100,7 @@
 /// Evidence against the task, in decades.
 double DecadesOfEvidence(const Task& task);
 
-/// Drops the evidence against a task of which a run has survived.
+/// Drops the evidence against a task of which a run has survived, for good.
 void Acquit(Task* task);
 
 }  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -38,24 +38,35 @@
   kRecentSuspectStart,  ///< One of a task under which a worker had crashed.
 };
 
+/// How a worker became unreachable.
+struct WorkerLoss {
+  TimePoint m_at;
+  ErrorCode m_error = ErrorCode::kTimeout;  ///< Of the heartbeat.
+  LossCircumstance m_circumstance = LossCircumstance::kNoRecentStart;
+  /// Its process ended then, as far as can be seen: the connection was closed
+  /// or refused rather than silent, and the owner was in contact with the
+  /// store.
+  bool m_is_witnessed = false;
+  bool m_is_planned = false;  ///< The worker had announced that it leaves.
+};
+
 /// From what it is concluded that a worker has crashed.
 enum class CrashSign {
   kRestarted,    ///< It answered as another incarnation.
   kOtherWorker,  ///< Another worker answered at its address.
-  kUnlisted,     ///< The platform's list lacks it, and it does not answer.
 };
 
-/// What is known of the start of a run.
+/// What is known of the start of a run: it lies between the two times. An owner
+/// that was paused reads a confirmation late.
 struct RunStart {
-  /// When it was confirmed or, before that, sent; nullopt: an earlier owner may
-  /// have sent it.
-  std::optional<TimePoint> m_at;
-  bool m_is_inherited = false;  ///< Confirmed to this owner; started before.
+  std::optional<TimePoint> m_sent_at;       ///< nullopt: by an earlier owner.
+  std::optional<TimePoint> m_confirmed_at;  ///< nullopt: not confirmed.
 };
 
 /// A run that ended with its lease.
 struct LapsedRun {
   TaskName m_task;
+  std::uint32_t m_run = 0;
   RunStart m_start;
 };
 
@@ -86,6 +97,7 @@
   /// m_clock_received_at.
   WorkerTime m_reported_clock;
   TimePoint m_clock_received_at;
+  TimePoint m_alive_at;  ///< When the request of the last report was sent.
   /// All leases granted by this owner and earlier ones have expired by then.
   TimePoint m_lease_deadline;
 
@@ -101,12 +113,9 @@
   /// Jobs with a failed run here since the last successful one.
   std::set<std::string> m_failed_jobs;
   /// Runs whose lease here expired while the worker was unreachable. Whether
-  /// it had crashed shows when it is heard of again.
+  /// it had crashed shows when its address answers again.
   std::vector<LapsedRun> m_lapsed_runs;
-  TimePoint m_lost_at;  ///< When the worker last became unreachable.
-  /// How the heartbeat ended by which that showed.
-  ErrorCode m_lost_by = ErrorCode::kTimeout;
-  LossCircumstance m_loss = LossCircumstance::kNoRecentStart;
+  WorkerLoss m_loss;  ///< The last one.
   TimePoint m_quarantined_until;
   /// No placement here before this, because the worker refused a start or the
   /// order could not be sent.
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -1,6 +1,7 @@
 // Heartbeats to workers: they extend leases and report running and ended runs.
 
 #include <algorithm>
+#include <optional>
 
 #include "hyssopspar/jobs/cell.h"
 #include "hyssopspar/jobs/crash_blame.h"
@@ -23,14 +24,14 @@
 /// Most ended runs that a worker lists in one report. A report with this many
 /// may be incomplete.
 constexpr std::size_t kMaxListedEnds = 500;
-/// Assumed age of a run that an earlier owner started. Its first report counts
-/// in full: without its tail latencies, the throttles beside it would be
-/// relaxed at each takeover.
-constexpr milliseconds kMinInheritedRunAge{1500};
 /// An unanswered stop of a run that is still reported is sent again after this
 /// long.
 constexpr milliseconds kStopRetryDelay{500};
 
+/// Time for which a worker that is not listed any more is asked whether it has
+/// crashed.
+constexpr std::chrono::seconds kLapsedRunRetention{30};
+
 }  // namespace
 
 WorkerTime WorkerTimeAt(const Worker& worker, TimePoint at) {
@@ -64,7 +65,8 @@
 }
 
 bool NeedsHeartbeat(const Worker& worker) {
-  return (worker.m_listed || !worker.m_tasks.empty()) &&
+  return (worker.m_listed || !worker.m_tasks.empty() ||
+          !worker.m_lapsed_runs.empty()) &&
          !worker.m_heartbeat_in_flight && !worker.m_entry.m_address.empty();
 }
 
@@ -154,12 +156,14 @@
     CellLog()->warn("worker-unreachable id={} tasks={} error={}",
                     worker.m_entry.m_id, worker.m_tasks.size(),
                     ToString(answer.error()));
-    MarkLost(&worker, answer.error().m_code, now);
+    MarkLost(&worker, answer.error(), now);
   }
   worker.m_reachable = false;
   if (answer.error().m_code == ErrorCode::kNotFound) {
-    EndAllRuns(action.m_worker, EndCause::kWorkerCrashed,
-               CrashSign::kOtherWorker, now);
+    EndRunsOfReplacedWorker(action.m_worker, now);
+  }
+  if (!worker.m_listed && now - worker.m_loss.m_at > kLapsedRunRetention) {
+    worker.m_lapsed_runs.clear();
   }
   const milliseconds pause =
       std::min(kMaxHeartbeatRetryDelay,
@@ -191,7 +195,7 @@
   // time of day at the start of a later incarnation may be the earlier one.
   const bool restarted =
       !first && report.m_incarnation_unix_ms != worker.m_incarnation_unix_ms;
-  const TimePoint alive_at = worker.m_clock_received_at;
+  const TimePoint alive_at = worker.m_alive_at;
   if (restarted) {
     BeginIncarnation(worker_index, report.m_incarnation_unix_ms);
   } else {
@@ -200,6 +204,7 @@
   worker.m_incarnation_unix_ms = report.m_incarnation_unix_ms;
   worker.m_reported_clock = report.m_now;
   worker.m_clock_received_at = now;
+  worker.m_alive_at = action.m_sent;
   if (!worker.m_reachable) {
     CellLog()->info("worker-reachable id={} running={} ended={} first={}",
                     worker.m_entry.m_id, report.m_running.size(),
@@ -256,10 +261,15 @@
     }
     (*listed)[ref] = run.m_run;
     task.m_worker_incarnation = worker.m_incarnation_unix_ms;
-    if (task.m_crashes > 0 && task.m_is_confirmed &&
-        now - task.m_confirmed_at >= kAcquittedRunAge) {
+    // The worker may have written the report long before it was read.
+    const std::optional<TimePoint> confirmed_at = StartOf(task).m_confirmed_at;
+    if (!task.m_has_survived && confirmed_at &&
+        worker.m_alive_at - *confirmed_at >= kAcquittedRunAge) {
+      const bool was_suspect = task.m_crashes > 0;
       Acquit(&task);
-      MarkDirty(job);
+      if (was_suspect || StepOf(*job, ref.m_index).m_long_running) {
+        MarkDirty(job);
+      }
     }
     task.m_checkpoint = run.m_checkpoint;
     if (task.m_state == TaskState::kStarting) {
@@ -372,12 +382,7 @@
       break;
     }
     ++m_work.m_worker_visits;
-    const Worker& worker = m_workers[static_cast<std::size_t>(expiry.second)];
-    // The platform has removed the entry of a worker that is gone for good.
-    EndAllRuns(
-        expiry.second,
-        worker.m_listed ? EndCause::kLeaseExpired : EndCause::kWorkerCrashed,
-        CrashSign::kUnlisted, now);
+    EndRunsOfSilentWorker(expiry.second, now);
   }
 }
 
