--- a/src/libhyssopspar/jobs/cell_fixture.h
+++ b/src/libhyssopspar/jobs/cell_fixture.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -128,6 +129,8 @@
       m_cell.OnHeartbeatAnswer(action, Fail(error->second, ""), m_now);
       return;
     }
+    m_acked[action.m_target.m_id] =
+        std::max(m_acked[action.m_target.m_id], action.m_order.m_acked_up_to);
     HeartbeatReport report;
     report.m_now = WorkerTime(milliseconds(ToMillis(m_now.time_since_epoch())));
     report.m_incarnation_unix_ms = 1 + m_incarnations[action.m_target.m_id];
@@ -144,18 +147,32 @@
     const bool refused = std::any_of(
         action.m_records.begin(), action.m_records.end(),
         [this](const KeyedRecord& record) {
-          return record.m_value.value_or("").size() > m_store_record_bytes;
+          return record.m_value.value_or("").size() > m_store_record_bytes ||
+                 m_refused_keys.count(record.m_key) > 0;
         });
-    if (refused) {
+    if (refused || m_store_refuses) {
       ++m_refused_batches;
       m_cell.OnStored(action.m_batch,
                       Fail(ErrorCode::kInvalidArgument, "record too large"),
                       m_now);
       return;
     }
+    if (action.m_batch == m_unconfirmed_batch) {
+      // The store answers a repeated number as it answered the first.
+      m_unconfirmed_batch = 0;
+      m_cell.OnStored(action.m_batch, Offset{1}, m_now);
+      return;
+    }
     EXPECT_EQ(action.m_batch, ++m_last_stored_batch);
     m_stored.insert(m_stored.end(), action.m_records.begin(),
                     action.m_records.end());
+    if (m_next_confirmation_is_lost) {
+      m_next_confirmation_is_lost = false;
+      m_unconfirmed_batch = action.m_batch;
+      m_cell.OnStored(action.m_batch, Fail(ErrorCode::kTimeout, "no answer"),
+                      m_now);
+      return;
+    }
     m_cell.OnStored(action.m_batch, Offset{1}, m_now);
   }
   void Answer(const TombstoneJobsAction& /*action*/) {}
@@ -212,11 +229,16 @@
   std::uint64_t m_unanswered_batch = 0;
   /// The store refuses batches with larger values.
   std::size_t m_store_record_bytes = 262144;
+  std::set<std::string> m_refused_keys;  ///< It refuses batches with these.
+  bool m_store_refuses = false;          ///< It refuses all batches.
   std::size_t m_refused_batches = 0;
+  bool m_next_confirmation_is_lost = false;  ///< Of the next stored batch.
+  std::uint64_t m_unconfirmed_batch = 0;     ///< Whose confirmation was lost.
   std::uint64_t m_last_stored_batch = 0;
   double m_usage = 0;  ///< Reported for every run.
   std::map<std::string, std::vector<RunningRun>> m_running;  ///< By worker.
   std::map<std::string, std::vector<EndedRun>> m_ended;      ///< By worker.
+  std::map<std::string, std::uint64_t> m_acked;              ///< By worker.
   std::map<std::string, std::int64_t> m_incarnations;        ///< Restarts.
   /// Errors of the heartbeats to workers that don't answer.
   std::map<std::string, ErrorCode> m_heartbeat_errors;
--- a/src/node/cell_host_acting.cpp
+++ b/src/node/cell_host_acting.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds kAdviceTimeout{5000};
 /// Most records of ended jobs in one append.
 constexpr std::size_t kMaxCompactedRecords = 5000;
+/// Delay before such an append that has failed is repeated.
+constexpr milliseconds kCompactionRetryDelay{1000};
 
 }  // namespace
 
@@ -45,7 +47,7 @@
           ->warn("worker-record-ignored key={} error={}", record.m_key,
                  ToString(entry.error()));
     }
-    m_cell->RemoveWorker(record.m_key, now);
+    m_cell->RemoveWorker(record.m_key);
   }
   TickAndDispatch();
 }
@@ -57,7 +59,7 @@
   }
   for (const jobs::Worker& worker : m_cell->Workers()) {
     if (listed.count(worker.m_entry.m_id) == 0) {
-      m_cell->RemoveWorker(worker.m_entry.m_id, Clock::now());
+      m_cell->RemoveWorker(worker.m_entry.m_id);
     }
   }
   ApplyWorkerRecords(records);
@@ -209,7 +211,9 @@
           [this, batch = action.m_batch,
            sent = Clock::now()](const Result<Offset>& end) {
             m_cell->OnStored(batch, end, Clock::now());
-            OnStoreCall(end.has_value(), sent);
+            // A refusal is an answer of the store: it is in reach.
+            OnStoreCall(
+                end || end.error().m_code == ErrorCode::kInvalidArgument, sent);
             TickAndDispatch();
           }));
 }
@@ -238,15 +242,23 @@
     const auto end =
         records.begin() + static_cast<std::ptrdiff_t>(std::min(
                               records.size(), first + kMaxCompactedRecords));
-    m_platform->Log().Append(
-        PartitionOf(jobs::kJobStream), {begin, end}, AppendGuard(),
-        Clock::now() + kStoreTimeout, [](const Result<Offset>& result) {
-          if (!result) {
-            Log(kOwnerLogComponent)
-                ->warn("compaction-failed error={}", ToString(result.error()));
-          }
-        });
+    AppendCompaction({begin, end});
   }
 }
 
+void CellHost::AppendCompaction(const std::vector<KeyedRecord>& records) {
+  m_platform->Log().Append(
+      PartitionOf(jobs::kJobStream), records, AppendGuard(),
+      Clock::now() + kStoreTimeout,
+      BindToGeneration<Result<Offset>>(
+          [this, records](const Result<Offset>& end) {
+            if (!end) {
+              Log(kOwnerLogComponent)
+                  ->warn("compaction-failed error={}", ToString(end.error()));
+              RetryLater([this, records] { AppendCompaction(records); },
+                         kCompactionRetryDelay);
+            }
+          }));
+}
+
 }  // namespace hyssopspar::node
--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -207,12 +207,12 @@
     if (m_now < owner->m_partition_end &&
         owner->m_partitioned_workers.count(index) > 0) {
       changed = owner->m_listed.erase(index) > 0 || changed;
-      owner->m_cell->RemoveWorker(entry.m_id, m_now);
+      owner->m_cell->RemoveWorker(entry.m_id);
     } else if (m_contacts[i].m_entry_expired) {
       if (listed != owner->m_listed.end()) {
         changed = true;
         owner->m_listed.erase(listed);
-        owner->m_cell->RemoveWorker(entry.m_id, m_now);
+        owner->m_cell->RemoveWorker(entry.m_id);
       }
     } else if (m_workers[i]->IsUp() &&
                m_now >= m_contacts[i].m_entry_hidden_until &&
@@ -305,6 +305,7 @@
   if (m_options.m_faults) {
     ScheduleFaults();
   }
+  ScheduleStoreRefusals();
   ScheduleGroupCrashes();
   ScheduleMisobservedFaults();
   if (m_options.m_capacities_change) {
--- a/testsuite/job_state/job_world_faults.cpp
+++ b/testsuite/job_state/job_world_faults.cpp
@@ -97,6 +97,15 @@
   }
 }
 
+void JobSimulation::ScheduleStoreRefusals() {
+  for (int i = 0; i < m_options.m_store_refusals; ++i) {
+    ScheduleAfter(kFaultPeriod * i / m_options.m_store_refusals, [this] {
+      m_store_refuses_until =
+          m_now + milliseconds(500 + static_cast<int>(m_random() % 4500));
+    });
+  }
+}
+
 void JobSimulation::ScheduleGroupCrashes() {
   for (int i = 0; i < m_options.m_group_crashes; ++i) {
     ScheduleAfter(kFaultPeriod * i / m_options.m_group_crashes, [this] {
--- a/testsuite/job_state/job_world_orders.cpp
+++ b/testsuite/job_state/job_world_orders.cpp
@@ -321,6 +321,11 @@
       answer(RandomNetworkDelay(), Fail(ErrorCode::kFenced, "older epoch"));
       return;
     }
+    if (m_now < m_store_refuses_until) {
+      answer(RandomNetworkDelay(),
+             Fail(ErrorCode::kInvalidArgument, "refused for a while"));
+      return;
+    }
     if (action.m_batch == m_store_sequence + 1) {
       m_store_sequence = action.m_batch;
       for (const KeyedRecord& record : action.m_records) {
