--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,7 +1,7 @@
 // The store is down while the first step of a job ends. The second step's turn
 // comes during the outage; it must run once the store is back.
 
-#include "../standin/site.h"
+#include "../../testsuite/platform/standin/site.h"
 
 namespace {
 
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -3,7 +3,7 @@
 // record that the store takes; the owner stores nothing more, and no task of
 // any job starts.
 
-#include "../standin/site.h"
+#include "../../testsuite/platform/standin/site.h"
 
 namespace {
 
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -2,7 +2,7 @@
 // had, as minions of another kind. Tasks that require the old kind are started
 // there until the owner has read the new entry in the list of minions.
 
-#include "../standin/site.h"
+#include "../../testsuite/platform/standin/site.h"
 
 namespace {
 
--- a/review/standin/http.h
+++ b/testsuite/platform/standin/http.h
@@ -1,6 +1,6 @@
 /// \file
 /// A small HTTP/1.1 server and client on blocking sockets, for the stand-ins of
-/// the review. One thread serves each connection.
+/// the review and the fleet runs. One thread serves each connection.
 
 #pragma once
 
