--- /dev/null
+++ b/testsuite/fleet/schedule.cpp
@@ -0,0 +1,233 @@
+#include "fleet/schedule.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <utility>
+
+namespace fleet {
+
+namespace {
+
+using Random = std::mt19937_64;
+
+constexpr std::array<const char*, 14> kNames = {
+    "crash-worker",  "replace-worker", "cut-worker",  "slow-worker",
+    "update-worker", "crash-unseen",   "freeze-node", "kill-node",
+    "end-node",      "silence-store",  "reset-store", "refuse-writes",
+    "set-attempts",  "silence-beats"};
+constexpr int kDisruptedStarts = 8;
+constexpr std::array<int, 4> kRefusals = {400, 403, 413, 503};
+
+int Pick(Random* random, int lowest, int highest) {
+  return std::uniform_int_distribution<int>(lowest, highest)(*random);
+}
+
+milliseconds PickTime(Random* random,
+                      milliseconds shortest,
+                      milliseconds longest) {
+  return milliseconds(Pick(random, static_cast<int>(shortest.count()),
+                           static_cast<int>(longest.count())));
+}
+
+std::string MakeId(Random* random) {
+  std::string id;
+  for (int i = 0; i < 16; ++i) {
+    id += "0123456789abcdef"[Pick(random, 0, 15)];
+  }
+  return id;
+}
+
+JobPlan MakeJob(Random* random, JobKind kind, milliseconds due) {
+  JobPlan job;
+  job.m_id = MakeId(random);
+  job.m_kind = kind;
+  job.m_due = due;
+  job.m_tasks = Pick(random, 1, 4);
+  job.m_work = PickTime(random, milliseconds(300), milliseconds(3000));
+  if (IsDeadly(kind)) {
+    job.m_tasks = 1;
+    job.m_work = PickTime(random, milliseconds(20), milliseconds(300));
+  }
+  return job;
+}
+
+/// A crash, cut or update each time that a task that lasts has started.
+void AddDisruptionsAtStarts(DisruptionKind kind,
+                            milliseconds duration,
+                            Schedule* schedule) {
+  for (int i = 0; i < kDisruptedStarts; ++i) {
+    Disruption disruption;
+    disruption.m_duration = duration;
+    disruption.m_kind = kind;
+    disruption.m_target = kEveryNode;
+    disruption.m_at_start = true;
+    schedule->m_disruptions.push_back(disruption);
+  }
+}
+
+/// Series of up to five disruptions of one kind, which overlap with others.
+void AddSeries(const FleetOptions& options, Random* random, Schedule* all) {
+  const int end = static_cast<int>(milliseconds(options.m_duration).count());
+  Disruption next;
+  next.m_at = milliseconds(Pick(random, 0, end));
+  next.m_kind = static_cast<DisruptionKind>(Pick(random, 0, 13));
+  const bool hits_worker = next.m_kind <= DisruptionKind::kCrashUnseen;
+  const int repeats = Pick(random, 1, 5);
+  const milliseconds gap =
+      PickTime(random, milliseconds(200), milliseconds(3000));
+  const bool on_one = Pick(random, 0, 2) == 0;
+  for (int i = 0; i < repeats; ++i) {
+    if (i == 0 || !on_one) {
+      next.m_target = hits_worker ? Pick(random, 0, options.m_workers - 1)
+                                  : Pick(random, -1, options.m_nodes - 1);
+    }
+    next.m_at_start = hits_worker && Pick(random, 0, 2) == 0;
+    next.m_duration = PickTime(random, milliseconds(300), milliseconds(6000));
+    next.m_value = next.m_kind == DisruptionKind::kChangeAttempts
+                       ? Pick(random, 2, 5)
+                       : Pick(random, 200, 2500);
+    if (next.m_kind == DisruptionKind::kRefuseWrites) {
+      next.m_value = kRefusals[static_cast<std::size_t>(Pick(random, 0, 3))];
+      next.m_duration = std::min(next.m_duration, milliseconds(2000));
+    }
+    all->m_disruptions.push_back(next);
+    next.m_at += gap;
+  }
+}
+
+/// As in the incident: nodes lose the store one after the other, writes are
+/// refused for a while after its return, and the reports of the workers expire.
+void AddStoreLoss(const FleetOptions& options, Random* random, Schedule* all) {
+  const int end = static_cast<int>(milliseconds(options.m_duration).count());
+  Disruption loss;
+  loss.m_at = milliseconds(Pick(random, 0, end));
+  const milliseconds until =
+      loss.m_at + PickTime(random, milliseconds(2000), milliseconds(9000));
+  for (int node = 0; node < options.m_nodes; ++node) {
+    loss.m_target = node;
+    loss.m_kind = DisruptionKind::kSilenceStore;
+    loss.m_duration = until - loss.m_at;
+    all->m_disruptions.push_back(loss);
+    Disruption after = loss;
+    after.m_at = until;
+    after.m_duration = milliseconds(Pick(random, 100, 1500));
+    after.m_kind = Pick(random, 0, 1) == 0 ? DisruptionKind::kResetStore
+                                           : DisruptionKind::kRefuseWrites;
+    after.m_value = kRefusals[static_cast<std::size_t>(Pick(random, 0, 3))];
+    all->m_disruptions.push_back(after);
+    loss.m_at = std::min(until - milliseconds(500),
+                         loss.m_at + milliseconds(Pick(random, 0, 1000)));
+  }
+  loss.m_kind = DisruptionKind::kSilenceEveryBeat;
+  loss.m_target = kEveryNode;
+  loss.m_duration = until - loss.m_at;
+  all->m_disruptions.push_back(loss);
+}
+
+void AddMixedDisruptions(const FleetOptions& options,
+                         Random* random,
+                         Schedule* schedule) {
+  const auto seconds = options.m_duration.count();
+  for (std::int64_t i = 0; i < seconds / 3; ++i) {
+    AddSeries(options, random, schedule);
+  }
+  for (std::int64_t i = 0; i < 1 + seconds / 40; ++i) {
+    AddStoreLoss(options, random, schedule);
+  }
+}
+
+void AddJobs(const FleetOptions& options,
+             Random* random,
+             bool deadly,
+             Schedule* schedule) {
+  const int end = static_cast<int>(milliseconds(options.m_duration).count());
+  std::vector<JobPlan>* const jobs = &schedule->m_jobs;
+  for (int i = 0; i < options.m_workers; ++i) {
+    jobs->push_back(MakeJob(random, JobKind::kLasting,
+                            milliseconds(Pick(random, 0, end / 4))));
+  }
+  for (std::int64_t i = 0; i < 2 * options.m_duration.count(); ++i) {
+    const JobKind kind =
+        Pick(random, 0, 3) == 0 ? JobKind::kFailing : JobKind::kShort;
+    jobs->push_back(MakeJob(random, kind, milliseconds(Pick(random, 0, end))));
+  }
+  for (int i = 0; deadly && i < 2; ++i) {
+    jobs->push_back(
+        MakeJob(random, JobKind::kDeadly, milliseconds(Pick(random, 0, end))));
+    jobs->push_back(MakeJob(random, JobKind::kDeadlyLasting,
+                            milliseconds(Pick(random, 0, end))));
+  }
+}
+
+/// Holds all answers back, so that nodes can be frozen before they read them.
+void AddSlowAnswers(const FleetOptions& options, Schedule* schedule) {
+  for (int worker = 0; worker < options.m_workers; ++worker) {
+    Disruption slow;
+    slow.m_kind = DisruptionKind::kSlowWorker;
+    slow.m_duration = options.m_duration;
+    slow.m_target = worker;
+    slow.m_value = 60;
+    schedule->m_disruptions.push_back(slow);
+  }
+}
+
+void AddOneLastingJob(Random* random, Schedule* schedule) {
+  schedule->m_jobs.push_back(
+      MakeJob(random, JobKind::kLasting, milliseconds(0)));
+  schedule->m_jobs.back().m_tasks = 1;
+}
+
+}  // namespace
+
+std::string NameOf(DisruptionKind kind) {
+  return kNames[static_cast<std::size_t>(kind)];
+}
+
+bool ApplyScenario(FleetOptions* options) {
+  if (options->m_scenario == "large") {
+    options->m_nodes = 8;
+    options->m_workers = 60;
+  }
+  const std::array<std::string, 6> names = {
+      "mixed", "deadly", "large", "crash-unseen", "update-start", "cut-start"};
+  return std::find(names.begin(), names.end(), options->m_scenario) !=
+         names.end();
+}
+
+Schedule MakeSchedule(const FleetOptions& options) {
+  Random random(options.m_seed);
+  Schedule schedule;
+  if (options.m_scenario == "crash-unseen") {
+    // Guards against: a job is given up because a frozen owner sees starts and
+    // crashes, which are seconds apart, at once (issue 34).
+    AddOneLastingJob(&random, &schedule);
+    AddSlowAnswers(options, &schedule);
+    AddDisruptionsAtStarts(DisruptionKind::kCrashUnseen, milliseconds(1500),
+                           &schedule);
+  } else if (options.m_scenario == "update-start") {
+    // Guards against: a job is given up because its workers are restarted for
+    // planned updates soon after its tasks have started (issue 34).
+    AddOneLastingJob(&random, &schedule);
+    AddDisruptionsAtStarts(DisruptionKind::kUpdateWorker, milliseconds(600),
+                           &schedule);
+  } else if (options.m_scenario == "cut-start") {
+    // Guards against: a job is given up because its workers are cut off and
+    // their entries expire (issue 34).
+    AddOneLastingJob(&random, &schedule);
+    AddDisruptionsAtStarts(DisruptionKind::kCutWorker, milliseconds(9000),
+                           &schedule);
+  } else {
+    AddJobs(options, &random, options.m_scenario == "deadly", &schedule);
+    AddMixedDisruptions(options, &random, &schedule);
+  }
+  std::stable_sort(
+      schedule.m_disruptions.begin(), schedule.m_disruptions.end(),
+      [](const Disruption& a, const Disruption& b) { return a.m_at < b.m_at; });
+  std::stable_sort(
+      schedule.m_jobs.begin(), schedule.m_jobs.end(),
+      [](const JobPlan& a, const JobPlan& b) { return a.m_due < b.m_due; });
+  return schedule;
+}
+
+}  // namespace fleet
--- a/testsuite/platform/standin/http.h
+++ b/testsuite/platform/standin/http.h
@@ -36,6 +36,7 @@
   std::map<std::string, std::string> m_query;    ///< Decoded.
   std::map<std::string, std::string> m_headers;  ///< By lower-case name.
   std::string m_body;
+  int m_caller = -1;  ///< That of the server, see HttpServer::SetCaller.
 };
 
 /// What happens to the connection instead of an answer.
@@ -240,6 +241,9 @@
     m_silenced.insert(m_connections.begin(), m_connections.end());
   }
 
+  /// Callers are told apart by the server that they use. Called before Open.
+  void SetCaller(int caller) { m_caller = caller; }
+
   bool IsOpen() const { return m_open.load(); }
   std::string Address() const { return m_ip + ":" + std::to_string(m_port); }
 
@@ -266,6 +270,7 @@
     std::string buffer;
     Request request;
     while (m_open.load() && ReadRequest(fd, &buffer, &request)) {
+      request.m_caller = m_caller;
       const bool silent_before = IsSilenced(fd);
       const Response response = silent_before
                                     ? Response{200, "", "", Delivery::kSilent}
@@ -319,6 +324,7 @@
   Handler m_handler;
   std::string m_ip;
   std::uint16_t m_port = 0;
+  int m_caller = -1;
   int m_listener = -1;
   std::atomic<bool> m_open{false};
   std::atomic<int> m_threads{0};
--- a/testsuite/platform/standin/minion.h
+++ b/testsuite/platform/standin/minion.h
@@ -1,6 +1,7 @@
 /// \file
 /// Stand-in for a minion, as PROTOCOL.md describes it. A task's `spec` tells
-/// what its runs do: "work=MS" (0: it lasts), "fail=1", "saves=1".
+/// what its runs do: "work=MS" (0: it lasts), "fail=1", "failrun=N" (only run N
+/// fails), "deadly=MS" (the minion crashes MS after the start), "saves=1".
 
 #pragma once
 
@@ -36,6 +37,7 @@
   std::int64_t m_stop_ms = 200;
   std::int64_t m_checkpoint_ms = 500;
   std::int64_t m_gang_ms = 3000;
+  Millis m_tick{2};  ///< Between two looks at what has ended.
 };
 
 /// A run that has begun on a minion, as the checks of a case see it.
@@ -84,9 +86,12 @@
     m_runs[index].m_noted = true;
   }
 
-  std::vector<SeenRun> Runs() {
+  /// The runs from the one numbered \p first.
+  std::vector<SeenRun> Runs(std::size_t first = 0) {
     std::lock_guard<std::mutex> lock(m_mutex);
-    return m_runs;
+    return {m_runs.begin() +
+                static_cast<std::ptrdiff_t>(std::min(first, m_runs.size())),
+            m_runs.end()};
   }
 
  private:
@@ -174,8 +179,13 @@
       m_ends.clear();
       m_highest.clear();
       m_beats = 0;
+      m_leaves_at.store(-1);
+      m_wants_crash.store(false);
     }
     if (!m_server.Open(m_settings.m_ip)) {
+      std::lock_guard<std::mutex> lock(m_mutex);
+      m_up = false;
+      m_serving.store(false);
       return false;
     }
     WriteBeat();
@@ -194,6 +204,7 @@
         return;
       }
       m_up = false;
+      m_down_since = Clock::now();
       m_serving.store(false);
       for (auto& entry : m_runs) {
         m_history->End(entry.second.m_history_index, "crashed");
@@ -221,6 +232,32 @@
   void SetMute(bool mute) { m_mute.store(mute); }
   /// This share of the orders gets no answer and is carried out later.
   void SetLate(int percent) { m_late_percent.store(percent); }
+  /// Answers are held back for this time.
+  void SetSlow(Millis delay) { m_delay_ms.store(delay.count()); }
+  /// Reports that the minion leaves after \p left.
+  void Drain(Millis left) {
+    m_leaves_at.store(ClockMs() + left.count());
+    WriteBeat();
+  }
+  /// True once a task has crashed the minion; it answers nothing more, and
+  /// Crash is to be called.
+  bool WantsCrash() const { return m_wants_crash.load(); }
+  /// Time since the last report that the store has taken.
+  Millis Silence() const {
+    return std::chrono::duration_cast<Millis>(Clock::now() -
+                                              m_last_beat.load());
+  }
+  bool IsDown() {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return !m_up;
+  }
+  /// Time since the end of the last life.
+  Millis DownFor() {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return std::chrono::duration_cast<Millis>(Clock::now() - m_down_since);
+  }
+  /// Id of the next life.
+  void SetId(const std::string& id) { m_settings.m_id = id; }
   void SetKind(const std::string& kind) { m_settings.m_kind = kind; }
   void SetCapacity(Size capacity) { m_settings.m_capacity = capacity; }
 
@@ -251,6 +288,7 @@
     std::string m_gang;           ///< Key on the board; empty: no gang.
     bool m_fails = false;
     bool m_saves = false;
+    std::int64_t m_crashes_at = -1;  ///< -1: never.
     std::size_t m_history_index = 0;
   };
   struct End {
@@ -273,13 +311,14 @@
     if (m_mute.load()) {
       return;
     }
-    const Json entry = {
+    const std::int64_t leaves_at = m_leaves_at.load();
+    Json entry = {
         {"service", m_settings.m_service},
         {"address", m_server.Address()},
         {"zone", m_settings.m_zone},
         {"version", "v1"},
         {"slots", 8},
-        {"state", "ready"},
+        {"state", leaves_at < 0 ? "ready" : "draining"},
         {"coldRemainingMs", 0},
         {"capacity",
          {{"cpu", m_settings.m_capacity.m_cpu},
@@ -289,13 +328,17 @@
         {"clockMs", ClockMs()},
         {"born", m_born},
         {"sequence", ++m_beats}};
+    if (leaves_at >= 0) {
+      entry["remainingMs"] = std::max<std::int64_t>(0, leaves_at - ClockMs());
+    }
+    m_last_beat.store(Clock::now());
     m_store->Put("keyed.servers", m_settings.m_id, entry.dump());
   }
 
   void TickLoop() {
     Clock::time_point next_beat = Clock::now() + kBeat;
     while (true) {
-      std::this_thread::sleep_for(Millis(2));
+      std::this_thread::sleep_for(m_settings.m_tick);
       {
         std::lock_guard<std::mutex> lock(m_mutex);
         if (!m_up) {
@@ -370,6 +413,9 @@
         ends.emplace_back(entry.first, run.m_fails ? "failed" : "done");
       } else if (run.m_ends_at >= 0 && now >= run.m_ends_at) {
         ends.emplace_back(entry.first, "stopped");
+      } else if (run.m_crashes_at >= 0 && now >= run.m_crashes_at) {
+        m_serving.store(false);
+        m_wants_crash.store(true);
       }
     }
     for (const auto& end : ends) {
@@ -398,6 +444,7 @@
       return CarryOutLater(request);
     }
     Response response = CarryOut(request);
+    std::this_thread::sleep_for(Millis(m_delay_ms.load()));
     // A life that has ended answers nothing more.
     if (m_cut.load() || !m_serving.load()) {
       response.m_delivery = Delivery::kSilent;
@@ -493,7 +540,10 @@
     run.m_run = number;
     run.m_began = ClockMs();
     run.m_work = SpecField(spec, "work");
-    run.m_fails = SpecField(spec, "fail") != 0;
+    run.m_fails = SpecField(spec, "fail") != 0 ||
+                  SpecField(spec, "failrun") == std::int64_t{number};
+    const std::int64_t deadly = SpecField(spec, "deadly");
+    run.m_crashes_at = deadly > 0 ? run.m_began + deadly : -1;
     run.m_saves = SpecField(spec, "saves") != 0;
     const std::string checkpoint = order.value("checkpoint", "");
     run.m_resumed = std::strtol(checkpoint.c_str(), nullptr, 10);
@@ -576,6 +626,10 @@
   std::atomic<bool> m_cut{false};
   std::atomic<bool> m_mute{false};
   std::atomic<bool> m_serving{false};
+  std::atomic<bool> m_wants_crash{false};
+  std::atomic<std::int64_t> m_leaves_at{-1};  ///< By its clock; -1: stays.
+  std::atomic<std::int64_t> m_delay_ms{0};
+  std::atomic<Clock::time_point> m_last_beat{Clock::time_point()};
   std::atomic<int> m_late_percent{0};
   std::atomic<int> m_late_orders{0};
   std::mutex m_mutex;
@@ -584,6 +638,7 @@
   int m_life = 0;
   std::int64_t m_born = 0;
   Clock::time_point m_began;
+  Clock::time_point m_down_since;
   std::uint64_t m_token = 0;
   std::int64_t m_lease = 0;  ///< By the minion's clock.
   std::uint64_t m_end_count = 0;
--- a/testsuite/platform/standin/site.h
+++ b/testsuite/platform/standin/site.h
@@ -94,8 +94,8 @@
   }
 
   /// Writes the configuration: one route /q/ to the service "pool".
-  void WriteConfig(int max_attempts) {
-    const Json config = {{"version", 7},
+  void WriteConfig(int max_attempts, int version = 7) {
+    const Json config = {{"version", version},
                          {"routes", Json::array({{{"name", "r-q"},
                                                   {"host", "q.example"},
                                                   {"pathPrefix", "/q/"},
@@ -123,6 +123,14 @@
     m_store.Put("keyed.op", "config", config.dump());
   }
 
+  /// Gives each node an address of the store of its own, so that the store can
+  /// tell its callers apart. Called before StartNodes.
+  void SeparateCallers(int count) {
+    for (int i = 0; i < count; ++i) {
+      m_store_addresses.push_back(m_store.OpenFor("127.0.0.1", i));
+    }
+  }
+
   /// Starts \p count nodes at 127.0.0.11 and the following addresses, with the
   /// same ports, and waits until they are ready.
   bool StartNodes(int count) {
@@ -178,6 +186,15 @@
     }
   }
 
+  /// True if the node's process has ended.
+  bool HasEnded(int index) {
+    pid_t& pid = m_pids[static_cast<std::size_t>(index)];
+    if (pid > 0 && waitpid(pid, nullptr, WNOHANG) == pid) {
+      pid = 0;
+    }
+    return pid == 0;
+  }
+
   /// A client's call to a node's front.
   Answer Client(int node,
                 const std::string& method,
@@ -263,6 +280,12 @@
     return m_arguments.m_folder + "/node-" + std::to_string(index) + ".toml";
   }
 
+  std::string StoreAddress(int index) const {
+    return m_store_addresses.empty()
+               ? m_store.Address()
+               : m_store_addresses.at(static_cast<std::size_t>(index));
+  }
+
   /// Renders deploy/node.toml.in.
   void WriteSettings(int index, int count) const {
     std::string seeds;
@@ -281,7 +304,7 @@
          << "ready = \"" << ip << ":" << m_ports[1] << "\"\n"
          << "internal = \"" << ip << ":" << m_ports[2] << "\"\n"
          << "[store]\n"
-         << "address = \"" << m_store.Address() << "\"\n"
+         << "address = \"" << StoreAddress(index) << "\"\n"
          << "[workers]\n"
          << "longest_lease_ms = 10000\n"
          << "[machine]\n"
@@ -295,6 +318,7 @@
   Store m_store;
   GangBoard m_gangs;
   std::vector<std::unique_ptr<Minion>> m_minions;
+  std::vector<std::string> m_store_addresses;  ///< Empty: one for all nodes.
   std::vector<pid_t> m_pids;
   int m_ports[4] = {0, 0, 0, 0};  ///< Front, ready, internal, control.
 };
--- a/testsuite/platform/standin/store.h
+++ b/testsuite/platform/standin/store.h
@@ -74,6 +74,18 @@
 
   bool Open(const std::string& ip) { return m_server.Open(ip); }
   std::string Address() const { return m_server.Address(); }
+  /// Opens one more address, at which each request names \p caller. Called
+  /// before any other thread uses the store.
+  std::string OpenFor(const std::string& ip, int caller) {
+    m_callers.push_back(std::make_unique<HttpServer>(
+        [this](const Request& r) { return Handle(r); }));
+    m_callers.back()->SetCaller(caller);
+    return m_callers.back()->Open(ip) ? m_callers.back()->Address() : "";
+  }
+  /// Closes the connections at the address of \p caller.
+  void CloseConnectionsOf(int caller) {
+    m_callers.at(static_cast<std::size_t>(caller))->CloseConnections();
+  }
   void SilenceConnections() { m_server.SilenceConnections(); }
   void CloseConnections() { m_server.CloseConnections(); }
   void Close() {
@@ -83,6 +95,9 @@
       m_appended.notify_all();
     }
     m_server.Close();
+    for (const auto& server : m_callers) {
+      server->Close();
+    }
     while (m_late_calls.load() > 0) {
       std::this_thread::sleep_for(Millis(10));
     }
@@ -334,6 +349,7 @@
   std::atomic<int> m_late_calls{0};
   FaultHook m_hook;
   std::map<std::string, Partition> m_partitions;
+  std::vector<std::unique_ptr<HttpServer>> m_callers;
   HttpServer m_server;
 };
 
