--- a/testsuite/fleet/fleet.cpp
+++ b/testsuite/fleet/fleet.cpp
@@ -124,22 +124,49 @@
   const std::vector<RunSeen> runs = m_site.Runs(m_runs_seen);
   m_runs_seen += runs.size();
   for (const RunSeen& run : runs) {
-    const bool lasts = std::any_of(
-        m_schedule.m_jobs.begin(), m_schedule.m_jobs.end(),
-        [&run](const JobPlan& job) {
-          return job.m_kind == JobKind::kLasting && run.IsOf(job.m_id);
-        });
-    const int worker = m_site.FindWorker(run.m_worker);
-    if (!lasts || worker < 0 || m_at_starts.empty()) {
-      continue;
+    if (IsOfLastingJob(run)) {
+      MeetStart(run);
     }
-    Disruption disruption = m_at_starts.front();
-    m_at_starts.pop_front();
-    disruption.m_target = worker;
-    Begin(disruption);
   }
 }
 
+void Fleet::MeetStart(const RunSeen& run) {
+  const auto matches = [this, &run](const Disruption& disruption) {
+    const auto bound = m_series_tasks.find(disruption.m_series);
+    return bound == m_series_tasks.end() || bound->second == run.m_task;
+  };
+  const auto it = std::find_if(m_at_starts.begin(), m_at_starts.end(), matches);
+  const int worker = m_site.FindWorker(run.m_worker);
+  if (it == m_at_starts.end() || worker < 0) {
+    return;
+  }
+  Disruption disruption = *it;
+  m_at_starts.erase(it);
+  m_series_tasks[disruption.m_series] = run.m_task;
+  disruption.m_target = worker;
+  const bool is_crash = disruption.m_kind == DisruptionKind::kCrashWorker ||
+                        disruption.m_kind == DisruptionKind::kReplaceWorker;
+  After(milliseconds(is_crash ? disruption.m_value : 0),
+        [this, disruption] { Begin(disruption); });
+}
+
+bool Fleet::IsOfLastingJob(const RunSeen& run) const {
+  return std::any_of(m_schedule.m_jobs.begin(), m_schedule.m_jobs.end(),
+                     [&run](const JobPlan& job) {
+                       return job.m_kind == JobKind::kLasting &&
+                              run.IsOf(job.m_id);
+                     });
+}
+
+int Fleet::FindBusyWorker() {
+  for (const RunSeen& run : m_site.Runs()) {
+    if (run.IsRunning() && IsOfLastingJob(run)) {
+      return m_site.FindWorker(run.m_worker);
+    }
+  }
+  return -1;
+}
+
 void Fleet::After(milliseconds delay, Action action) {
   m_actions.emplace(m_site.Now() + delay, std::move(action));
 }
@@ -164,7 +191,12 @@
 }
 
 void Fleet::BeginOnWorker(const Disruption& disruption) {
-  const int worker = disruption.m_target;
+  const int worker = disruption.m_target == kBusyWorker ? FindBusyWorker()
+                                                        : disruption.m_target;
+  if (worker < 0) {
+    m_site.Note("no worker to disrupt");
+    return;
+  }
   const milliseconds time = disruption.m_duration;
   if (disruption.m_kind == DisruptionKind::kCutWorker) {
     CutWorker(worker, time);
--- a/testsuite/fleet/fleet.h
+++ b/testsuite/fleet/fleet.h
@@ -45,6 +45,9 @@
   /// Carries out what is due.
   void Step();
   void StepStarts();
+  void MeetStart(const RunSeen& run);
+  bool IsOfLastingJob(const RunSeen& run) const;
+  int FindBusyWorker();
   void After(milliseconds delay, Action action);
 
   void Begin(const Disruption& disruption);
@@ -71,7 +74,8 @@
   std::vector<WorkerState> m_workers;
   milliseconds m_started_at{0};
   std::multimap<milliseconds, Action> m_actions;  ///< By time.
-  std::deque<Disruption> m_at_starts;  ///< Wait for the start of a task.
+  std::deque<Disruption> m_at_starts;         ///< Wait for the start of a task.
+  std::map<int, std::string> m_series_tasks;  ///< By series.
   std::size_t m_runs_seen = 0;
   int m_replacements = 0;
   int m_least_attempts;
--- a/testsuite/fleet/fleet_soak.cpp
+++ b/testsuite/fleet/fleet_soak.cpp
@@ -3,9 +3,8 @@
 
 #include <boost/program_options.hpp>
 
-#include <sys/stat.h>
-
 #include <cstdint>
+#include <filesystem>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -20,6 +19,16 @@
 constexpr int kBroken = 1;
 constexpr int kNotPlayed = 2;
 
+/// Removes the logs of an earlier run, to which nodes would append.
+void PrepareLogs(const std::string& folder) {
+  std::filesystem::create_directories(folder);
+  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+    if (entry.path().extension() == ".log") {
+      std::filesystem::remove(entry.path());
+    }
+  }
+}
+
 /// Returns false if there is nothing to play.
 bool ParseOptions(int argc, char** argv, fleet::FleetOptions* options) {
   std::int64_t seconds = options->m_duration.count();
@@ -30,7 +39,9 @@
       "log-dir", po::value(&options->m_log_dir)->required(),
       "folder for the logs of the nodes and the record")(
       "scenario", po::value(&options->m_scenario),
-      "mixed, deadly, large, crash-unseen, update-start or cut-start")(
+      "mixed, deadly, large, refusing, crash-unseen, crash-unseen-late, "
+      "update-start, "
+      "cut-start, late-crashes or refused-writes")(
       "seed", po::value(&options->m_seed), "seed of the schedule")(
       "seconds", po::value(&seconds), "time in which disruptions begin");
   po::variables_map values;
@@ -45,7 +56,7 @@
     std::cerr << "no such scenario: " << options->m_scenario << "\n";
     return false;
   }
-  mkdir(options->m_log_dir.c_str(), 0755);
+  PrepareLogs(options->m_log_dir);
   return true;
 }
 
--- a/testsuite/fleet/schedule.cpp
+++ b/testsuite/fleet/schedule.cpp
@@ -17,7 +17,16 @@
     "end-node",      "silence-store",  "reset-store", "refuse-writes",
     "set-attempts",  "silence-beats"};
 constexpr int kDisruptedStarts = 8;
-constexpr std::array<int, 4> kRefusals = {400, 403, 413, 503};
+constexpr int kLateCrashes = 6;
+/// Crashes soon after its starts that one task meets by chance. A task that
+/// meets more can't be told from one that crashes its workers.
+constexpr int kMaxCrashesAtStarts = 2;
+/// Freeze after which a run that began with it has lasted for 3 s at its crash.
+constexpr milliseconds kProvingFreeze{4800};
+/// Answers of a store that refuses writes for a while; its documents name the
+/// first kMildRefusals.
+constexpr std::array<int, 5> kRefusals = {503, 429, 413, 403, 400};
+constexpr int kMildRefusals = 2;
 
 int Pick(Random* random, int lowest, int highest) {
   return std::uniform_int_distribution<int>(lowest, highest)(*random);
@@ -38,6 +47,13 @@
   return id;
 }
 
+int PickRefusal(const FleetOptions& options, Random* random) {
+  const int count = options.m_scenario == "refusing"
+                        ? static_cast<int>(kRefusals.size())
+                        : kMildRefusals;
+  return kRefusals[static_cast<std::size_t>(Pick(random, 0, count - 1))];
+}
+
 JobPlan MakeJob(Random* random, JobKind kind, milliseconds due) {
   JobPlan job;
   job.m_id = MakeId(random);
@@ -52,7 +68,7 @@
   return job;
 }
 
-/// A crash, cut or update each time that a task that lasts has started.
+/// A crash, cut or update at each of the next starts.
 void AddDisruptionsAtStarts(DisruptionKind kind,
                             milliseconds duration,
                             Schedule* schedule) {
@@ -60,8 +76,53 @@
     Disruption disruption;
     disruption.m_duration = duration;
     disruption.m_kind = kind;
-    disruption.m_target = kEveryNode;
     disruption.m_at_start = true;
+    disruption.m_series = 1;
+    schedule->m_disruptions.push_back(disruption);
+  }
+}
+
+/// Crashes of the worker of a task that has run for long, and of those that
+/// start it after that.
+void AddLateCrashes(Schedule* schedule) {
+  Disruption crash;
+  crash.m_at = milliseconds(8000);
+  crash.m_duration = milliseconds(500);
+  crash.m_kind = DisruptionKind::kCrashWorker;
+  crash.m_target = kBusyWorker;
+  schedule->m_disruptions.push_back(crash);
+  crash.m_at_start = true;
+  crash.m_series = 1;
+  crash.m_value = 300;
+  for (int i = 1; i < kLateCrashes; ++i) {
+    schedule->m_disruptions.push_back(crash);
+  }
+}
+
+bool IsCrash(DisruptionKind kind) {
+  return kind == DisruptionKind::kCrashWorker ||
+         kind == DisruptionKind::kReplaceWorker;
+}
+
+/// The store is silent; a worker crashes meanwhile, so that there is something
+/// to write, and is refused for a while after the store has returned.
+void AddRefusals(std::uint64_t seed, Schedule* schedule) {
+  for (std::size_t i = 0; i < kRefusals.size(); ++i) {
+    Disruption disruption;
+    disruption.m_at = milliseconds(5000 + 7000 * static_cast<int>(i));
+    disruption.m_kind = DisruptionKind::kSilenceStore;
+    disruption.m_target = kEveryNode;
+    disruption.m_duration = milliseconds(2000);
+    schedule->m_disruptions.push_back(disruption);
+    disruption.m_at += milliseconds(2000);
+    disruption.m_kind = DisruptionKind::kRefuseWrites;
+    disruption.m_value = kRefusals[(i + seed) % kRefusals.size()];
+    disruption.m_duration = milliseconds(2500);
+    schedule->m_disruptions.push_back(disruption);
+    disruption.m_at -= milliseconds(500);
+    disruption.m_kind = DisruptionKind::kCrashWorker;
+    disruption.m_target = kBusyWorker;
+    disruption.m_duration = milliseconds(500);
     schedule->m_disruptions.push_back(disruption);
   }
 }
@@ -77,18 +138,25 @@
   const milliseconds gap =
       PickTime(random, milliseconds(200), milliseconds(3000));
   const bool on_one = Pick(random, 0, 2) == 0;
+  next.m_at_start = hits_worker && Pick(random, 0, 1) == 0;
+  next.m_series = Pick(random, 1, 1000000);
   for (int i = 0; i < repeats; ++i) {
+    if (i >= kMaxCrashesAtStarts && next.m_at_start && IsCrash(next.m_kind)) {
+      break;
+    }
     if (i == 0 || !on_one) {
       next.m_target = hits_worker ? Pick(random, 0, options.m_workers - 1)
                                   : Pick(random, -1, options.m_nodes - 1);
     }
-    next.m_at_start = hits_worker && Pick(random, 0, 2) == 0;
     next.m_duration = PickTime(random, milliseconds(300), milliseconds(6000));
+    if (next.m_at_start && next.m_kind == DisruptionKind::kCrashUnseen) {
+      next.m_duration = std::max(next.m_duration, kProvingFreeze);
+    }
     next.m_value = next.m_kind == DisruptionKind::kChangeAttempts
                        ? Pick(random, 2, 5)
                        : Pick(random, 200, 2500);
     if (next.m_kind == DisruptionKind::kRefuseWrites) {
-      next.m_value = kRefusals[static_cast<std::size_t>(Pick(random, 0, 3))];
+      next.m_value = PickRefusal(options, random);
       next.m_duration = std::min(next.m_duration, milliseconds(2000));
     }
     all->m_disruptions.push_back(next);
@@ -114,7 +182,7 @@
     after.m_duration = milliseconds(Pick(random, 100, 1500));
     after.m_kind = Pick(random, 0, 1) == 0 ? DisruptionKind::kResetStore
                                            : DisruptionKind::kRefuseWrites;
-    after.m_value = kRefusals[static_cast<std::size_t>(Pick(random, 0, 3))];
+    after.m_value = PickRefusal(options, random);
     all->m_disruptions.push_back(after);
     loss.m_at = std::min(until - milliseconds(500),
                          loss.m_at + milliseconds(Pick(random, 0, 1000)));
@@ -129,10 +197,10 @@
                          Random* random,
                          Schedule* schedule) {
   const auto seconds = options.m_duration.count();
-  for (std::int64_t i = 0; i < seconds / 3; ++i) {
+  for (std::int64_t i = 0; i < seconds / 2; ++i) {
     AddSeries(options, random, schedule);
   }
-  for (std::int64_t i = 0; i < 1 + seconds / 40; ++i) {
+  for (std::int64_t i = 0; i < 1 + seconds / 25; ++i) {
     AddStoreLoss(options, random, schedule);
   }
 }
@@ -189,8 +257,11 @@
     options->m_nodes = 8;
     options->m_workers = 60;
   }
-  const std::array<std::string, 6> names = {
-      "mixed", "deadly", "large", "crash-unseen", "update-start", "cut-start"};
+  const std::array<std::string, 10> names = {
+      "mixed",        "deadly",         "large",
+      "crash-unseen", "update-start",   "cut-start",
+      "late-crashes", "refused-writes", "crash-unseen-late",
+      "refusing"};
   return std::find(names.begin(), names.end(), options->m_scenario) !=
          names.end();
 }
@@ -205,6 +276,13 @@
     AddSlowAnswers(options, &schedule);
     AddDisruptionsAtStarts(DisruptionKind::kCrashUnseen, milliseconds(1500),
                            &schedule);
+  } else if (options.m_scenario == "crash-unseen-late") {
+    // Guards against: as crash-unseen, with runs that had lasted long enough to
+    // show that their task is not at fault.
+    AddOneLastingJob(&random, &schedule);
+    AddSlowAnswers(options, &schedule);
+    AddDisruptionsAtStarts(DisruptionKind::kCrashUnseen, kProvingFreeze,
+                           &schedule);
   } else if (options.m_scenario == "update-start") {
     // Guards against: a job is given up because its workers are restarted for
     // planned updates soon after its tasks have started (issue 34).
@@ -217,6 +295,16 @@
     AddOneLastingJob(&random, &schedule);
     AddDisruptionsAtStarts(DisruptionKind::kCutWorker, milliseconds(9000),
                            &schedule);
+  } else if (options.m_scenario == "late-crashes") {
+    // Guards against: a job is given up because its workers crash a few times
+    // in a row, though its task has run for long (issue 34).
+    AddOneLastingJob(&random, &schedule);
+    AddLateCrashes(&schedule);
+  } else if (options.m_scenario == "refused-writes") {
+    // Guards against: a job is given up because the store refuses its records
+    // for a while after an outage (issue 34).
+    AddOneLastingJob(&random, &schedule);
+    AddRefusals(options.m_seed, &schedule);
   } else {
     AddJobs(options, &random, options.m_scenario == "deadly", &schedule);
     AddMixedDisruptions(options, &random, &schedule);
--- a/testsuite/fleet/schedule.h
+++ b/testsuite/fleet/schedule.h
@@ -30,16 +30,19 @@
 };
 
 constexpr int kEveryNode = -1;
+/// The worker of the first task that lasts and runs.
+constexpr int kBusyWorker = -2;
 
 struct Disruption {
   milliseconds m_at{0};  ///< Since the fleet is ready.
   milliseconds m_duration{0};
   DisruptionKind m_kind = DisruptionKind::kCrashWorker;
-  int m_target = 0;  ///< A worker, a node or kEveryNode.
+  int m_target = 0;  ///< A worker, a node, kEveryNode or kBusyWorker.
   int m_value = 0;
   /// Waits, from m_at on, for the next start of a task that lasts, and happens
-  /// to the worker that starts it.
+  /// to the worker that starts it. A crash comes m_value ms later.
   bool m_at_start = false;
+  int m_series = 0;  ///< Those of a series at starts happen to one task.
 };
 
 struct Schedule {
--- a/testsuite/platform/standin/minion.h
+++ b/testsuite/platform/standin/minion.h
@@ -477,6 +477,11 @@
 
   Response CarryOut(const Request& request) {
     std::unique_lock<std::mutex> lock(m_mutex);
+    if (!m_up) {
+      Response silent;
+      silent.m_delivery = Delivery::kSilent;
+      return silent;
+    }
     const auto expected = request.m_headers.find("x-expected-instance");
     if (expected != request.m_headers.end() &&
         expected->second != m_settings.m_id) {
