Fleet runs: series that follow a task, amid others

What: the scenario following plays cuts, planned updates and unseen crashes at each start of some lasting tasks, beside random series; none of them shows a task to be at fault. The scripted scenarios have a function of their own.

--- a/testsuite/fleet/fleet_soak.cpp
+++ b/testsuite/fleet/fleet_soak.cpp
@@ -39,7 +39,8 @@
       "log-dir", po::value(&options->m_log_dir)->required(),
       "folder for the logs of the nodes and the record")(
       "scenario", po::value(&options->m_scenario),
-      "mixed, deadly, large, refusing, crash-unseen, crash-unseen-late, "
+      "mixed, deadly, large, refusing, following, crash-unseen, "
+      "crash-unseen-late, "
       "update-start, "
       "cut-start, late-crashes or refused-writes")(
       "seed", po::value(&options->m_seed), "seed of the schedule")(
--- a/testsuite/fleet/schedule.cpp
+++ b/testsuite/fleet/schedule.cpp
@@ -164,6 +164,30 @@
   }
 }
 
+/// Cuts, updates or unseen crashes at each start of one task; none of them
+/// shows that the task is at fault.
+void AddFollowingSeries(const FleetOptions& options,
+                        Random* random,
+                        Schedule* all) {
+  constexpr std::array<DisruptionKind, 3> kKinds = {
+      DisruptionKind::kCutWorker, DisruptionKind::kUpdateWorker,
+      DisruptionKind::kCrashUnseen};
+  const int end = static_cast<int>(milliseconds(options.m_duration).count());
+  Disruption next;
+  next.m_at = milliseconds(Pick(random, 0, end / 4));
+  next.m_kind = kKinds[static_cast<std::size_t>(Pick(random, 0, 2))];
+  next.m_at_start = true;
+  next.m_series = Pick(random, 1, 1000000);
+  next.m_duration =
+      kProvingFreeze + PickTime(random, milliseconds(0), milliseconds(1500));
+  if (next.m_kind == DisruptionKind::kUpdateWorker) {
+    next.m_duration = PickTime(random, milliseconds(300), milliseconds(900));
+  }
+  for (int i = 0; i < kDisruptedStarts; ++i) {
+    all->m_disruptions.push_back(next);
+  }
+}
+
 /// As in the incident: nodes lose the store one after the other, writes are
 /// refused for a while after its return, and the reports of the workers expire.
 void AddStoreLoss(const FleetOptions& options, Random* random, Schedule* all) {
@@ -205,6 +229,17 @@
   }
 }
 
+/// Series that follow tasks, beside a few others.
+void AddFollowingDisruptions(const FleetOptions& options,
+                             Random* random,
+                             Schedule* schedule) {
+  const auto seconds = options.m_duration.count();
+  for (std::int64_t i = 0; i < seconds / 10; ++i) {
+    AddFollowingSeries(options, random, schedule);
+    AddSeries(options, random, schedule);
+  }
+}
+
 void AddJobs(const FleetOptions& options,
              Random* random,
              bool deadly,
@@ -246,68 +281,83 @@
   schedule->m_jobs.back().m_tasks = 1;
 }
 
-}  // namespace
-
-std::string NameOf(DisruptionKind kind) {
-  return kNames[static_cast<std::size_t>(kind)];
-}
-
-bool ApplyScenario(FleetOptions* options) {
-  if (options->m_scenario == "large") {
-    options->m_nodes = 8;
-    options->m_workers = 60;
-  }
-  const std::array<std::string, 10> names = {
-      "mixed",        "deadly",         "large",
-      "crash-unseen", "update-start",   "cut-start",
-      "late-crashes", "refused-writes", "crash-unseen-late",
-      "refusing"};
-  return std::find(names.begin(), names.end(), options->m_scenario) !=
-         names.end();
-}
-
-Schedule MakeSchedule(const FleetOptions& options) {
-  Random random(options.m_seed);
-  Schedule schedule;
+/// Adds a scenario in which the same happens to one job again and again.
+/// Returns false if the scenario isn't one of these.
+bool AddOneJobScenario(const FleetOptions& options,
+                       Random* random,
+                       Schedule* schedule) {
   if (options.m_scenario == "crash-unseen") {
     // Guards against: a job is given up because a frozen owner sees starts and
     // crashes, which are seconds apart, at once (issue 34).
-    AddOneLastingJob(&random, &schedule);
-    AddSlowAnswers(options, &schedule);
+    AddOneLastingJob(random, schedule);
+    AddSlowAnswers(options, schedule);
     AddDisruptionsAtStarts(DisruptionKind::kCrashUnseen, milliseconds(1500),
-                           &schedule);
+                           schedule);
   } else if (options.m_scenario == "crash-unseen-late") {
     // Guards against: as crash-unseen, with runs that had lasted long enough to
     // show that their task is not at fault.
-    AddOneLastingJob(&random, &schedule);
-    AddSlowAnswers(options, &schedule);
+    AddOneLastingJob(random, schedule);
+    AddSlowAnswers(options, schedule);
     AddDisruptionsAtStarts(DisruptionKind::kCrashUnseen, kProvingFreeze,
-                           &schedule);
+                           schedule);
   } else if (options.m_scenario == "update-start") {
     // Guards against: a job is given up because its workers are restarted for
     // planned updates soon after its tasks have started (issue 34).
-    AddOneLastingJob(&random, &schedule);
+    AddOneLastingJob(random, schedule);
     AddDisruptionsAtStarts(DisruptionKind::kUpdateWorker, milliseconds(600),
-                           &schedule);
+                           schedule);
   } else if (options.m_scenario == "cut-start") {
     // Guards against: a job is given up because its workers are cut off and
     // their entries expire (issue 34).
-    AddOneLastingJob(&random, &schedule);
+    AddOneLastingJob(random, schedule);
     AddDisruptionsAtStarts(DisruptionKind::kCutWorker, milliseconds(9000),
-                           &schedule);
+                           schedule);
   } else if (options.m_scenario == "late-crashes") {
     // Guards against: a job is given up because its workers crash a few times
     // in a row, though its task has run for long (issue 34).
-    AddOneLastingJob(&random, &schedule);
-    AddLateCrashes(&schedule);
+    AddOneLastingJob(random, schedule);
+    AddLateCrashes(schedule);
   } else if (options.m_scenario == "refused-writes") {
     // Guards against: a job is given up because the store refuses its records
     // for a while after an outage (issue 34).
-    AddOneLastingJob(&random, &schedule);
-    AddRefusals(options.m_seed, &schedule);
+    AddOneLastingJob(random, schedule);
+    AddRefusals(options.m_seed, schedule);
   } else {
+    return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+std::string NameOf(DisruptionKind kind) {
+  return kNames[static_cast<std::size_t>(kind)];
+}
+
+bool ApplyScenario(FleetOptions* options) {
+  if (options->m_scenario == "large") {
+    options->m_nodes = 8;
+    options->m_workers = 60;
+  }
+  const std::array<std::string, 11> names = {
+      "mixed",        "deadly",         "large",
+      "crash-unseen", "update-start",   "cut-start",
+      "late-crashes", "refused-writes", "crash-unseen-late",
+      "refusing",     "following"};
+  return std::find(names.begin(), names.end(), options->m_scenario) !=
+         names.end();
+}
+
+Schedule MakeSchedule(const FleetOptions& options) {
+  Random random(options.m_seed);
+  Schedule schedule;
+  if (!AddOneJobScenario(options, &random, &schedule)) {
     AddJobs(options, &random, options.m_scenario == "deadly", &schedule);
-    AddMixedDisruptions(options, &random, &schedule);
+    if (options.m_scenario == "following") {
+      AddFollowingDisruptions(options, &random, &schedule);
+    } else {
+      AddMixedDisruptions(options, &random, &schedule);
+    }
   }
   std::stable_sort(
       schedule.m_disruptions.begin(), schedule.m_disruptions.end(),
