--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -38,27 +39,46 @@
   kRecentSuspectStart,  ///< One of a task under which a worker had crashed.
 };
 
+/// How a worker became unreachable.
+struct WorkerLoss {
+  TimePoint m_at;
+  ErrorCode m_error = ErrorCode::kTimeout;  ///< Of the heartbeat.
+  LossCircumstance m_circumstance = LossCircumstance::kNoRecentStart;
+  /// Its process ended then, as far as can be seen: the connection was closed
+  /// or refused rather than silent, and the owner was in contact with the
+  /// store.
+  bool m_is_witnessed = false;
+  bool m_is_planned = false;  ///< The worker had announced that it leaves.
+};
+
 /// From what it is concluded that a worker has crashed.
 enum class CrashSign {
   kRestarted,    ///< It answered as another incarnation.
   kOtherWorker,  ///< Another worker answered at its address.
-  kUnlisted,     ///< The platform's list lacks it, and it does not answer.
 };
 
-/// What is known of the start of a run.
+/// What is known of the start of a run: it lies between the two times. An owner
+/// that was paused reads a confirmation late.
 struct RunStart {
-  /// When it was confirmed or, before that, sent; nullopt: an earlier owner may
-  /// have sent it.
-  std::optional<TimePoint> m_at;
-  bool m_is_inherited = false;  ///< Confirmed to this owner; started before.
+  std::optional<TimePoint> m_sent_at;       ///< nullopt: by an earlier owner.
+  std::optional<TimePoint> m_confirmed_at;  ///< nullopt: not confirmed.
 };
 
 /// A run that ended with its lease.
 struct LapsedRun {
   TaskName m_task;
+  std::uint32_t m_run = 0;
   RunStart m_start;
 };
 
+/// An ended run that was processed, and the change of its job's progress that
+/// has to be stored before it is acknowledged to the worker.
+struct UnstoredEnd {
+  std::uint64_t m_number = 0;
+  std::string m_job;
+  std::uint64_t m_change = 0;
+};
+
 struct Worker {
   WorkerEntry m_entry;
   bool m_listed = false;  ///< Is in the platform's current list of workers.
@@ -86,6 +106,7 @@
   /// m_clock_received_at.
   WorkerTime m_reported_clock;
   TimePoint m_clock_received_at;
+  TimePoint m_alive_at;  ///< When the request of the last report was sent.
   /// All leases granted by this owner and earlier ones have expired by then.
   TimePoint m_lease_deadline;
 
@@ -97,16 +118,15 @@
   std::uint64_t m_received_end_number = 0;
   /// Highest number whose effects are stored; acknowledged to the worker.
   std::uint64_t m_acked_end_number = 0;
+  /// Processed ends that are not acknowledged, by number.
+  std::deque<UnstoredEnd> m_unstored_ends;
 
   /// Jobs with a failed run here since the last successful one.
   std::set<std::string> m_failed_jobs;
   /// Runs whose lease here expired while the worker was unreachable. Whether
-  /// it had crashed shows when it is heard of again.
+  /// it had crashed shows when its address answers again.
   std::vector<LapsedRun> m_lapsed_runs;
-  TimePoint m_lost_at;  ///< When the worker last became unreachable.
-  /// How the heartbeat ended by which that showed.
-  ErrorCode m_lost_by = ErrorCode::kTimeout;
-  LossCircumstance m_loss = LossCircumstance::kNoRecentStart;
+  WorkerLoss m_loss;  ///< The last one.
   TimePoint m_quarantined_until;
   /// No placement here before this, because the worker refused a start or the
   /// order could not be sent.
--- a/src/libhyssopspar/jobs/cell_crashes.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes.cpp
@@ -1,6 +1,7 @@
 // Workers that crash or are lost, and the tasks that are blamed for it.
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "hyssopspar/jobs/cell.h"
@@ -17,16 +18,15 @@
 /// its task crashes workers.
 constexpr milliseconds kCalmPeriod{1500};
 
-/// Start of the current run of a placed task.
-RunStart StartOf(const Task& task) {
-  RunStart start;
-  start.m_is_inherited = task.m_start_sent_at == TimePoint();
-  if (task.m_is_confirmed) {
-    start.m_at = task.m_confirmed_at;
-  } else if (!start.m_is_inherited) {
-    start.m_at = task.m_start_sent_at;
-  }
-  return start;
+/// Tasks of the worker whose start was ordered.
+std::vector<TaskRef> StartedTasksOf(const Worker& worker) {
+  std::vector<TaskRef> started;
+  std::copy_if(worker.m_tasks.begin(), worker.m_tasks.end(),
+               std::back_inserter(started), [](const TaskRef& ref) {
+                 return ref.m_job->m_tasks[ref.m_index].m_state !=
+                        TaskState::kRecording;
+               });
+  return started;
 }
 
 }  // namespace
@@ -77,22 +77,27 @@
   std::vector<CrashedRun> runs;
   runs.reserve(tasks.size() + worker.m_lapsed_runs.size());
   for (const TaskRef& ref : tasks) {
-    runs.push_back({ref, StartOf(ref.m_job->m_tasks[ref.m_index])});
+    const Task& task = ref.m_job->m_tasks[ref.m_index];
+    runs.push_back({ref, task.m_run, StartOf(task)});
   }
   for (const LapsedRun& lapsed : std::exchange(worker.m_lapsed_runs, {})) {
     const TaskRef ref = FindTaskRef(lapsed.m_task);
     if (ref.m_job != nullptr && !IsTerminal(ref.m_job->m_state)) {
-      runs.push_back({ref, lapsed.m_start});
+      runs.push_back({ref, lapsed.m_run, lapsed.m_start});
     }
   }
-  if (runs.empty() || worker.m_entry.m_leaving) {
+  const bool was_seen_lost = worker.m_loss.m_at > alive_at;
+  // The entry may have changed since the loss.
+  const bool is_planned =
+      was_seen_lost ? worker.m_loss.m_is_planned : worker.m_entry.m_leaving;
+  if (runs.empty() || is_planned) {
     return {};
   }
   CellLog()->warn(
       "worker-crashed id={} tasks={} sign={} lost_by={} lost_ms={} "
       "alive_ms={} list_age_ms={}",
       worker.m_entry.m_id, runs.size(), SignName(sign),
-      ToString(worker.m_lost_by), ToMillis(now - worker.m_lost_at),
+      ToString(worker.m_loss.m_error), ToMillis(now - worker.m_loss.m_at),
       ToMillis(now - alive_at), ToMillis(now - m_workers_current_at));
   for (const CrashedRun& run : runs) {
     MarkDirty(run.m_task.m_job);
@@ -100,29 +105,41 @@
   WorkerCrash crash;
   crash.m_worker = worker.m_entry.m_id;
   crash.m_alive_at = alive_at;
-  crash.m_lost_at = worker.m_lost_at > alive_at ? worker.m_lost_at : now;
+  crash.m_lost_at = was_seen_lost ? worker.m_loss.m_at : now;
+  crash.m_is_witnessed = !was_seen_lost || worker.m_loss.m_is_witnessed;
+  crash.m_ended_by = crash.m_is_witnessed ? crash.m_lost_at : now;
   CountLosses(worker, &crash);
   return BlameForCrash(crash, runs, &m_unexplained_crashes, now);
 }
 
-void Cell::MarkLost(Worker* worker, ErrorCode error, TimePoint now) {
-  worker->m_lost_at = now;
-  worker->m_lost_by = error;
-  worker->m_loss = LossCircumstance::kNoRecentStart;
-  for (const TaskRef& ref : worker->m_tasks) {
+LossCircumstance Cell::CircumstanceOf(const Worker& worker,
+                                      TimePoint now) const {
+  LossCircumstance circumstance = LossCircumstance::kNoRecentStart;
+  for (const TaskRef& ref : worker.m_tasks) {
     const Task& task = ref.m_job->m_tasks[ref.m_index];
     const RunStart start = StartOf(task);
-    const bool is_recent = start.m_at && !start.m_is_inherited &&
-                           now - *start.m_at <= kSimultaneousLosses;
+    const bool is_recent =
+        start.m_sent_at && now - *start.m_sent_at <= kSimultaneousLosses;
     if (is_recent && task.m_crashes > 0) {
-      worker->m_loss = LossCircumstance::kRecentSuspectStart;
-      return;
+      return LossCircumstance::kRecentSuspectStart;
     }
     if (is_recent) {
-      worker->m_loss = LossCircumstance::kRecentStart;
+      circumstance = LossCircumstance::kRecentStart;
     }
   }
-  m_last_unexplained_loss = now;
+  return circumstance;
+}
+
+void Cell::MarkLost(Worker* worker, const Error& error, TimePoint now) {
+  worker->m_loss.m_at = now;
+  worker->m_loss.m_error = error.m_code;
+  worker->m_loss.m_is_witnessed = (error.m_code == ErrorCode::kConnectionLost ||
+                                   IsConnectionRefused(error));
+  worker->m_loss.m_circumstance = CircumstanceOf(*worker, now);
+  worker->m_loss.m_is_planned = worker->m_entry.m_leaving;
+  if (worker->m_loss.m_circumstance != LossCircumstance::kRecentSuspectStart) {
+    m_last_unexplained_loss = now;
+  }
 }
 
 bool Cell::AwaitsCalm(const Task& task, TimePoint now) const {
@@ -134,15 +151,17 @@
   crash->m_workers = m_workers.size();
   crash->m_simultaneous_losses = 1;
   for (const Worker& worker : m_workers) {
-    if (worker.m_lost_at < crash->m_lost_at - kSimultaneousLosses ||
-        worker.m_lost_at > crash->m_lost_at + kSimultaneousLosses) {
+    const WorkerLoss& loss = worker.m_loss;
+    if (loss.m_at < crash->m_lost_at - kSimultaneousLosses ||
+        loss.m_at > crash->m_lost_at + kSimultaneousLosses) {
       continue;
     }
-    const bool counts = &worker != &crashed &&
-                        worker.m_loss != LossCircumstance::kRecentSuspectStart;
+    const bool counts =
+        &worker != &crashed &&
+        loss.m_circumstance != LossCircumstance::kRecentSuspectStart;
     crash->m_simultaneous_losses += counts ? 1 : 0;
     crash->m_unprovoked_losses +=
-        worker.m_loss == LossCircumstance::kNoRecentStart ? 1 : 0;
+        loss.m_circumstance == LossCircumstance::kNoRecentStart ? 1 : 0;
   }
 }
 
@@ -159,31 +178,31 @@
   }
 }
 
-void Cell::EndAllRuns(int worker_index,
-                      EndCause cause,
-                      CrashSign sign,
-                      TimePoint now) {
+void Cell::EndRunsOfReplacedWorker(int worker_index, TimePoint now) {
+  const Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
+  const std::vector<TaskRef> given_up =
+      CountCrash(worker_index, StartedTasksOf(worker), worker.m_alive_at,
+                 CrashSign::kOtherWorker, now);
+  EndAllRuns(worker_index, EndCause::kWorkerCrashed, now);
+  GiveUpTasks(given_up, now);
+}
+
+void Cell::EndRunsOfSilentWorker(int worker_index, TimePoint now) {
   Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
-  CellLog()->warn("worker-ended id={} reason={} tasks={}", worker.m_entry.m_id,
-                  CauseName(cause), worker.m_tasks.size());
-  const std::set<TaskRef> tasks = worker.m_tasks;
-  std::vector<TaskRef> started;
-  for (const TaskRef& ref : tasks) {
-    if (ref.m_job->m_tasks[ref.m_index].m_state != TaskState::kRecording) {
-      started.push_back(ref);
-    }
-  }
-  std::vector<TaskRef> given_up;
-  if (cause == EndCause::kWorkerCrashed) {
-    given_up = CountCrash(worker_index, started, worker.m_clock_received_at,
-                          sign, now);
-  } else {
-    for (const TaskRef& ref : started) {
-      worker.m_lapsed_runs.push_back(
-          {NameOfTask(*ref.m_job, ref.m_index),
-           StartOf(ref.m_job->m_tasks[ref.m_index])});
-    }
+  for (const TaskRef& ref : StartedTasksOf(worker)) {
+    const Task& task = ref.m_job->m_tasks[ref.m_index];
+    worker.m_lapsed_runs.push_back(
+        {NameOfTask(*ref.m_job, ref.m_index), task.m_run, StartOf(task)});
   }
+  EndAllRuns(worker_index, EndCause::kLeaseExpired, now);
+}
+
+void Cell::EndAllRuns(int worker_index, EndCause cause, TimePoint now) {
+  const Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
+  CellLog()->warn("worker-ended id={} reason={} listed={} tasks={}",
+                  worker.m_entry.m_id, CauseName(cause), worker.m_listed,
+                  worker.m_tasks.size());
+  const std::set<TaskRef> tasks = worker.m_tasks;
   for (const TaskRef& ref : tasks) {
     if (ref.m_job->m_tasks[ref.m_index].m_state == TaskState::kRecording) {
       ReturnToPending(ref, "worker-ended", now);
@@ -191,7 +210,6 @@
       EndRun(ref, cause, "", now);
     }
   }
-  GiveUpTasks(given_up, now);
 }
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_crashes_test.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes_test.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
+#include <string>
+#include <utility>
 
 #include "hyssopspar/jobs/records.h"
 #include "jobs/cell_fixture.h"
@@ -41,6 +44,30 @@
     }
   }
 
+  /// The worker's process ends, and its connections with it.
+  void EndProcess(const std::string& worker) {
+    m_running[worker].clear();
+    m_heartbeat_errors[worker] = ErrorCode::kConnectionLost;
+    Run(milliseconds(50));
+  }
+
+  /// The worker answers again, as a new incarnation.
+  void BeginProcess(const std::string& worker) {
+    ++m_incarnations[worker];
+    m_heartbeat_errors.erase(worker);
+  }
+
+  void SetLeaving(const std::string& worker) {
+    for (const Worker& listed : m_cell.Workers()) {
+      if (listed.m_entry.m_id == worker) {
+        WorkerEntry entry = listed.m_entry;
+        entry.m_leaving = true;
+        m_cell.SetWorker(entry, m_now);
+        return;
+      }
+    }
+  }
+
   /// Waits for the isolation of a suspect's worker to end.
   void RunUntilStarted(std::size_t starts) {
     for (int i = 0; i < 20 && m_starts.size() < starts; ++i) {
@@ -181,5 +208,182 @@
   EXPECT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 0U);
 }
 
+// Workers that were cut off for longer than their lease counted as crashed
+// because their entries had expired: a job that lasts was shown as failed
+// though no worker had crashed.
+TEST_F(CellCrashTest, KeepsTaskWhoseWorkersAreCutOffAndUnlisted) {
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  std::map<std::string, TimePoint> cut_until;
+  std::size_t cuts = 0;
+  for (int i = 0; i < 3200; ++i) {
+    Run(milliseconds(25));
+    if (StartsOf("a") > cuts) {
+      ++cuts;
+      const std::string& worker = m_start_workers.back();
+      m_heartbeat_errors[worker] = ErrorCode::kTimeout;
+      cut_until[worker] = m_now + std::chrono::seconds(8);
+      m_cell.RemoveWorker(worker);
+    }
+    for (const std::pair<const std::string, TimePoint>& cut : cut_until) {
+      if (m_now >= cut.second && m_heartbeat_errors.count(cut.first) > 0) {
+        m_running[cut.first].clear();
+        m_heartbeat_errors.erase(cut.first);
+        AddWorker(cut.first);
+      }
+    }
+  }
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+  EXPECT_GT(StartsOf("a"), 5U);
+}
+
+// An owner that was paused after a start saw the confirmation and the loss of
+// the worker at once, and believed that the worker had crashed at the start.
+TEST_F(CellCrashTest, KeepsTaskWhoseCrashesAPausedOwnerSeesLate) {
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  for (std::size_t crash = 1; crash <= 7; ++crash) {
+    m_starts_are_answered = false;
+    RunUntilStarted(crash);
+    ASSERT_EQ(m_starts.size(), crash);
+    const std::string worker = m_start_workers.back();
+    m_now += std::chrono::seconds(5);
+    SetViewsCurrent();
+    m_cell.OnStartAnswer(m_unanswered_starts.back(), StartAnswer::kStarted,
+                         m_now);
+    EndProcess(worker);
+    BeginProcess(worker);
+    Run(milliseconds(250));
+  }
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+}
+
+// A worker that was restarted for an update counted as crashed if its new entry
+// was read before its new incarnation had answered.
+TEST_F(CellCrashTest, KeepsTaskWhoseWorkersAreUpdated) {
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  for (std::size_t update = 1; update <= 7; ++update) {
+    RunUntilStarted(update);
+    ASSERT_EQ(m_starts.size(), update);
+    const std::string worker = m_start_workers.back();
+    SetLeaving(worker);
+    Run(milliseconds(2000));
+    EndProcess(worker);
+    ++m_incarnations[worker];
+    AddWorker(worker);
+    m_heartbeat_errors.erase(worker);
+    Run(milliseconds(100));
+  }
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+  EXPECT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 0U);
+}
+
+// A task that had run for long was given up after its workers had crashed some
+// times in a row: a task at fault crashes each worker that starts it.
+TEST_F(CellCrashTest, KeepsTaskThatOnceRan) {
+  m_cell.OnJob(MakeJob("a", LongRunning(Step(1, 1000))), m_now);
+  RunUntilStarted(1);
+  Run(milliseconds(4000));
+  CrashWorkerOfLastStart();
+  for (std::size_t crash = 2; crash <= 9; ++crash) {
+    for (int i = 0; i < 800 && m_starts.size() < crash; ++i) {
+      Run(milliseconds(25));
+    }
+    ASSERT_EQ(m_starts.size(), crash);
+    CrashWorkerOfLastStart();
+  }
+  Run(milliseconds(100));
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+}
+
+// A change of owner made a task that had run for long a suspect again.
+TEST_F(CellCrashTest, SuccessorKnowsThatATaskOnceRan) {
+  const Submission job = MakeJob("a", LongRunning(Step(1, 1000)));
+  m_cell.OnJob(job, m_now);
+  RunUntilStarted(1);
+  Run(milliseconds(4000));
+  const Result<JobProgress> progress = DecodeProgress(StoredProgressOf("a"));
+  ASSERT_TRUE(progress);
+  Cell successor(Settings(m_now), m_now);
+  successor.OnJob(job, m_now);
+  ASSERT_TRUE(successor.RestoreJobProgress("a", progress.value()));
+  EXPECT_TRUE(successor.FindJob("a")->m_tasks[0].m_has_survived);
+  EXPECT_EQ(successor.FindJob("a")->m_tasks[0].m_crashes, 0U);
+}
+
+// The evidence against a task that crashes its workers was dropped when a
+// paused owner read a report late: the run seemed to have lasted.
+TEST_F(CellCrashTest, LateReportShowsNoSurvival) {
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  RunUntilStarted(1);
+  CrashWorkerOfLastStart();
+  RunUntilStarted(2);
+  Run(milliseconds(25));
+  ASSERT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 1U);
+  m_heartbeats_are_answered = false;
+  Run(milliseconds(25));
+  const std::string& worker = m_start_workers.back();
+  const auto heartbeat = std::find_if(m_unanswered_heartbeats.begin(),
+                                      m_unanswered_heartbeats.end(),
+                                      [&worker](const HeartbeatAction& action) {
+                                        return action.m_target.m_id == worker;
+                                      });
+  ASSERT_NE(heartbeat, m_unanswered_heartbeats.end());
+  m_now += std::chrono::seconds(4);
+  m_heartbeats_are_answered = true;
+  Answer(*heartbeat);
+  EXPECT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 1U);
+}
+
+// The age of a run whose worker was cut off, and restarted behind the cut, was
+// counted to the moment of the cut, though the worker ran on for seconds.
+TEST_F(CellCrashTest, KeepsTaskWhoseWorkersRestartBehindACut) {
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  for (std::size_t crash = 1; crash <= 7; ++crash) {
+    for (int i = 0; i < 800 && m_starts.size() < crash; ++i) {
+      Run(milliseconds(25));
+    }
+    ASSERT_EQ(m_starts.size(), crash);
+    const std::string worker = m_start_workers.back();
+    m_running[worker].clear();
+    m_heartbeat_errors[worker] = ErrorCode::kTimeout;
+    Run(milliseconds(4000));
+    BeginProcess(worker);
+  }
+  Run(milliseconds(500));
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+}
+
+// A start that a worker had never confirmed counted as a crash at each of the
+// worker's restarts, until its stop was acknowledged.
+TEST_F(CellCrashTest, CountsAnUnansweredStartOnceAtMost) {
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  m_starts_are_answered = false;
+  m_stops_are_answered = false;
+  RunUntilStarted(1);
+  const std::string worker = m_start_workers.back();
+  m_cell.OnStartAnswer(m_unanswered_starts.back(),
+                       Fail(ErrorCode::kConnectionLost, ""), m_now);
+  for (int restart = 0; restart < 3; ++restart) {
+    EndProcess(worker);
+    BeginProcess(worker);
+    Run(milliseconds(250));
+  }
+  EXPECT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 1U);
+}
+
+// A start that was sent to a worker which was dead by then counted as a crash.
+TEST_F(CellCrashTest, CountsNoStartThatMayNeverHaveArrived) {
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  m_starts_are_answered = false;
+  RunUntilStarted(1);
+  const std::string worker = m_start_workers.back();
+  m_heartbeat_errors[worker] = ErrorCode::kTimeout;
+  Run(milliseconds(250));
+  m_cell.OnStartAnswer(m_unanswered_starts.back(),
+                       Fail(ErrorCode::kTimeout, ""), m_now);
+  BeginProcess(worker);
+  Run(milliseconds(500));
+  EXPECT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 0U);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_log.cpp
+++ b/src/libhyssopspar/jobs/cell_log.cpp
@@ -57,8 +57,6 @@
       return "attempts-used";
     case JobFailure::kCrashesWorkers:
       return "crashes-workers";
-    case JobFailure::kRefusedByStore:
-      return "refused-by-store";
   }
   return "unknown";
 }
@@ -69,8 +67,6 @@
       return "restarted";
     case CrashSign::kOtherWorker:
       return "other-worker";
-    case CrashSign::kUnlisted:
-      return "unlisted";
   }
   return "unknown";
 }
--- a/src/libhyssopspar/jobs/crash_blame.cpp
+++ b/src/libhyssopspar/jobs/crash_blame.cpp
@@ -25,6 +25,9 @@
 constexpr std::uint32_t kRepeatedCrashes = 2;
 /// Most evidence of one crash.
 constexpr double kMaxDecadesOfCrash = 2.5;
+/// Same for a run that an earlier owner started, of which neither the age is
+/// known nor whether it had begun.
+constexpr double kMaxDecadesOfInheritedRun = 1;
 /// A crash under a task with this much evidence from earlier ones is explained.
 constexpr double kDecadesToExplain = 3;
 /// Evidence is stored in this fraction of a decade.
@@ -62,6 +65,7 @@
 struct Candidate {
   TaskRef m_task;
   Seconds m_age{0};  ///< At the crash, at most.
+  bool m_is_inherited = false;
   /// Probability, before the crash, that the run causes one at this age.
   double m_guilt = 0;
 };
@@ -75,17 +79,30 @@
 
 /// Share of the crashes of a task that happen as early in its run as this one.
 double CrashShareAt(const RunStart& start, const WorkerCrash& crash) {
-  if (!start.m_at || start.m_is_inherited) {
+  if (!start.m_sent_at) {
     return kInheritedCrashShare;
   }
-  return crash.m_alive_at - *start.m_at < kUnprovenRunAge ? 1 : kLateCrashShare;
+  const bool is_proven =
+      start.m_confirmed_at &&
+      crash.m_alive_at - *start.m_confirmed_at >= kUnprovenRunAge;
+  return is_proven ? kLateCrashShare : 1;
 }
 
+/// Age of the run at the crash, at most.
 Seconds AgeAtCrash(const CrashedRun& run, const WorkerCrash& crash) {
-  if (!run.m_start.m_at || run.m_start.m_is_inherited) {
+  if (!run.m_start.m_sent_at) {
     return kInheritedRunAge;
   }
-  return std::max<Seconds>(kMinRunAge, crash.m_lost_at - *run.m_start.m_at);
+  return std::max<Seconds>(kMinRunAge,
+                           crash.m_ended_by - *run.m_start.m_sent_at);
+}
+
+/// False for a run under which a crash has been counted already, and for one
+/// that was ordered from a worker which may have been dead by then.
+bool MayHaveCausedCrash(const CrashedRun& run, const WorkerCrash& crash) {
+  const bool may_have_started = run.m_start.m_confirmed_at ||
+                                !run.m_start.m_sent_at || crash.m_is_witnessed;
+  return may_have_started && run.m_run > TaskOf(run.m_task).m_last_crashed_run;
 }
 
 std::vector<Candidate> FindCandidates(const WorkerCrash& crash,
@@ -93,11 +110,13 @@
   std::vector<Candidate> candidates;
   for (const CrashedRun& run : runs) {
     Task& task = TaskOf(run.m_task);
-    const std::optional<TimePoint> started_at = run.m_start.m_at;
-    if (started_at && crash.m_alive_at - *started_at >= kAcquittedRunAge) {
+    const std::optional<TimePoint> confirmed_at = run.m_start.m_confirmed_at;
+    if (confirmed_at && crash.m_alive_at - *confirmed_at >= kAcquittedRunAge) {
       Acquit(&task);
-    } else {
+    } else if (!task.m_has_survived && MayHaveCausedCrash(run, crash)) {
+      task.m_last_crashed_run = run.m_run;
       candidates.push_back({run.m_task, AgeAtCrash(run, crash),
+                            !run.m_start.m_sent_at.has_value(),
                             GuiltOf(task) * CrashShareAt(run.m_start, crash)});
     }
   }
@@ -140,6 +159,20 @@
 
 }  // namespace
 
+RunStart StartOf(const Task& task) {
+  RunStart start;
+  const bool is_inherited = task.m_start_sent_at == TimePoint();
+  if (!is_inherited) {
+    start.m_sent_at = task.m_start_sent_at;
+  }
+  if (task.m_is_confirmed) {
+    // An inherited run may be younger than is assumed elsewhere.
+    start.m_confirmed_at = task.m_confirmed_at +
+                           (is_inherited ? kMinInheritedRunAge : Duration(0));
+  }
+  return start;
+}
+
 bool IsUnproven(const Task& task, TimePoint now) {
   return IsPlaced(task) &&
          (!IsConfirmed(task) || now - task.m_confirmed_at < kUnprovenRunAge);
@@ -174,6 +207,7 @@
 void Acquit(Task* task) {
   task->m_crashes = 0;
   task->m_crash_evidence = 0;
+  task->m_has_survived = true;
   task->m_isolate_until = TimePoint();
 }
 
@@ -192,9 +226,15 @@
     Task& task = TaskOf(candidate.m_task);
     explained = explained ||
                 task.m_crash_evidence >= kDecadesToExplain * kDecadeFractions;
+    // A run that may have lasted this long would have shown the opposite.
+    const bool is_young =
+        candidate.m_is_inherited || candidate.m_age < kAcquittedRunAge;
+    const double limit = candidate.m_is_inherited ? kMaxDecadesOfInheritedRun
+                                                  : kMaxDecadesOfCrash;
     const double decades =
-        std::min(kMaxDecadesOfCrash, -std::log10(ProbabilityIfInnocent(
-                                         crash, candidate, total_guilt, rate)));
+        is_young ? std::min(limit, -std::log10(ProbabilityIfInnocent(
+                                       crash, candidate, total_guilt, rate)))
+                 : 0;
     ++task.m_crashes;
     task.m_crash_evidence += static_cast<std::uint32_t>(
         std::lround(kDecadeFractions * std::max(0.0, decades)));
@@ -217,12 +257,13 @@
     }
     CellLog()->warn(
         "crash-blamed task={}.{} run={} worker={} age_ms={} candidates={} "
-        "losses={}/{} crashes={} evidence={:.1f} suspect={} given_up={}",
+        "losses={}/{} witnessed={} crashes={} evidence={:.1f} suspect={} "
+        "given_up={}",
         candidate.m_task.m_job->m_submission.m_id, candidate.m_task.m_index,
         task.m_run, crash.m_worker, std::lround(1000 * candidate.m_age.count()),
         candidates.size(), crash.m_unprovoked_losses,
-        crash.m_simultaneous_losses, task.m_crashes, DecadesOfEvidence(task),
-        is_suspect, give_up);
+        crash.m_simultaneous_losses, crash.m_is_witnessed, task.m_crashes,
+        DecadesOfEvidence(task), is_suspect, give_up);
   }
   if (!explained) {
     unexplained->m_times.push_back(now);
--- a/testsuite/job_state/job_world.h
+++ b/testsuite/job_state/job_world.h
@@ -43,8 +43,13 @@
   /// Number of times that a seventh of the workers crash together, evenly
   /// spread over the fault period.
   int m_group_crashes = 0;
+  /// Periods of up to five seconds in which the store refuses all batches.
+  int m_store_refusals = 0;
   /// Number of faults in the fault period.
   int m_fault_count = 12;
+  /// Share of jobs with a step that lasts, whose runs end as done or failed at
+  /// any time in the fault period.
+  double m_long_running_share = 0;
 };
 
 /// Submits random jobs and simulates a fixed period with faults, followed by
@@ -80,6 +85,7 @@
   void ScheduleJobs();
   void ScheduleFaults();
   void ScheduleGroupCrashes();
+  void ScheduleStoreRefusals();
   Submission RandomJob(int number);
   RunBehavior BehaviorOf(const TaskName& task);
 
@@ -146,6 +152,8 @@
   bool IsCrashing(const std::string& task) const;
   /// Crashes the worker under a run of a crashing task.
   void CrashUnder(SimulatedWorker* worker, const StartOrder& order);
+  /// Checks that a job with a step that lasts goes on and that its tasks run.
+  void CheckLongRunningJob(const Submission& job);
   /// True if the end of the job as failed has a cause.
   bool MayHaveFailed(const std::string& job_id) const;
   /// True if a task of the job failed as often as its queue allows.
@@ -168,6 +176,7 @@
   std::uint64_t m_store_epoch = 0;
   std::uint64_t m_store_sequence = 0;
   TimePoint m_store_down_until;
+  TimePoint m_store_refuses_until;
   std::vector<KeyedRecord> m_job_records;
 
   std::vector<std::unique_ptr<Owner>> m_owners;
