Give a task up by less evidence, now that the evidence is sound

The limits were set for evidence that counted crashes with ages too low, lapses and starts that never arrived. Without these, a task at fault gathers less.

Five crashes that only successors saw stay below the limit: 0.8 each.

--- a/src/libhyssopspar/jobs/crash_blame.cpp
+++ b/src/libhyssopspar/jobs/crash_blame.cpp
@@ -20,14 +20,14 @@
   std::uint32_t m_crashes;
   double m_decades;
 };
-constexpr std::array<GiveUpLimit, 2> kGiveUpLimits = {{{4, 8}, {5, 5.5}}};
+constexpr std::array<GiveUpLimit, 2> kGiveUpLimits = {{{4, 7}, {5, 4.5}}};
 /// Crashes from which a task is kept apart from other such tasks.
 constexpr std::uint32_t kRepeatedCrashes = 2;
 /// Most evidence of one crash.
 constexpr double kMaxDecadesOfCrash = 2.5;
 /// Same for a run that an earlier owner started, of which neither the age is
 /// known nor whether it had begun.
-constexpr double kMaxDecadesOfInheritedRun = 1;
+constexpr double kMaxDecadesOfInheritedRun = 0.8;
 /// A crash under a task with this much evidence from earlier ones is explained.
 constexpr double kDecadesToExplain = 3;
 /// Evidence is stored in this fraction of a decade.
