Count a crash also when the worker stays down beyond its lease

A task at fault whose workers stay down for longer than their lease was started without end: its runs had lapsed without an entry, and the later restart found nothing to count (BUDGET). Besides, lapses counted like crashes: five of both, two of them real, could give a task up, and a lapse made its task a suspect.

Change: lapsed runs are remembered whether the worker is listed or not. A possible crash has a counter of its own, which only lowers the number of known crashes that are awaited, to three at least.

--- a/src/include/hyssopspar/jobs/crash_blame.h
+++ b/src/include/hyssopspar/jobs/crash_blame.h
@@ -94,9 +94,10 @@
                                    UnexplainedCrashes* unexplained,
                                    TimePoint now);
 
-/// Counts that the run's worker may have crashed, which is no evidence. It last
-/// answered a request that was sent at \p alive_at.
-void CountPossibleCrash(const CrashedRun& run, TimePoint alive_at);
+/// Notes that the run's worker, which is silent and no longer listed, may have
+/// crashed. This is no evidence and makes no suspect, but fewer further crashes
+/// are awaited before the evidence has to suffice.
+void CountPossibleCrash(const CrashedRun& run, const WorkerLoss& loss);
 
 /// Keeps the next run of the task apart from other unproven ones.
 void IsolateSuspect(Task* task, TimePoint now);
--- a/src/include/hyssopspar/jobs/task.h
+++ b/src/include/hyssopspar/jobs/task.h
@@ -38,6 +38,10 @@
   std::uint32_t m_crash_evidence = 0;
   /// Highest run under which a crash has been counted.
   std::uint32_t m_last_crashed_run = 0;
+  /// Runs whose worker may have crashed, known to this owner only, and the
+  /// highest of them.
+  std::uint32_t m_possible_crashes = 0;
+  std::uint32_t m_last_possible_run = 0;
   /// A run of the task once lasted for kAcquittedRunAge: it does not crash each
   /// worker that starts it, and is never given up for crashes.
   bool m_has_survived = false;
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -45,8 +45,7 @@
   ErrorCode m_error = ErrorCode::kTimeout;  ///< Of the heartbeat.
   LossCircumstance m_circumstance = LossCircumstance::kNoRecentStart;
   /// Its process ended then, as far as can be seen: the connection was closed
-  /// or refused rather than silent, and the owner was in contact with the
-  /// store.
+  /// or refused.
   bool m_is_witnessed = false;
   bool m_is_planned = false;  ///< The worker had announced that it leaves.
 };
--- a/src/libhyssopspar/jobs/cell_crashes.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes.cpp
@@ -198,11 +198,11 @@
   Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
   for (const TaskRef& ref : StartedTasksOf(worker)) {
     const Task& task = ref.m_job->m_tasks[ref.m_index];
-    if (worker.m_listed) {
-      worker.m_lapsed_runs.push_back(
-          {NameOfTask(*ref.m_job, ref.m_index), task.m_run, StartOf(task)});
-    } else {
-      CountPossibleCrash({ref, task.m_run, StartOf(task)}, worker.m_alive_at);
+    const CrashedRun run{ref, task.m_run, StartOf(task)};
+    worker.m_lapsed_runs.push_back(
+        {NameOfTask(*ref.m_job, ref.m_index), run.m_run, run.m_start});
+    if (!worker.m_listed) {
+      CountPossibleCrash(run, worker.m_loss);
     }
   }
   EndAllRuns(worker_index, EndCause::kLeaseExpired, now);
--- a/src/libhyssopspar/jobs/cell_crashes_test.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes_test.cpp
@@ -389,5 +389,78 @@
   EXPECT_EQ(m_cell.FindJob("a")->m_tasks[0].m_crashes, 0U);
 }
 
+// A task whose workers stay down for longer than their lease, and lose their
+// entries, was started on one after the other for ever.
+TEST_F(CellCrashTest, GivesUpTaskWhoseWorkersStayDownBeyondTheirLease) {
+  for (int i = 3; i < 8; ++i) {
+    AddWorker("w" + std::to_string(i));
+  }
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  std::map<std::string, TimePoint> down_until;
+  for (int i = 0; i < 4000 && m_cell.StateOf("a") != JobState::kFailed; ++i) {
+    Run(milliseconds(25));
+    if (StartsOf("a") > down_until.size()) {
+      const std::string worker = m_start_workers.back();
+      down_until[worker] = m_now + std::chrono::seconds(8);
+      EndProcess(worker);
+      m_cell.RemoveWorker(worker);
+    }
+    for (const std::pair<const std::string, TimePoint>& down : down_until) {
+      if (m_now >= down.second && m_heartbeat_errors.count(down.first) > 0) {
+        BeginProcess(down.first);
+        AddWorker(down.first);
+      }
+    }
+  }
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kFailed);
+  EXPECT_LE(m_starts.size(), 5U);
+}
+
+// Lapses of workers that were cut off counted like crashes: with two real ones
+// they gave a task up.
+TEST_F(CellCrashTest, KeepsTaskAfterLapsesAndTwoCrashes) {
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  for (std::size_t loss = 1; loss <= 6; ++loss) {
+    for (int i = 0; i < 800 && m_starts.size() < loss; ++i) {
+      Run(milliseconds(25));
+    }
+    ASSERT_EQ(m_starts.size(), loss);
+    const std::string worker = m_start_workers.back();
+    if (loss % 3 == 0) {
+      EndProcess(worker);
+      BeginProcess(worker);
+      continue;
+    }
+    m_heartbeat_errors[worker] = ErrorCode::kTimeout;
+    m_cell.RemoveWorker(worker);
+    for (int i = 0; i < 400 && m_starts.size() == loss; ++i) {
+      Run(milliseconds(25));
+    }
+    m_running[worker].clear();
+    m_heartbeat_errors.erase(worker);
+    AddWorker(worker);
+  }
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+}
+
+// Workers whose connections were reset by a cut, and that restarted behind it
+// later, counted as crashed at the reset.
+TEST_F(CellCrashTest, KeepsTaskWhoseWorkersAreResetAndCutOff) {
+  m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
+  for (std::size_t crash = 1; crash <= 7; ++crash) {
+    for (int i = 0; i < 800 && m_starts.size() < crash; ++i) {
+      Run(milliseconds(25));
+    }
+    ASSERT_EQ(m_starts.size(), crash);
+    const std::string worker = m_start_workers.back();
+    EndProcess(worker);
+    m_heartbeat_errors[worker] = ErrorCode::kTimeout;
+    Run(milliseconds(4000));
+    BeginProcess(worker);
+  }
+  Run(milliseconds(500));
+  EXPECT_EQ(m_cell.StateOf("a"), JobState::kRunning);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/crash_blame.cpp
+++ b/src/libhyssopspar/jobs/crash_blame.cpp
@@ -21,6 +21,8 @@
   double m_decades;
 };
 constexpr std::array<GiveUpLimit, 2> kGiveUpLimits = {{{4, 7}, {5, 4.5}}};
+/// Least number of known crashes under a task that is given up.
+constexpr std::uint32_t kMinKnownCrashes = 3;
 /// Crashes from which a task is kept apart from other such tasks.
 constexpr std::uint32_t kRepeatedCrashes = 2;
 /// Most evidence of one crash.
@@ -119,6 +121,10 @@
       Acquit(&task);
     } else if (!task.m_has_survived && MayHaveCausedCrash(run, crash)) {
       task.m_last_crashed_run = run.m_run;
+      if (run.m_run == task.m_last_possible_run) {
+        --task.m_possible_crashes;
+        task.m_last_possible_run = 0;
+      }
       candidates.push_back({run.m_task, AgeAtCrash(run, crash),
                             !run.m_start.m_sent_at.has_value(),
                             GuiltOf(task) * CrashShareAt(run.m_start, crash)});
@@ -161,6 +167,19 @@
                       std::max(common_cause, rate * candidate.m_age.count()));
 }
 
+/// True if the evidence suffices. Possible crashes count in part, so that a
+/// task at fault isn't started more often because some of its crashes stay
+/// unknown.
+bool IsConvicted(const Task& task) {
+  return std::any_of(
+      kGiveUpLimits.begin(), kGiveUpLimits.end(),
+      [&task](const GiveUpLimit& limit) {
+        return task.m_crashes >= kMinKnownCrashes &&
+               task.m_crashes + task.m_possible_crashes >= limit.m_crashes &&
+               task.m_crash_evidence >= limit.m_decades * kDecadeFractions;
+      });
+}
+
 }  // namespace
 
 RunStart StartOf(const Task& task) {
@@ -211,17 +230,18 @@
 void Acquit(Task* task) {
   task->m_crashes = 0;
   task->m_crash_evidence = 0;
+  task->m_possible_crashes = 0;
   task->m_has_survived = true;
   task->m_isolate_until = TimePoint();
 }
 
-void CountPossibleCrash(const CrashedRun& run, TimePoint alive_at) {
+void CountPossibleCrash(const CrashedRun& run, const WorkerLoss& loss) {
   Task& task = TaskOf(run.m_task);
-  if (HasSurvived(run, alive_at)) {
-    Acquit(&task);
-  } else if (!task.m_has_survived && run.m_run > task.m_last_crashed_run) {
-    ++task.m_crashes;
-    task.m_last_crashed_run = run.m_run;
+  const bool may_have_started = run.m_start.m_confirmed_at ||
+                                !run.m_start.m_sent_at || loss.m_is_witnessed;
+  if (may_have_started && run.m_run > task.m_last_possible_run) {
+    ++task.m_possible_crashes;
+    task.m_last_possible_run = run.m_run;
   }
 }
 
@@ -260,12 +280,7 @@
       IsolateSuspect(&task, now);
     }
     task.m_trial_by = now + kMaxTrialDelay;
-    const bool give_up = std::any_of(
-        kGiveUpLimits.begin(), kGiveUpLimits.end(),
-        [&task](const GiveUpLimit& limit) {
-          return task.m_crashes >= limit.m_crashes &&
-                 task.m_crash_evidence >= limit.m_decades * kDecadeFractions;
-        });
+    const bool give_up = IsConvicted(task);
     if (give_up) {
       given_up.push_back(candidate.m_task);
     }
