Ignore reads of a cell's stream by an earlier reader

Cause: a scheduler that misses its own heartbeats for the member timeout, for example after a pause, stops following the cells that it does not own and follows them again a moment later. The reader that it stops delivers one more answer, possibly after the new replica exists. The replica, which had read nothing, applied these records to an empty state and skipped all earlier ones. It then claimed for a wrong epoch, which only itself accepted: where it ranks first, other owners release the cell to it.

Change: an answer whose first record lies beyond the replica's next offset is ignored. Records of a slice are consecutive, and a trimmed stream is handled before.

--- a/src/libhyssopspar/cell_claim.cpp
+++ b/src/libhyssopspar/cell_claim.cpp
@@ -162,6 +162,13 @@
     replica->m_outstanding.reset();
     replica->m_replay.Reset(slice.m_start);
   }
+  if (!slice.m_records.empty() &&
+      slice.m_records.front().m_offset > replica->m_replay.Next()) {
+    // The answer to a read that was sent for an earlier replica of the cell,
+    // which had stopped being followed: this one has not read the records
+    // before it.
+    return;
+  }
   for (const LogRecord& record : slice.m_records) {
     if (record.m_offset >= replica->m_replay.Next()) {
       HandleRecord(replica, context, record, now);
