--- a/src/include/hyssopspar/error.h
+++ b/src/include/hyssopspar/error.h
@@ -26,6 +26,7 @@
   kTooLarge,
   kFenced,     ///< A writer with a higher epoch has taken over.
   kInvariant,  ///< A state invariant does not hold.
+  kUnauthenticated,  ///< The caller has not proved who it is.
 };
 
 /// Name of \p code in lower case with dashes, as printed in logs and answers.
--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -27,6 +27,7 @@
 #include "hyssopspar/jobs/stage_times.h"
 #include "hyssopspar/jobs/start_window.h"
 #include "hyssopspar/jobs/tail_forecast.h"
+#include "hyssopspar/jobs/tenants/tenant_accounts.h"
 #include "hyssopspar/jobs/urgency.h"
 #include "hyssopspar/jobs/worker.h"
 #include "hyssopspar/jobs/worker_agenda.h"
@@ -84,6 +85,11 @@
   /// it stay placed until their end is known.
   void RemoveWorker(const std::string& id);
 
+  /// Sets the policies of tenants. Call it before Activate() and whenever the
+  /// configuration changes.
+  void SetTenants(const std::vector<TenantPolicy>& tenants);
+  const TenantAccounts& Tenants() const { return m_tenants; }
+
   /// Sets the times as of which the views of the operators' decisions and of
   /// the platform's list of workers are current.
   void SetViewTimes(TimePoint operators_current_at,
@@ -432,6 +438,24 @@
                       const StepPlan& plan,
                       TimePoint now,
                       std::vector<std::size_t>* pending);
+
+  // cell_tenants.cpp
+  /// The account of the job's tenant, or null for a job without a tenant.
+  TenantAccount* AccountOf(const Job& job);
+  /// Removes from \p pending the tasks that exceed their tenant's quota.
+  void HoldBackOverQuota(const Job& job,
+                         const StepPlan& plan,
+                         TimePoint now,
+                         std::vector<std::size_t>* pending);
+  /// Replaces the worker's runs that count against tenants' quotas although
+  /// they are not placed.
+  void SetUnexpectedRuns(Worker* worker, std::vector<TenantRuns> runs);
+  /// Forgets such runs on workers whose leases have expired.
+  void DropLapsedUnexpectedRuns(TimePoint now);
+  /// For each account, whether its tenant has more than its share; empty
+  /// without tenants.
+  std::vector<bool> TenantsOverShare();
+
   /// CPU that first runs of the queue's long-running tasks may still take in
   /// the current pass.
   std::int64_t& GrowthBudgetOf(const QueuePolicy& queue, TimePoint now);
@@ -491,6 +515,7 @@
   UnexplainedCrashes m_unexplained_crashes;
   /// Last loss of a worker on which no suspect had just been started.
   TimePoint m_last_unexplained_loss;
+  TenantAccounts m_tenants;
   StartWindow m_start_window;
   bool m_window_was_full = false;  ///< In the last pass, for waiting tasks.
   std::size_t m_unanswered_starts = 0;  ///< Start actions without an answer.
--- a/src/include/hyssopspar/jobs/job.h
+++ b/src/include/hyssopspar/jobs/job.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,8 @@
 struct Job {
   Submission m_submission;
   std::uint64_t m_number = 0;  ///< Order of arrival at this owner.
+  /// Index of its tenant's account; nullopt for a job without a tenant.
+  std::optional<std::size_t> m_account;
   JobState m_state = JobState::kQueued;
   JobState m_stored_state = JobState::kQueued;  ///< Last stored state.
   std::size_t m_stored_parts = 0;  ///< Parts of the last stored progress.
--- a/src/include/hyssopspar/jobs/job_plan.h
+++ b/src/include/hyssopspar/jobs/job_plan.h
@@ -87,6 +87,9 @@
   std::int64_t m_accepted_unix_ms = 0;
   QueuePolicy m_queue;
   JobPlan m_plan;
+  std::string m_tenant;  ///< Whose job it is; empty: nobody's in particular.
+  /// Revision of the configuration by which the caller was authenticated.
+  std::int64_t m_config_revision = 0;
 };
 
 template <class Archive, class T>
@@ -113,7 +116,8 @@
 
 template <class Archive, class T>
 void VisitFields(Archive& archive, T& job, const Submission* /*tag*/) {
-  archive(job.m_id, job.m_accepted_unix_ms, job.m_queue, job.m_plan);
+  archive(job.m_id, job.m_accepted_unix_ms, job.m_queue, job.m_plan,
+          job.m_tenant, job.m_config_revision);
 }
 
 }  // namespace hyssopspar::jobs
--- /dev/null
+++ b/src/include/hyssopspar/jobs/tenants/caller_auth.h
@@ -0,0 +1,44 @@
+/// \file
+/// Authentication of callers by API key.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "hyssopspar/error.h"
+#include "hyssopspar/jobs/site_config.h"
+#include "hyssopspar/time.h"
+
+namespace hyssopspar::jobs {
+
+/// How old a node's view of the configuration may be.
+struct KeyViewSettings {
+  /// A revoked key must not be accepted longer than this after its revocation
+  /// was acknowledged; unset: only the usual time until a configuration is in
+  /// force applies.
+  std::optional<milliseconds> m_revocation_limit;
+  /// Time within which a new configuration is in force. An older view may lack
+  /// a new key.
+  milliseconds m_config_limit{3000};
+};
+
+/// Whose call it is, and by which configuration that was decided.
+struct CallerIdentity {
+  std::string m_tenant;  ///< Empty on public queues and without tenants.
+  std::int64_t m_config_revision = 0;
+};
+
+/// Identifies the caller of a call to \p queue. \p key is the value of the
+/// call's key header; nullopt if there is none. \p view_as_of is the time as of
+/// which \p config is the newest one. Fails with kUnauthenticated, or with
+/// kUnavailable when the view is too old to decide.
+Result<CallerIdentity> AuthenticateCaller(const SiteConfig& config,
+                                          const QueueRoute& queue,
+                                          const std::optional<std::string>& key,
+                                          const KeyViewSettings& settings,
+                                          TimePoint view_as_of,
+                                          TimePoint now);
+
+}  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -15,6 +15,7 @@
 #include "hyssopspar/error.h"
 #include "hyssopspar/jobs/job.h"
 #include "hyssopspar/jobs/pacing.h"
+#include "hyssopspar/jobs/tenants/tenant_accounts.h"
 #include "hyssopspar/jobs/worker_port.h"
 #include "hyssopspar/resources.h"
 #include "hyssopspar/time.h"
@@ -91,6 +92,7 @@
   std::int64_t m_serving_cpu_milli = 0;  ///< Reserved by serving tasks.
   /// Resources used by reported runs that are not among m_tasks.
   Resources m_unexpected_run_resources;
+  std::vector<TenantRuns> m_unexpected_runs_of_tenants;
   /// True when the worker reports runs of jobs that are unknown here, whose
   /// resources are therefore unknown.
   bool m_has_unknown_runs = false;
--- a/src/libhyssopspar/error.cpp
+++ b/src/libhyssopspar/error.cpp
@@ -28,6 +28,8 @@
       return "fenced";
     case ErrorCode::kInvariant:
       return "invariant";
+    case ErrorCode::kUnauthenticated:
+      return "unauthenticated";
   }
   return "unknown";
 }
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -79,6 +79,9 @@
   auto job = std::make_unique<Job>(MakeJob(submission));
   Job* const added = job.get();
   added->m_number = ++m_last_job_number;
+  if (!submission.m_tenant.empty()) {
+    added->m_account = AccountIndex(&m_tenants, submission.m_tenant);
+  }
   RecordArrival(&m_short_job_demand, submission);
   m_jobs[submission.m_id] = std::move(job);
   m_open_jobs.push_back(added);
@@ -86,8 +89,10 @@
   if (m_active) {
     AddStageTime(&m_stage_times, submission.m_queue.m_name, Stage::kRead,
                  milliseconds(UnixMillis(now) - submission.m_accepted_unix_ms));
-    CellLog()->info("job id={} queue={} tasks={}", submission.m_id,
-                    submission.m_queue.m_name, added->m_tasks.size());
+    CellLog()->info("job id={} queue={} tasks={} tenant={} revision={}",
+                    submission.m_id, submission.m_queue.m_name,
+                    added->m_tasks.size(), submission.m_tenant,
+                    submission.m_config_revision);
   }
   if (m_early_cancellations.erase(submission.m_id) > 0) {
     OnCancel(submission.m_id, now);
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 #include "hyssopspar/jobs/cell.h"
@@ -42,6 +43,9 @@
   m_growth_budgets.clear();
   m_headroom_cpu_milli = 0;
   m_held_back_tasks = 0;
+  for (TenantAccount& account : m_tenants.m_accounts) {
+    account.m_waiting_tasks = 0;
+  }
   ++m_work.m_passes;
   ApplyTimedChanges(now);
   UpdateExpectedTails(now);
@@ -76,7 +80,11 @@
 }
 
 std::vector<Job*> Cell::PendingJobsByUrgency(TimePoint now) {
-  std::vector<std::pair<Urgency, Job*>> order;
+  // Under saturation a tenant with more than its share yields to the others of
+  // the same priority.
+  using Order = std::tuple<std::int64_t, bool, Urgency>;
+  const std::vector<bool> over_share = TenantsOverShare();
+  std::vector<std::pair<Order, Job*>> order;
   const std::int64_t unix_now = UnixMillis(now);
   m_starts_in_progress = m_unanswered_starts;
   m_highest_priority = std::numeric_limits<std::int64_t>::max();
@@ -85,7 +93,11 @@
     m_highest_priority =
         std::min(m_highest_priority, job->m_submission.m_queue.m_priority);
     if (job->m_pending > 0 && !IsSetAside(*job)) {
-      order.emplace_back(UrgencyOf(*job, m_run_times, unix_now), job);
+      order.emplace_back(
+          Order{job->m_submission.m_queue.m_priority,
+                job->m_account && over_share[*job->m_account],
+                UrgencyOf(*job, m_run_times, unix_now)},
+          job);
     }
   }
   std::sort(order.begin(), order.end());
@@ -93,7 +105,7 @@
   jobs.reserve(order.size());
   std::transform(
       order.begin(), order.end(), std::back_inserter(jobs),
-      [](const std::pair<Urgency, Job*>& entry) { return entry.second; });
+      [](const std::pair<Order, Job*>& entry) { return entry.second; });
   return jobs;
 }
 
@@ -290,6 +302,7 @@
   std::vector<std::size_t> pending =
       PlaceableTasks(*job, first, plan, now, &placement);
   HoldBackGrowth(*job, plan, now, &pending);
+  HoldBackOverQuota(*job, plan, now, &pending);
   if (!plan.m_gang && pending.size() > allowed) {
     pending.resize(allowed);
   }
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -45,6 +45,9 @@
     ++worker.m_serving_images[step.m_image];
   }
   worker.m_used += ReservedResourcesOf(step);
+  if (TenantAccount* const account = AccountOf(*job)) {
+    account->m_used += CountedResourcesOf(step);
+  }
   Task& task = job->m_tasks[ref.m_index];
   task.m_worker = worker_index;
   if (task.m_start_status != StartStatus::kInherited) {
@@ -72,6 +75,10 @@
     }
   }
   worker.m_used -= ReservedResourcesOf(step);
+  if (TenantAccount* const account = AccountOf(*job)) {
+    account->m_used -= CountedResourcesOf(step);
+    HYSSOPSPAR_INVARIANT(IsNonNegative(account->m_used));
+  }
   HYSSOPSPAR_INVARIANT(IsNonNegative(worker.m_used));
   m_schedule_needed = true;
 }
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 #include "hyssopspar/jobs/cell.h"
 #include "hyssopspar/jobs/crash_blame.h"
@@ -235,6 +236,7 @@
   Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
   worker.m_unexpected_run_resources = Resources();
   worker.m_has_unknown_runs = false;
+  std::vector<TenantRuns> unexpected;
   for (std::size_t i = 0; i < refs.size(); ++i) {
     const RunningRun& run = report.m_running[i];
     const TaskRef& ref = refs[i];
@@ -249,6 +251,10 @@
         task.m_run != run.m_run) {
       worker.m_unexpected_run_resources +=
           ReservedResourcesOf(StepOf(*job, ref.m_index));
+      if (job->m_account) {
+        unexpected.push_back(
+            {*job->m_account, CountedResourcesOf(StepOf(*job, ref.m_index))});
+      }
       StopUnexpectedRun(worker_index, run);
       continue;
     }
@@ -281,6 +287,7 @@
       SendStop(ref, "repeat", now);
     }
   }
+  SetUnexpectedRuns(&worker, std::move(unexpected));
 }
 
 TaskRef Cell::FindTaskRef(const TaskName& name) {
--- /dev/null
+++ b/src/libhyssopspar/jobs/tenants/tenant_accounts.cpp
@@ -0,0 +1,100 @@
+#include "hyssopspar/jobs/tenants/tenant_accounts.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace hyssopspar::jobs {
+
+namespace {
+
+double ShareOf(std::int64_t used, std::int64_t total) {
+  return total > 0 ? static_cast<double>(used) / static_cast<double>(total) : 0;
+}
+
+/// Number of tasks that \p limit allows beside \p used; 0 as \p limit: all.
+std::int64_t RoomFor(std::int64_t limit,
+                     std::int64_t used,
+                     std::int64_t each,
+                     std::int64_t wanted) {
+  if (limit == 0 || each == 0) {
+    return wanted;
+  }
+  return std::clamp<std::int64_t>((limit - used) / each, 0, wanted);
+}
+
+}  // namespace
+
+std::size_t AccountIndex(TenantAccounts* accounts, const std::string& tenant) {
+  const auto inserted =
+      accounts->m_index.emplace(tenant, accounts->m_accounts.size());
+  if (inserted.second) {
+    TenantAccount account;
+    account.m_policy.m_name = tenant;
+    accounts->m_accounts.push_back(std::move(account));
+  }
+  return inserted.first->second;
+}
+
+bool ApplyPolicies(TenantAccounts* accounts,
+                   const std::vector<TenantPolicy>& policies) {
+  bool changed = false;
+  for (const TenantPolicy& policy : policies) {
+    TenantPolicy& current =
+        accounts->m_accounts[AccountIndex(accounts, policy.m_name)].m_policy;
+    changed = changed || !(current == policy);
+    current = policy;
+  }
+  return changed;
+}
+
+Resources CountedResourcesOf(const StepPlan& step) {
+  return step.m_size;
+}
+
+std::size_t StartsWithinQuota(const TenantAccount& account,
+                              const Resources& each,
+                              std::size_t wanted) {
+  const Resources& limit = account.m_policy.m_maximum;
+  const Resources used = account.m_used + account.m_unexpected;
+  std::int64_t room = static_cast<std::int64_t>(wanted);
+  room = RoomFor(limit.m_cpu_milli, used.m_cpu_milli, each.m_cpu_milli, room);
+  room = RoomFor(limit.m_memory_mib, used.m_memory_mib, each.m_memory_mib,
+                 room);
+  room = RoomFor(limit.m_accelerators, used.m_accelerators,
+                 each.m_accelerators, room);
+  if (room == 0 && wanted > 0 && used == Resources()) {
+    return 1;
+  }
+  return static_cast<std::size_t>(room);
+}
+
+double DominantShare(const TenantAccount& account, const Resources& total) {
+  const Resources used = account.m_used + account.m_unexpected;
+  return std::max({ShareOf(used.m_cpu_milli, total.m_cpu_milli),
+                   ShareOf(used.m_memory_mib, total.m_memory_mib),
+                   ShareOf(used.m_accelerators, total.m_accelerators)});
+}
+
+std::vector<bool> FindTenantsOverShare(const TenantAccounts& accounts,
+                                       const std::vector<bool>& active,
+                                       const Resources& total) {
+  double weights = 0;
+  double shares = 0;
+  std::vector<double> share_of(accounts.m_accounts.size(), 0);
+  for (std::size_t i = 0; i < accounts.m_accounts.size(); ++i) {
+    share_of[i] = DominantShare(accounts.m_accounts[i], total);
+    if (active[i]) {
+      weights += accounts.m_accounts[i].m_policy.m_weight;
+      shares += share_of[i];
+    }
+  }
+  std::vector<bool> over(accounts.m_accounts.size(), false);
+  for (std::size_t i = 0; i < over.size() && weights > 0; ++i) {
+    over[i] = active[i] &&
+              share_of[i] * weights >
+                  shares * accounts.m_accounts[i].m_policy.m_weight;
+  }
+  return over;
+}
+
+}  // namespace hyssopspar::jobs
--- a/src/node/cell_host.cpp
+++ b/src/node/cell_host.cpp
@@ -279,6 +279,7 @@
     m_cell->SetDomainExcluded(domain, true);
   }
   m_applied_excluded_domains = std::move(domains);
+  m_cell->SetTenants(m_operator_view->Config().m_tenants);
   TickAndDispatch();
 }
 
--- a/src/node/cell_host_loading.cpp
+++ b/src/node/cell_host_loading.cpp
@@ -130,6 +130,7 @@
   m_store_contact = jobs::StoreContact();
   m_cell->SetOwnershipLeaseDeadline(m_claim_sent_at +
                                     m_settings.m_ownership_lease);
+  m_cell->SetTenants(m_operator_view->Config().m_tenants);
   m_cell->Activate(now);
   OnOperatorChange();
   Reevaluate();
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr const char* kLogComponent = "front";
+constexpr const char* kApiKeyHeader = "api-key";
 constexpr std::size_t kJobIdDigits = 16;
 /// Time within which a request is answered: the default for requests without a
 /// deadline, and the limit for longer deadlines.
@@ -57,12 +58,50 @@
              const OperatorView* operator_view,
              OwnerClient* owner_client,
              JobAppender* appender,
-             const StoreLimits& limits)
+             const StoreLimits& limits,
+             const jobs::KeyViewSettings& key_view,
+             Metrics* metrics)
     : m_platform(platform),
       m_operator_view(operator_view),
       m_owner_client(owner_client),
       m_appender(appender),
-      m_limits(limits) {}
+      m_limits(limits),
+      m_key_view(key_view),
+      m_metrics(metrics) {}
+
+std::optional<jobs::CallerIdentity> Front::Authenticate(
+    const jobs::QueueRoute& queue,
+    const HttpRequest& request,
+    const HttpReply& reply) {
+  const auto header = request.m_headers.find(kApiKeyHeader);
+  const Result<jobs::CallerIdentity> caller = jobs::AuthenticateCaller(
+      m_operator_view->Config(), queue,
+      header == request.m_headers.end()
+          ? std::nullopt
+          : std::optional<std::string>(header->second),
+      m_key_view, m_operator_view->CurrentAsOf(), Clock::now());
+  if (caller) {
+    return caller.value();
+  }
+  const Error& error = caller.error();
+  const bool stale = error.m_code == ErrorCode::kUnavailable;
+  m_metrics
+      ->Value("hyssopspar_calls_refused_total",
+              FormatMetricLabel("reason",
+                                stale ? "stale-keys" : "unauthenticated"))
+      .fetch_add(1);
+  Log(kLogComponent)
+      ->info("call-refused queue={} revision={} error={}",
+             queue.m_policy.m_name, m_operator_view->Config().m_revision,
+             ToString(error));
+  if (stale) {
+    reply(Unavailable(error.m_detail));
+  } else {
+    reply(ErrorResponse(401, std::string(ToString(error.m_code)),
+                        error.m_detail));
+  }
+  return std::nullopt;
+}
 
 void Front::Handle(const HttpRequest& request, const HttpReply& reply) {
   if (!m_operator_view->HasConfig()) {
@@ -79,6 +118,11 @@
     reply(ErrorResponse(404, "not-found", "no such queue"));
     return;
   }
+  const std::optional<jobs::CallerIdentity> caller =
+      Authenticate(*queue, request, reply);
+  if (!caller) {
+    return;
+  }
   const std::string job_id = path.substr(queue->m_path_prefix.size());
   if (request.m_method == "GET" && job_id.empty()) {
     AnswerPending(queue->m_policy.m_name, request, reply);
@@ -86,7 +130,7 @@
     reply(ErrorResponse(400, "invalid-argument",
                         "a job's id has 16 hexadecimal digits"));
   } else if (request.m_method == "POST") {
-    Submit(*queue, job_id, request, reply);
+    Submit(*queue, *caller, job_id, request, reply);
   } else if (request.m_method == "GET") {
     AnswerState(job_id, request, reply);
   } else if (request.m_method == "DELETE") {
@@ -97,6 +141,7 @@
 }
 
 void Front::Submit(const jobs::QueueRoute& queue,
+                   const jobs::CallerIdentity& caller,
                    const std::string& job_id,
                    const HttpRequest& request,
                    const HttpReply& reply) {
@@ -118,6 +163,8 @@
       ToMillis(std::chrono::system_clock::now().time_since_epoch());
   submission.m_queue = queue.m_policy;
   submission.m_plan = std::move(plan.value());
+  submission.m_tenant = caller.m_tenant;
+  submission.m_config_revision = caller.m_config_revision;
   const Result<std::string> record =
       jobs::EncodeStorableSubmission(submission, m_limits);
   if (!record) {
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -4,11 +4,14 @@
 
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "hyssopspar/http_server.h"
 #include "hyssopspar/jobs/platform_adapter.h"
 #include "hyssopspar/jobs/site_config.h"
+#include "hyssopspar/jobs/tenants/caller_auth.h"
+#include "hyssopspar/metrics.h"
 #include "hyssopspar/store/store_limits.h"
 #include "node/job_appender.h"
 #include "node/operator_view.h"
@@ -23,13 +26,21 @@
         const OperatorView* operator_view,
         OwnerClient* owner_client,
         JobAppender* appender,
-        const StoreLimits& limits);
+        const StoreLimits& limits,
+        const jobs::KeyViewSettings& key_view,
+        Metrics* metrics);
 
   /// Answers \p request through \p reply, at once or later.
   void Handle(const HttpRequest& request, const HttpReply& reply);
 
  private:
+  /// Identifies the caller, or answers the call and returns nothing.
+  std::optional<jobs::CallerIdentity> Authenticate(
+      const jobs::QueueRoute& queue,
+      const HttpRequest& request,
+      const HttpReply& reply);
   void Submit(const jobs::QueueRoute& queue,
+              const jobs::CallerIdentity& caller,
               const std::string& job_id,
               const HttpRequest& request,
               const HttpReply& reply);
@@ -52,6 +63,8 @@
   OwnerClient* m_owner_client;
   JobAppender* m_appender;
   StoreLimits m_limits;
+  jobs::KeyViewSettings m_key_view;
+  Metrics* m_metrics;
 };
 
 }  // namespace hyssopspar::node
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -72,7 +72,9 @@
               &m_operator_view,
               &m_owner_client,
               &m_appender,
-              settings.m_cell.m_store_limits),
+              settings.m_cell.m_store_limits,
+              settings.m_key_view,
+              &m_metrics),
       m_front_server(
           [this](HttpRequest request, HttpReply reply) {
             HandleFrontRequest(std::move(request), std::move(reply));
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds kMaxWorkerLease{6000};
 /// Upper limit of all times in the settings.
 constexpr milliseconds kMaxDuration{60000};
+/// Default of the time after which a revoked key must not be accepted.
+constexpr milliseconds kDefaultRevocationLimit{5000};
 /// Defaults and range of the sizes that the store accepts.
 constexpr std::int64_t kDefaultRecordBytes = 262144;
 constexpr std::int64_t kDefaultAppendBytes = 2097152;
@@ -61,6 +63,25 @@
   return limits;
 }
 
+/// Reads how old the view of the tenants' keys may be.
+jobs::KeyViewSettings ReadKeyViewSettings(SettingsReader* reader) {
+  jobs::KeyViewSettings settings;
+  if (!reader->Has("tenants")) {
+    return settings;
+  }
+  SettingsReader tenants = reader->Table("tenants");
+  settings.m_config_limit =
+      tenants.Millis("config_limit_ms", settings.m_config_limit,
+                     milliseconds(100), kMaxDuration);
+  const milliseconds revocation_limit =
+      tenants.Millis("revocation_limit_ms", kDefaultRevocationLimit,
+                     milliseconds(100), kMaxDuration);
+  if (tenants.Bool("strict_revocation", false)) {
+    settings.m_revocation_limit = revocation_limit;
+  }
+  return settings;
+}
+
 }  // namespace
 
 NodeSettings ReadNodeSettings(SettingsReader* reader) {
@@ -96,6 +117,7 @@
       settings.m_ownership_lease +
       std::chrono::duration_cast<milliseconds>(settings.m_cell.m_lease /
                                                jobs::kMinWorkerClockRate);
+  settings.m_key_view = ReadKeyViewSettings(reader);
   SettingsReader machine = reader->Table("machine");
   settings.m_ownership.m_cpu_capacity =
       machine.Number("cpu_share", 1, 0, 1) *
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -8,6 +8,7 @@
 
 #include "hyssopspar/jobs/cell_settings.h"
 #include "hyssopspar/jobs/ownership.h"
+#include "hyssopspar/jobs/tenants/caller_auth.h"
 #include "hyssopspar/settings_reader.h"
 #include "hyssopspar/time.h"
 
@@ -35,6 +36,7 @@
   milliseconds m_max_lease_after_renewal{10000};
   jobs::CellSettings m_cell;
   jobs::OwnershipSettings m_ownership;
+  jobs::KeyViewSettings m_key_view;
 };
 
 /// Reads the node's settings. Errors are recorded in \p reader.
