--- a/src/libhyssopspar/jobs/tenants/tenant_accounts.cpp
+++ b/src/libhyssopspar/jobs/tenants/tenant_accounts.cpp
@@ -48,6 +48,8 @@
 }
 
 Resources CountedResourcesOf(const StepPlan& step) {
+  // Unlike on a worker, the CPU of best-effort tasks counts: the platform
+  // limits what a tenant runs, whoever else could have used it.
   return step.m_size;
 }
 
