Forecast tail latencies by the cycle of each serving job's load

Cause: best-effort tasks were placed and throttled by the tail latencies of the last report. Change: jobs/forecast/load_cycle fits a cycle to each serving job's reports of all workers; placement uses the highest tail expected in the next 2 s, throttling that of the next 0.8 s, and the interference model the expected load.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -19,6 +19,7 @@
 #include "hyssopspar/jobs/cell_settings.h"
 #include "hyssopspar/jobs/cell_work.h"
 #include "hyssopspar/jobs/crash_blame.h"
+#include "hyssopspar/jobs/forecast/load_cycle.h"
 #include "hyssopspar/jobs/interference.h"
 #include "hyssopspar/jobs/job.h"
 #include "hyssopspar/jobs/long_running_growth.h"
@@ -506,6 +507,7 @@
   std::set<std::string> m_excluded_domains;  ///< Excluded from new placements.
   InterferenceModel m_interference;
   RunTimeEstimates m_run_times;
+  std::map<std::uint64_t, LoadCycle> m_load_cycles;  ///< By job number.
   ShortJobDemand m_short_job_demand;
   /// By queue, in thousandths of a processor; valid in the current pass.
   std::map<std::string, std::int64_t> m_growth_budgets;
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -135,6 +135,12 @@
 
   /// Highest tail latency of each serving image in the last report.
   std::vector<ServingTailLatency> m_reported_tails;
+  /// Highest tail latency of each serving image that its load lets expect until
+  /// a throttle takes effect, and while a new best-effort task runs.
+  std::vector<ServingTailLatency> m_tails_soon;
+  std::vector<ServingTailLatency> m_tails_ahead;
+  /// The load of all reported serving tasks is forecast.
+  bool m_has_load_forecast = false;
   /// m_reported_tails plus the expected effect of best-effort tasks that the
   /// report does not cover yet.
   std::vector<ServingTailLatency> m_expected_tails;
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -269,6 +269,7 @@
 void Cell::EndJob(Job* job, JobState state, TimePoint now) {
   job->m_state = state;
   job->m_terminal_since = now;
+  m_load_cycles.erase(job->m_number);
   m_open_jobs.erase(std::remove(m_open_jobs.begin(), m_open_jobs.end(), job),
                     m_open_jobs.end());
   CellLog()->info("job-ended id={} state={}", job->m_submission.m_id,
