Use narrower margins where the load of serving tasks is forecast

Cause: margins of 0.7 (placement) and 0.85 (throttling) below the tail target covered the swing of the load, which the forecast now covers. Change: 0.8 for placement and 0.9 / 0.8 / 0.75 for throttling on workers all of whose serving tasks have a known cycle.

--- a/src/include/hyssopspar/jobs/pacing.h
+++ b/src/include/hyssopspar/jobs/pacing.h
@@ -21,6 +21,18 @@
   double m_ratio = 0;  ///< Tail latency divided by its target.
 };
 
+/// Tail ratios at which best-effort tasks are throttled, that a change of
+/// throttles aims at, and below which throttles are relaxed.
+struct ThrottleLimits {
+  double m_throttle = 0.85;
+  double m_target = 0.7;
+  double m_relax = 0.65;
+};
+
+/// Limits for tails that follow from a forecast of the load. The others leave
+/// room for its changes.
+inline constexpr ThrottleLimits kForecastThrottleLimits{0.9, 0.8, 0.75};
+
 /// A best-effort task as reported by its worker.
 struct BestEffortTask {
   std::string m_image;
@@ -43,6 +55,7 @@
 void ChooseThrottlePercents(const InterferenceModel& model,
                             const std::vector<ServingTailLatency>& tails,
                             bool pause_all,
-                            std::vector<BestEffortTask>* tasks);
+                            std::vector<BestEffortTask>* tasks,
+                            const ThrottleLimits& limits = ThrottleLimits());
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_pacing.cpp
+++ b/src/libhyssopspar/jobs/cell_pacing.cpp
@@ -21,8 +21,8 @@
 constexpr milliseconds kThrottleHorizon{800};
 /// Time for which a new best-effort task is expected to run.
 constexpr milliseconds kRunHorizon{2000};
-/// Tail ratios from which the load is learned. Lower ones can't be told apart in
-/// whole milliseconds, higher ones come from queues that overflow.
+/// Tail ratios from which the load is learned. Lower ones can't be told apart
+/// in whole milliseconds, higher ones come from queues that overflow.
 constexpr double kMinLoadRatio = 0.05;
 constexpr double kMaxLoadRatio = 1.2;
 /// Weight of an observation from which the effect of best-effort tasks had to
@@ -101,14 +101,14 @@
     const LoadCycle& cycle = *cycles[i];
     worker.m_has_load_forecast =
         worker.m_has_load_forecast && cycle.m_has_cycle;
-    soon.push_back(
-        {tails[i].m_image,
-         tails[i].m_ratio * std::exp(LargestLoadChange(
-                                cycle, reported, now, now + kThrottleHorizon))});
+    soon.push_back({tails[i].m_image,
+                    tails[i].m_ratio *
+                        std::exp(LargestLoadChange(cycle, reported, now,
+                                                   now + kThrottleHorizon))});
     ahead.push_back(
         {tails[i].m_image,
-         tails[i].m_ratio * std::exp(LargestLoadChange(
-                                cycle, reported, now, now + kRunHorizon))});
+         tails[i].m_ratio * std::exp(LargestLoadChange(cycle, reported, now,
+                                                       now + kRunHorizon))});
   }
   worker.m_tails_soon = WorstByImage(soon);
   worker.m_tails_ahead = WorstByImage(ahead);
@@ -171,8 +171,9 @@
   const bool pause_all =
       worker.m_tail_over_target_since < now &&
       now - worker.m_tail_over_target_since > kMaxTimeOverTarget;
-  ChooseThrottlePercents(m_interference, worker.m_tails_soon, pause_all,
-                         &best_effort);
+  ChooseThrottlePercents(
+      m_interference, worker.m_tails_soon, pause_all, &best_effort,
+      worker.m_has_load_forecast ? kForecastThrottleLimits : ThrottleLimits());
   for (std::size_t i = 0; i < best_effort.size(); ++i) {
     ApplyThrottle(best_effort_refs[i], best_effort[i].m_new_percent, now);
   }
--- a/src/libhyssopspar/jobs/forecast/load_cycle.cpp
+++ b/src/libhyssopspar/jobs/forecast/load_cycle.cpp
@@ -69,10 +69,8 @@
 std::optional<Fit> Solve(const LoadCycle& cycle, const CycleSums& sums) {
   // Centred sums, so that two unknowns remain.
   const double weight = cycle.m_weight;
-  const double ss =
-      sums.m_sin_sin - sums.m_sin * sums.m_sin / weight + kRidge;
-  const double cc =
-      sums.m_cos_cos - sums.m_cos * sums.m_cos / weight + kRidge;
+  const double ss = sums.m_sin_sin - sums.m_sin * sums.m_sin / weight + kRidge;
+  const double cc = sums.m_cos_cos - sums.m_cos * sums.m_cos / weight + kRidge;
   const double sc = sums.m_sin_cos - sums.m_sin * sums.m_cos / weight;
   const double sv = sums.m_sin_value - sums.m_sin * cycle.m_value / weight;
   const double cv = sums.m_cos_value - sums.m_cos * cycle.m_value / weight;
@@ -83,11 +81,10 @@
   Fit fit;
   fit.m_sin = (sv * cc - cv * sc) / determinant;
   fit.m_cos = (cv * ss - sv * sc) / determinant;
-  fit.m_level = (cycle.m_value - fit.m_sin * sums.m_sin -
-                 fit.m_cos * sums.m_cos) /
-                weight;
-  const double total =
-      cycle.m_square - cycle.m_value * cycle.m_value / weight;
+  fit.m_level =
+      (cycle.m_value - fit.m_sin * sums.m_sin - fit.m_cos * sums.m_cos) /
+      weight;
+  const double total = cycle.m_square - cycle.m_value * cycle.m_value / weight;
   fit.m_variance =
       std::max(0.0, (total - fit.m_sin * sv - fit.m_cos * cv) / weight);
   return fit;
@@ -96,8 +93,7 @@
 void FindBestFit(LoadCycle* cycle) {
   const double weight = cycle->m_weight;
   const double mean = cycle->m_value / weight;
-  const double variance =
-      std::max(0.0, cycle->m_square / weight - mean * mean);
+  const double variance = std::max(0.0, cycle->m_square / weight - mean * mean);
   const Seconds covered = cycle->m_observed_until - cycle->m_origin;
   double best = variance * kMaxUnexplainedShare;
   cycle->m_has_cycle = false;
@@ -106,8 +102,7 @@
   cycle->m_cos = 0;
   cycle->m_deviation = std::sqrt(variance);
   for (std::size_t i = 0; i < kCycleCandidates; ++i) {
-    if (weight < kMinWeight ||
-        covered < CycleLength(i) * kMinCoveredCycles) {
+    if (weight < kMinWeight || covered < CycleLength(i) * kMinCoveredCycles) {
       break;
     }
     const std::optional<Fit> fit = Solve(*cycle, cycle->m_sums[i]);
@@ -174,9 +169,9 @@
   }
   double largest = ForecastLoad(cycle, begin);
   for (int i = 1; i <= kForecastSteps; ++i) {
-    largest = std::max(largest,
-                       ForecastLoad(cycle, begin + (end - begin) * i /
-                                                       kForecastSteps));
+    largest = std::max(
+        largest,
+        ForecastLoad(cycle, begin + (end - begin) * i / kForecastSteps));
   }
   return largest - ForecastLoad(cycle, from);
 }
--- a/src/libhyssopspar/jobs/pacing.cpp
+++ b/src/libhyssopspar/jobs/pacing.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-/// Tail ratio above which best-effort tasks on the worker are throttled.
-constexpr double kThrottleTailRatio = 0.85;
-/// Tail ratio that a change of throttles aims at.
-constexpr double kTargetTailRatio = 0.7;
-/// Tail ratio below which throttles are relaxed.
-constexpr double kUnthrottleTailRatio = 0.65;
 /// Tasks throttled below this percentage are paused instead, because they would
 /// interfere with other tasks without making useful progress.
 constexpr int kMinRunningPercent = 15;
@@ -46,12 +40,13 @@
 }
 
 /// Throttles tasks, in order of decreasing interference, until the predicted
-/// ratio of \p tail is at most kTargetTailRatio. \p by_interference is sorted
+/// ratio of \p tail is at most \p target. \p by_interference is sorted
 /// by increasing interference.
 void ThrottleForTail(const InterferenceModel& model,
                      const ServingTailLatency& tail,
+                     double target,
                      const std::vector<BestEffortTask*>& by_interference) {
-  double excess = std::log(tail.m_ratio / kTargetTailRatio);
+  double excess = std::log(tail.m_ratio / target);
   for (const BestEffortTask* const task : by_interference) {
     excess -= LogIncreasePerPercent(model, tail, *task) *
               (task->m_percent - task->m_new_percent);
@@ -104,7 +99,8 @@
 void ChooseThrottlePercents(const InterferenceModel& model,
                             const std::vector<ServingTailLatency>& tails,
                             bool pause_all,
-                            std::vector<BestEffortTask>* tasks) {
+                            std::vector<BestEffortTask>* tasks,
+                            const ThrottleLimits& limits) {
   std::vector<BestEffortTask*> by_interference;
   for (BestEffortTask& task : *tasks) {
     task.m_new_percent = pause_all ? 0 : task.m_percent;
@@ -121,15 +117,15 @@
   double highest = 0;
   for (const ServingTailLatency& tail : tails) {
     highest = std::max(highest, tail.m_ratio);
-    if (tail.m_ratio > kThrottleTailRatio) {
-      ThrottleForTail(model, tail, by_interference);
+    if (tail.m_ratio > limits.m_throttle) {
+      ThrottleForTail(model, tail, limits.m_target, by_interference);
     }
   }
-  if (highest < kUnthrottleTailRatio) {
+  if (highest < limits.m_relax) {
     // Without an observed tail ratio, the headroom is larger than any rise that
     // the tasks could cause.
-    const double headroom = highest > 0 ? std::log(kTargetTailRatio / highest)
-                                        : kUnthrottledPercent;
+    const double headroom =
+        highest > 0 ? std::log(limits.m_target / highest) : kUnthrottledPercent;
     RelaxThrottles(model, tails, headroom, by_interference);
   }
 }
--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -16,6 +16,9 @@
 constexpr double kMinUnusedCpuFraction = 0.6;
 /// Predicted tail ratio above which no best-effort task is added.
 constexpr double kMaxPredictedTailRatio = 0.7;
+/// Same where the load of the serving tasks is forecast: the margin has to
+/// cover less.
+constexpr double kMaxForecastTailRatio = 0.8;
 /// Score of a worker whose serving tasks all have the same image as the task. A
 /// worker whose serving images share none of the task's interference
 /// sensitivity gets the same amount as a penalty. Outweighs any difference in
@@ -143,7 +146,9 @@
   }
   const TailEffect effect =
       best_effort ? query.m_predict_tail_effect(index) : TailEffect();
-  if (effect.m_max_ratio > kMaxPredictedTailRatio) {
+  const double limit = worker.m_has_load_forecast ? kMaxForecastTailRatio
+                                                  : kMaxPredictedTailRatio;
+  if (effect.m_max_ratio > limit) {
     return std::nullopt;
   }
   return Score(worker, index, effect, query);
