Set tail margins by the deviation of the load forecast, behind a setting

Cause: one margin for all workers is too wide where the forecast is good and too narrow where it isn't; a feature must act only where settings ask for it.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -300,6 +300,8 @@
                            const HeartbeatReport& report,
                            const std::vector<TaskRef>& refs,
                            TimePoint now);
+  /// The load cycle of a serving job; null when it is not forecast.
+  LoadCycle* LoadCycleOf(const Job& job);
   void ThrottleBestEffortTasks(int worker_index,
                                const HeartbeatReport& report,
                                const std::vector<TaskRef>& refs,
--- a/src/include/hyssopspar/jobs/cell_settings.h
+++ b/src/include/hyssopspar/jobs/cell_settings.h
@@ -48,6 +48,8 @@
   /// A worker on which tasks of several jobs failed in a row gets no new task
   /// for this long.
   milliseconds m_quarantine_period{5000};
+  /// Forecasts the load of serving jobs; see forecast/load_cycle.h.
+  bool m_forecasts_load = false;
 };
 
 }  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/jobs/pacing.h
+++ b/src/include/hyssopspar/jobs/pacing.h
@@ -21,17 +21,19 @@
   double m_ratio = 0;  ///< Tail latency divided by its target.
 };
 
-/// Tail ratios at which best-effort tasks are throttled, that a change of
-/// throttles aims at, and below which throttles are relaxed.
-struct ThrottleLimits {
+/// Tail ratios up to which best-effort tasks are added, above which they are
+/// throttled, at which a change of throttles aims and below which throttles are
+/// relaxed. The defaults leave room for the load to change unforeseen.
+struct TailLimits {
+  double m_place = 0.7;
   double m_throttle = 0.85;
   double m_target = 0.7;
   double m_relax = 0.65;
 };
 
-/// Limits for tails that follow from a forecast of the load. The others leave
-/// room for its changes.
-inline constexpr ThrottleLimits kForecastThrottleLimits{0.9, 0.8, 0.75};
+/// Limits for tails that follow from a forecast of the load, from which they
+/// deviate by the standard deviation \p deviation of log(tail ratio).
+TailLimits LimitsForDeviation(double deviation);
 
 /// A best-effort task as reported by its worker.
 struct BestEffortTask {
@@ -56,6 +58,6 @@
                             const std::vector<ServingTailLatency>& tails,
                             bool pause_all,
                             std::vector<BestEffortTask>* tasks,
-                            const ThrottleLimits& limits = ThrottleLimits());
+                            const TailLimits& limits = TailLimits());
 
 }  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "hyssopspar/error.h"
+#include "hyssopspar/jobs/forecast/tail_outlook.h"
 #include "hyssopspar/jobs/job.h"
 #include "hyssopspar/jobs/pacing.h"
 #include "hyssopspar/jobs/tenants/tenant_accounts.h"
@@ -135,13 +136,8 @@
 
   /// Highest tail latency of each serving image in the last report.
   std::vector<ServingTailLatency> m_reported_tails;
-  /// Highest tail latency of each serving image that its load lets expect until
-  /// a throttle takes effect, and while a new best-effort task runs.
-  std::vector<ServingTailLatency> m_tails_soon;
-  std::vector<ServingTailLatency> m_tails_ahead;
-  /// The load of all reported serving tasks is forecast.
-  bool m_has_load_forecast = false;
-  /// m_reported_tails plus the expected effect of best-effort tasks that the
+  TailOutlook m_outlook;
+  /// Those of m_outlook plus the expected effect of best-effort tasks that the
   /// report does not cover yet.
   std::vector<ServingTailLatency> m_expected_tails;
   TimePoint m_throttle_evaluated_at;
--- a/src/libhyssopspar/jobs/cell_pacing.cpp
+++ b/src/libhyssopspar/jobs/cell_pacing.cpp
@@ -2,10 +2,9 @@
 // the same worker.
 
 #include <algorithm>
-#include <cmath>
-#include <optional>
 
 #include "hyssopspar/jobs/cell.h"
+#include "hyssopspar/jobs/forecast/tail_outlook.h"
 #include "hyssopspar/jobs/pacing.h"
 #include "jobs/cell_log.h"
 
@@ -15,19 +14,6 @@
 
 /// Reported tail latencies and usage cover at most this time before the report.
 constexpr milliseconds kReportWindow{600};
-/// Age of the middle of the time that a reported tail latency covers.
-constexpr milliseconds kReportCentre{250};
-/// Time until a throttle that follows the next report has taken effect.
-constexpr milliseconds kThrottleHorizon{800};
-/// Time for which a new best-effort task is expected to run.
-constexpr milliseconds kRunHorizon{2000};
-/// Tail ratios from which the load is learned. Lower ones can't be told apart
-/// in whole milliseconds, higher ones come from queues that overflow.
-constexpr double kMinLoadRatio = 0.05;
-constexpr double kMaxLoadRatio = 1.2;
-/// Weight of an observation from which the effect of best-effort tasks had to
-/// be taken off.
-constexpr double kInterferedWeight = 0.1;
 /// When a tail stays above its target for longer, all best-effort tasks on the
 /// worker are paused.
 constexpr milliseconds kMaxTimeOverTarget{1800};
@@ -38,36 +24,21 @@
 /// its job's step waits for it.
 constexpr milliseconds kMaxPauseWithoutCheckpoints{5000};
 
-/// Returns the tail with the highest ratio of each image.
-std::vector<ServingTailLatency> WorstByImage(
-    const std::vector<ServingTailLatency>& tails) {
-  std::vector<ServingTailLatency> worst;
-  for (const ServingTailLatency& tail : tails) {
-    const auto of_image = std::find_if(
-        worst.begin(), worst.end(), [&tail](const ServingTailLatency& other) {
-          return other.m_image == tail.m_image;
-        });
-    if (of_image == worst.end()) {
-      worst.push_back(tail);
-    } else {
-      of_image->m_ratio = std::max(of_image->m_ratio, tail.m_ratio);
-    }
-  }
-  return worst;
-}
-
 }  // namespace
 
+LoadCycle* Cell::LoadCycleOf(const Job& job) {
+  return m_settings.m_forecasts_load && !IsTerminal(job.m_state)
+             ? &m_load_cycles[job.m_number]
+             : nullptr;
+}
+
 void Cell::RecordTailLatencies(int worker_index,
                                const HeartbeatReport& report,
                                const std::vector<TaskRef>& refs,
                                TimePoint now) {
   Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
+  std::vector<ReportedTail> reported;
   std::vector<ServingTailLatency> tails;
-  std::vector<ServingTailLatency> soon;
-  std::vector<ServingTailLatency> ahead;
-  std::vector<LoadCycle*> cycles;
-  const TimePoint reported = now - kReportCentre;
   std::vector<InterferenceSource> interference;
   // False while the report may mix figures from before and after the start or
   // the throttling of a best-effort task.
@@ -92,26 +63,11 @@
       tails.push_back({step.m_image,
                        run.m_usage / static_cast<double>(
                                          step.m_tail_latency_target.count())});
-      cycles.push_back(&m_load_cycles[ref.m_job->m_number]);
+      reported.push_back({tails.back(), LoadCycleOf(*ref.m_job)});
     }
   }
   worker.m_reported_tails = WorstByImage(tails);
-  worker.m_has_load_forecast = !tails.empty();
-  for (std::size_t i = 0; i < tails.size(); ++i) {
-    const LoadCycle& cycle = *cycles[i];
-    worker.m_has_load_forecast =
-        worker.m_has_load_forecast && cycle.m_has_cycle;
-    soon.push_back({tails[i].m_image,
-                    tails[i].m_ratio *
-                        std::exp(LargestLoadChange(cycle, reported, now,
-                                                   now + kThrottleHorizon))});
-    ahead.push_back(
-        {tails[i].m_image,
-         tails[i].m_ratio * std::exp(LargestLoadChange(cycle, reported, now,
-                                                       now + kRunHorizon))});
-  }
-  worker.m_tails_soon = WorstByImage(soon);
-  worker.m_tails_ahead = WorstByImage(ahead);
+  worker.m_outlook = OutlookOf(reported, now);
   const bool over_target = std::any_of(
       worker.m_reported_tails.begin(), worker.m_reported_tails.end(),
       [](const ServingTailLatency& tail) { return tail.m_ratio > 1; });
@@ -119,25 +75,7 @@
       over_target ? std::min(worker.m_tail_over_target_since, now)
                   : TimePoint::max();
   if (is_steady) {
-    for (std::size_t i = 0; i < tails.size(); ++i) {
-      const ServingTailLatency& tail = tails[i];
-      LoadCycle* const cycle = cycles[i];
-      m_interference.Observe(
-          tail.m_image, tail.m_ratio, interference,
-          cycle->m_has_cycle
-              ? std::optional<double>(ForecastLoad(*cycle, reported))
-              : std::nullopt);
-      if (tail.m_ratio < kMinLoadRatio || tail.m_ratio > kMaxLoadRatio) {
-        continue;
-      }
-      double value = std::log(tail.m_ratio);
-      for (const InterferenceSource& source : interference) {
-        value -= m_interference.Slope(tail.m_image, source.m_image) *
-                 source.m_cpu_share;
-      }
-      ObserveLoad(cycle, reported, value,
-                  interference.empty() ? 1 : kInterferedWeight);
-    }
+    LearnFromReport(reported, interference, now, &m_interference);
   }
 }
 
@@ -171,9 +109,8 @@
   const bool pause_all =
       worker.m_tail_over_target_since < now &&
       now - worker.m_tail_over_target_since > kMaxTimeOverTarget;
-  ChooseThrottlePercents(
-      m_interference, worker.m_tails_soon, pause_all, &best_effort,
-      worker.m_has_load_forecast ? kForecastThrottleLimits : ThrottleLimits());
+  ChooseThrottlePercents(m_interference, worker.m_outlook.m_soon, pause_all,
+                         &best_effort, worker.m_outlook.m_limits);
   for (std::size_t i = 0; i < best_effort.size(); ++i) {
     ApplyThrottle(best_effort_refs[i], best_effort[i].m_new_percent, now);
   }
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -178,7 +178,7 @@
   for (const int index : std::exchange(m_outdated_tails, {})) {
     Worker& worker = m_workers[static_cast<std::size_t>(index)];
     worker.m_expected_tails_outdated = false;
-    worker.m_expected_tails = worker.m_tails_ahead;
+    worker.m_expected_tails = worker.m_outlook.m_ahead;
     worker.m_expected_tails_until = TimePoint::max();
     for (const TaskRef& ref : worker.m_tasks) {
       const Task& task = ref.m_job->m_tasks[ref.m_index];
--- a/src/libhyssopspar/jobs/pacing.cpp
+++ b/src/libhyssopspar/jobs/pacing.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/// Range of the deviations from a forecast that set the limits. A smaller one
+/// is not trusted; at a larger one the limits are the defaults.
+constexpr double kMinLoadDeviation = 0.06;
+constexpr double kMaxLoadDeviation = 0.17;
 /// Tasks throttled below this percentage are paused instead, because they would
 /// interfere with other tasks without making useful progress.
 constexpr int kMinRunningPercent = 15;
@@ -86,6 +90,17 @@
 
 }  // namespace
 
+TailLimits LimitsForDeviation(double deviation) {
+  const double margin =
+      std::clamp(deviation, kMinLoadDeviation, kMaxLoadDeviation);
+  TailLimits limits;
+  limits.m_place = std::exp(-1.5 * margin);
+  limits.m_throttle = std::exp(-margin);
+  limits.m_target = limits.m_place;
+  limits.m_relax = std::exp(-2 * margin);
+  return limits;
+}
+
 int EstimateThrottlePercent(double used_cpu_milli, std::int64_t cpu_milli) {
   if (cpu_milli <= 0) {
     return kUnthrottledPercent;
@@ -100,7 +115,7 @@
                             const std::vector<ServingTailLatency>& tails,
                             bool pause_all,
                             std::vector<BestEffortTask>* tasks,
-                            const ThrottleLimits& limits) {
+                            const TailLimits& limits) {
   std::vector<BestEffortTask*> by_interference;
   for (BestEffortTask& task : *tasks) {
     task.m_new_percent = pause_all ? 0 : task.m_percent;
--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -14,11 +14,6 @@
 constexpr double kServingCpuUtilization = 0.45;
 /// Fraction of its demand that a best-effort task must find as unused CPU.
 constexpr double kMinUnusedCpuFraction = 0.6;
-/// Predicted tail ratio above which no best-effort task is added.
-constexpr double kMaxPredictedTailRatio = 0.7;
-/// Same where the load of the serving tasks is forecast: the margin has to
-/// cover less.
-constexpr double kMaxForecastTailRatio = 0.8;
 /// Score of a worker whose serving tasks all have the same image as the task. A
 /// worker whose serving images share none of the task's interference
 /// sensitivity gets the same amount as a penalty. Outweighs any difference in
@@ -32,7 +27,7 @@
 constexpr double kTailRatioWeight = 8000;
 /// Cost of a rise of log(tail ratio) by 1, in thousandths of a processor: the
 /// CPU that a worker typically has left for best-effort tasks, divided by
-/// log(kMaxPredictedTailRatio / typical tail ratio).
+/// log(highest allowed / typical tail ratio).
 constexpr double kLogTailIncreaseWeight = 90000;
 
 bool HasLabel(const WorkerEntry& entry, const std::string& label) {
@@ -146,9 +141,7 @@
   }
   const TailEffect effect =
       best_effort ? query.m_predict_tail_effect(index) : TailEffect();
-  const double limit = worker.m_has_load_forecast ? kMaxForecastTailRatio
-                                                  : kMaxPredictedTailRatio;
-  if (effect.m_max_ratio > limit) {
+  if (effect.m_max_ratio > worker.m_outlook.m_limits.m_place) {
     return std::nullopt;
   }
   return Score(worker, index, effect, query);
