--- a/src/include/hyssopspar/jobs/pacing.h
+++ b/src/include/hyssopspar/jobs/pacing.h
@@ -21,6 +21,20 @@
   double m_ratio = 0;  ///< Tail latency divided by its target.
 };
 
+/// Tail ratios up to which best-effort tasks are added, above which they are
+/// throttled, at which a change of throttles aims and below which throttles are
+/// relaxed. The defaults leave room for the load to change unforeseen.
+struct TailLimits {
+  double m_place = 0.7;
+  double m_throttle = 0.85;
+  double m_target = 0.7;
+  double m_relax = 0.65;
+};
+
+/// Limits for tails that follow from a forecast of the load, from which they
+/// deviate by the standard deviation \p deviation of log(tail ratio).
+TailLimits LimitsForDeviation(double deviation);
+
 /// A best-effort task as reported by its worker.
 struct BestEffortTask {
   std::string m_image;
@@ -43,6 +57,7 @@
 void ChooseThrottlePercents(const InterferenceModel& model,
                             const std::vector<ServingTailLatency>& tails,
                             bool pause_all,
-                            std::vector<BestEffortTask>* tasks);
+                            std::vector<BestEffortTask>* tasks,
+                            const TailLimits& limits = TailLimits());
 
 }  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -13,8 +13,10 @@
 #include <vector>
 
 #include "hyssopspar/error.h"
+#include "hyssopspar/jobs/forecast/tail_outlook.h"
 #include "hyssopspar/jobs/job.h"
 #include "hyssopspar/jobs/pacing.h"
+#include "hyssopspar/jobs/tenants/tenant_accounts.h"
 #include "hyssopspar/jobs/worker_port.h"
 #include "hyssopspar/resources.h"
 #include "hyssopspar/time.h"
@@ -91,6 +93,7 @@
   std::int64_t m_serving_cpu_milli = 0;  ///< Reserved by serving tasks.
   /// Resources used by reported runs that are not among m_tasks.
   Resources m_unexpected_run_resources;
+  std::vector<TenantRuns> m_unexpected_runs_of_tenants;
   /// True when the worker reports runs of jobs that are unknown here, whose
   /// resources are therefore unknown.
   bool m_has_unknown_runs = false;
@@ -135,7 +138,8 @@
 
   /// Highest tail latency of each serving image in the last report.
   std::vector<ServingTailLatency> m_reported_tails;
-  /// m_reported_tails plus the expected effect of best-effort tasks that the
+  TailOutlook m_outlook;
+  /// Those of m_outlook plus the expected effect of best-effort tasks that the
   /// report does not cover yet.
   std::vector<ServingTailLatency> m_expected_tails;
   TimePoint m_throttle_evaluated_at;
--- a/src/libhyssopspar/jobs/cell_pacing.cpp
+++ b/src/libhyssopspar/jobs/cell_pacing.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "hyssopspar/jobs/cell.h"
+#include "hyssopspar/jobs/forecast/tail_outlook.h"
 #include "hyssopspar/jobs/pacing.h"
 #include "jobs/cell_log.h"
 
@@ -23,31 +24,20 @@
 /// its job's step waits for it.
 constexpr milliseconds kMaxPauseWithoutCheckpoints{5000};
 
-/// Returns the tail with the highest ratio of each image.
-std::vector<ServingTailLatency> WorstByImage(
-    const std::vector<ServingTailLatency>& tails) {
-  std::vector<ServingTailLatency> worst;
-  for (const ServingTailLatency& tail : tails) {
-    const auto of_image = std::find_if(
-        worst.begin(), worst.end(), [&tail](const ServingTailLatency& other) {
-          return other.m_image == tail.m_image;
-        });
-    if (of_image == worst.end()) {
-      worst.push_back(tail);
-    } else {
-      of_image->m_ratio = std::max(of_image->m_ratio, tail.m_ratio);
-    }
-  }
-  return worst;
-}
-
 }  // namespace
 
+LoadCycle* Cell::LoadCycleOf(const Job& job) {
+  return m_settings.m_forecasts_load && !IsTerminal(job.m_state)
+             ? &m_load_cycles[job.m_number]
+             : nullptr;
+}
+
 void Cell::RecordTailLatencies(int worker_index,
                                const HeartbeatReport& report,
                                const std::vector<TaskRef>& refs,
                                TimePoint now) {
   Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
+  std::vector<ReportedTail> reported;
   std::vector<ServingTailLatency> tails;
   std::vector<InterferenceSource> interference;
   // False while the report may mix figures from before and after the start or
@@ -73,9 +63,11 @@
       tails.push_back({step.m_image,
                        run.m_usage / static_cast<double>(
                                          step.m_tail_latency_target.count())});
+      reported.push_back({tails.back(), LoadCycleOf(*ref.m_job)});
     }
   }
   worker.m_reported_tails = WorstByImage(tails);
+  worker.m_outlook = OutlookOf(reported, now);
   const bool over_target = std::any_of(
       worker.m_reported_tails.begin(), worker.m_reported_tails.end(),
       [](const ServingTailLatency& tail) { return tail.m_ratio > 1; });
@@ -83,9 +75,7 @@
       over_target ? std::min(worker.m_tail_over_target_since, now)
                   : TimePoint::max();
   if (is_steady) {
-    for (const ServingTailLatency& tail : tails) {
-      m_interference.Observe(tail.m_image, tail.m_ratio, interference);
-    }
+    LearnFromReport(reported, interference, now, &m_interference);
   }
 }
 
@@ -119,8 +109,8 @@
   const bool pause_all =
       worker.m_tail_over_target_since < now &&
       now - worker.m_tail_over_target_since > kMaxTimeOverTarget;
-  ChooseThrottlePercents(m_interference, worker.m_reported_tails, pause_all,
-                         &best_effort);
+  ChooseThrottlePercents(m_interference, worker.m_outlook.m_soon, pause_all,
+                         &best_effort, worker.m_outlook.m_limits);
   for (std::size_t i = 0; i < best_effort.size(); ++i) {
     ApplyThrottle(best_effort_refs[i], best_effort[i].m_new_percent, now);
   }
