--- a/src/include/hyssopspar/http_message.h
+++ b/src/include/hyssopspar/http_message.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace hyssopspar {
@@ -17,6 +18,9 @@
   std::string m_target = "/";
   HttpHeaders m_headers;
   std::string m_body;
+  /// Names of the header fields that occur with different values. m_headers has
+  /// the last of them.
+  std::set<std::string> m_ambiguous_headers;
 };
 
 struct HttpResponse {
--- a/src/include/hyssopspar/jobs/action.h
+++ b/src/include/hyssopspar/jobs/action.h
@@ -70,6 +70,7 @@
 /// Deletes the job stream records of jobs whose retention has ended.
 struct DropJobsAction {
   std::vector<std::string> m_jobs;
+  std::vector<std::string> m_cancel_keys;  ///< Keys of their cancellations.
 };
 
 using Action = std::variant<StartAction,
--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -27,6 +27,7 @@
 #include "hyssopspar/jobs/stage_times.h"
 #include "hyssopspar/jobs/start_window.h"
 #include "hyssopspar/jobs/tail_forecast.h"
+#include "hyssopspar/jobs/tenants/job_access.h"
 #include "hyssopspar/jobs/tenants/tenant_accounts.h"
 #include "hyssopspar/jobs/urgency.h"
 #include "hyssopspar/jobs/worker.h"
@@ -53,14 +54,21 @@
 
   /// Adds a job from the job stream. Repeated calls for a job have no effect.
   void OnJob(const Submission& submission, TimePoint now);
-  /// Cancels a job, which may not have been added yet. Repeated calls for a job
-  /// have no effect.
-  void OnCancel(const std::string& job_id, TimePoint now);
+  /// Cancels a job, which may not have been added yet, if \p caller has access
+  /// to it. Repeated calls for a job have no effect.
+  void OnCancel(const std::string& job_id,
+                const CallerIdentity& caller,
+                TimePoint now);
+  /// Notes that the job stream has a record of this cancellation, which is to
+  /// be deleted with the job.
+  void NoteCancellation(const std::string& job_id,
+                        const CallerIdentity& caller);
 
   /// Restores the final state of an ended job. Call it before OnJob() for the
   /// same job, which then has no effect.
   void RestoreEndedJob(const std::string& job_id,
                        JobState state,
+                       const std::string& tenant,
                        TimePoint now);
 
   /// Restores the stored progress of a job. Call it after OnJob() for the job
@@ -135,6 +143,8 @@
   /// State of a job, or nullopt for an unknown job. A job that has completed or
   /// failed is reported as running until its final state is stored.
   std::optional<JobState> StateOf(const std::string& job_id) const;
+  /// Tenant of a job, empty if it has none or is unknown.
+  const std::string& TenantOf(const std::string& job_id) const;
   /// Number of unfinished jobs of a queue of which no task has been started.
   std::size_t CountPendingJobs(const std::string& queue) const;
   /// True once the store or a worker has refused this owner's epoch because it
@@ -442,11 +452,17 @@
   // cell_tenants.cpp
   /// The account of the job's tenant, or null for a job without a tenant.
   TenantAccount* AccountOf(const Job& job);
+  void AddTenantUse(const Job& job, const StepPlan& step);
+  void RemoveTenantUse(const Job& job, const StepPlan& step);
+  /// True if a task that has been placed may be started by the present quota.
+  bool IsWithinQuota(const Job& job, const Task& task) const;
   /// Removes from \p pending the tasks that exceed their tenant's quota.
-  void HoldBackOverQuota(const Job& job,
+  void HoldBackOverQuota(Job* job,
                          const StepPlan& plan,
                          TimePoint now,
                          std::vector<std::size_t>* pending);
+  /// Logs that tasks of the job wait, at most once a second and tenant.
+  void ReportQuotaWait(const Job& job, TenantAccount* account, TimePoint now);
   /// Replaces the worker's runs that count against tenants' quotas although
   /// they are not placed.
   void SetUnexpectedRuns(Worker* worker, std::vector<TenantRuns> runs);
@@ -498,10 +514,15 @@
   struct EndedJob {
     JobState m_state = JobState::kCompleted;
     TimePoint m_since;  ///< Start of its retention.
+    std::string m_tenant;
   };
   std::map<std::string, EndedJob> m_ended_jobs;
-  /// Ids whose cancellation arrived before the job itself.
-  std::set<std::string> m_early_cancellations;
+  /// Tenants of the cancellations that arrived before the job itself, by its
+  /// id.
+  std::map<std::string, std::set<std::optional<std::string>>>
+      m_early_cancellations;
+  /// Tenants whose cancellations are in the job stream, by the job's id.
+  std::map<std::string, std::set<std::string>> m_cancellation_records;
   std::vector<Job*> m_open_jobs;             ///< Not terminal.
   std::set<std::string> m_excluded_domains;  ///< Excluded from new placements.
   InterferenceModel m_interference;
--- a/src/include/hyssopspar/jobs/job.h
+++ b/src/include/hyssopspar/jobs/job.h
@@ -41,6 +41,9 @@
   std::uint64_t m_number = 0;  ///< Order of arrival at this owner.
   /// Index of its tenant's account; nullopt for a job without a tenant.
   std::optional<std::size_t> m_account;
+  /// Time from which the job, which waits for its tenant's quota, holds that
+  /// tenant's less urgent jobs back; max(): it is not waiting.
+  TimePoint m_quota_turn_at = TimePoint::max();
   JobState m_state = JobState::kQueued;
   JobState m_stored_state = JobState::kQueued;  ///< Last stored state.
   std::size_t m_stored_parts = 0;  ///< Parts of the last stored progress.
--- a/src/include/hyssopspar/jobs/job_plan.h
+++ b/src/include/hyssopspar/jobs/job_plan.h
@@ -88,7 +88,8 @@
   QueuePolicy m_queue;
   JobPlan m_plan;
   std::string m_tenant;  ///< Whose job it is; empty: nobody's in particular.
-  /// Revision of the configuration by which the caller was authenticated.
+  /// Revision of the configuration by which the caller was authenticated; 0
+  /// without tenants.
   std::int64_t m_config_revision = 0;
 };
 
@@ -116,8 +117,8 @@
 
 template <class Archive, class T>
 void VisitFields(Archive& archive, T& job, const Submission* /*tag*/) {
-  archive(job.m_id, job.m_accepted_unix_ms, job.m_queue, job.m_plan,
-          job.m_tenant, job.m_config_revision);
+  archive(job.m_id, job.m_accepted_unix_ms, job.m_queue, job.m_plan);
+  archive.Tail(job.m_tenant, job.m_config_revision);
 }
 
 }  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/jobs/job_progress.h
+++ b/src/include/hyssopspar/jobs/job_progress.h
@@ -52,6 +52,7 @@
   /// Incarnations of the workers of placed tasks, 0 for others; empty if no
   /// task is placed.
   std::vector<std::int64_t> m_worker_incarnations;
+  std::string m_tenant;  ///< Of the job, whose record is removed before.
 };
 
 }  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/jobs/records.h
+++ b/src/include/hyssopspar/jobs/records.h
@@ -10,6 +10,7 @@
 #include "hyssopspar/jobs/interference.h"
 #include "hyssopspar/jobs/job_plan.h"
 #include "hyssopspar/jobs/job_progress.h"
+#include "hyssopspar/jobs/tenants/job_access.h"
 #include "hyssopspar/store/store_limits.h"
 
 namespace hyssopspar::jobs {
@@ -29,10 +30,17 @@
 /// Tombstone that replaces the submission of a job that ended.
 inline constexpr const char* kTombstoneValue = "-";
 
-/// Key of a job's cancellation record in the job stream.
-std::string CancelKey(const std::string& job_id);
+/// Key of the record of a job's cancellation in the job stream. Tenants have
+/// different keys, so that none replaces another's record.
+std::string CancelKey(const std::string& job_id,
+                      const std::string& tenant = "");
 
-/// Id of the job whose cancellation record has this key, or "" for other keys.
+/// Value of a cancellation record.
+std::string EncodeCancellation(const CallerIdentity& caller);
+/// Fails with kMalformed.
+Result<CallerIdentity> DecodeCancellation(const std::string& bytes);
+
+/// Id of the job whose cancellation has this key, or "" for other keys.
 std::string JobIdOfCancelKey(const std::string& key);
 
 /// Owner of a cell. Each claim has a higher epoch than all earlier claims.
--- a/src/include/hyssopspar/jobs/tenants/api_keys.h
+++ b/src/include/hyssopspar/jobs/tenants/api_keys.h
@@ -42,8 +42,8 @@
 
 ApiKeyDigest DigestOf(std::string_view key);
 
-/// Fails with kInvalidArgument for an empty or overlong key and for a key of two
-/// tenants. Errors name tenants and never contain a key.
+/// Fails with kInvalidArgument for an empty or overlong key and for a key of
+/// two tenants. Errors name tenants and never contain a key.
 Result<ApiKeyIndex> BuildApiKeyIndex(const std::vector<TenantKeys>& tenants);
 
 /// Name of the tenant that \p key belongs to, or null. Digests are compared in
--- a/src/include/hyssopspar/jobs/tenants/caller_auth.h
+++ b/src/include/hyssopspar/jobs/tenants/caller_auth.h
@@ -3,12 +3,12 @@
 
 #pragma once
 
-#include <cstdint>
 #include <optional>
 #include <string>
 
 #include "hyssopspar/error.h"
 #include "hyssopspar/jobs/site_config.h"
+#include "hyssopspar/jobs/tenants/job_access.h"
 #include "hyssopspar/time.h"
 
 namespace hyssopspar::jobs {
@@ -24,19 +24,18 @@
   milliseconds m_config_limit{3000};
 };
 
-/// Whose call it is, and by which configuration that was decided.
-struct CallerIdentity {
-  std::string m_tenant;  ///< Empty on public queues and without tenants.
-  std::int64_t m_config_revision = 0;
+/// Key of a call.
+struct CallKey {
+  std::optional<std::string> m_value;  ///< nullopt: the call carries none.
+  bool m_is_ambiguous = false;         ///< The call carries different keys.
 };
 
-/// Identifies the caller of a call to \p queue. \p key is the value of the
-/// call's key header; nullopt if there is none. \p view_as_of is the time as of
+/// Identifies the caller of a call to \p queue. \p view_as_of is the time as of
 /// which \p config is the newest one. Fails with kUnauthenticated, or with
 /// kUnavailable when the view is too old to decide.
 Result<CallerIdentity> AuthenticateCaller(const SiteConfig& config,
                                           const QueueRoute& queue,
-                                          const std::optional<std::string>& key,
+                                          const CallKey& key,
                                           const KeyViewSettings& settings,
                                           TimePoint view_as_of,
                                           TimePoint now);
--- a/src/include/hyssopspar/jobs/tenants/tenant_accounts.h
+++ b/src/include/hyssopspar/jobs/tenants/tenant_accounts.h
@@ -20,9 +20,13 @@
   /// Of placed tasks, which includes starts that may still be executed and runs
   /// on workers out of reach.
   Resources m_used;
+  /// Part of m_used that is not freed by itself: of long-running tasks.
+  Resources m_used_lastingly;
   /// Of runs that workers report and that are not placed.
   Resources m_unexpected;
   std::size_t m_waiting_tasks = 0;  ///< For the quota, in the last pass.
+  /// In the present pass, what the quota leaves is kept for a task.
+  bool m_is_kept_for_task = false;
   TimePoint m_next_wait_report;
 };
 
@@ -58,6 +62,26 @@
                               const Resources& each,
                               std::size_t wanted);
 
+/// Same for a step, whose tasks all start at once if it is a gang: all that
+/// wait, or none. A gang exceeds the quota by at most one task.
+std::size_t StepStartsWithinQuota(const TenantAccount& account,
+                                  const StepPlan& step,
+                                  std::size_t wanted);
+
+/// True if a task of the step that has been placed, or its gang, would be
+/// placed by the present quota.
+bool IsStartStillAllowed(const TenantAccount& account, const StepPlan& step);
+
+/// True if a task of the step could start once the tenant's other tasks that
+/// are not long-running have ended.
+bool FitsQuotaEventually(const TenantAccount& account,
+                         const StepPlan& step,
+                         std::size_t wanted);
+
+/// Adds the resources of a task that is placed.
+void AddUse(TenantAccount* account, const StepPlan& step);
+void RemoveUse(TenantAccount* account, const StepPlan& step);
+
 /// Largest share of any resource of \p total that the tenant has.
 double DominantShare(const TenantAccount& account, const Resources& total);
 
--- a/src/libhyssopspar/http_server.cpp
+++ b/src/libhyssopspar/http_server.cpp
@@ -122,7 +122,7 @@
     HttpRequest request;
     request.m_method = std::string(message.method_string());
     request.m_target = std::string(message.target());
-    request.m_headers = pvt::CopyHeaders(message);
+    request.m_headers = pvt::CopyHeaders(message, &request.m_ambiguous_headers);
     request.m_body = std::move(message.body());
     m_shared->m_in_flight.fetch_add(1);
     HandleWithReply(m_shared->m_handler, std::move(request),
--- a/src/libhyssopspar/http_server_test.cpp
+++ b/src/libhyssopspar/http_server_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <set>
 #include <stdexcept>
 #include <string>
 
@@ -112,5 +113,27 @@
   EXPECT_NO_THROW(ErrorResponse(400, "malformed", "last read: '\xff\xfe'"));
 }
 
+// Of two different values the last one counted, unseen: a caller could send
+// another tenant's key after its own.
+TEST(HttpServerTest, NamesHeadersWithDifferentValues) {
+  HttpRequest received;
+  HttpServer server(
+      [&received](const HttpRequest& request, const HttpReply& reply) {
+        received = request;
+        reply(HttpResponse());
+      },
+      HttpServerLimits(), 1);
+  ASSERT_TRUE(server.Start("127.0.0.1:0").has_value());
+  Client client(server.Port());
+  client.Send(
+      "GET /x HTTP/1.1\r\nhost: a\r\nconnection: close\r\n"
+      "API-Key: one\r\nx-same: 1\r\nApi-key: two\r\nx-same: 1\r\n\r\n");
+  EXPECT_NE(client.ReadAll().find("200"), std::string::npos);
+  server.Stop();
+  EXPECT_EQ(received.m_ambiguous_headers, std::set<std::string>{"api-key"});
+  EXPECT_EQ(HeaderOr(received.m_headers, "api-key"), "two");
+  EXPECT_EQ(HeaderOr(received.m_headers, "x-same"), "1");
+}
+
 }  // namespace
 }  // namespace hyssopspar
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -94,32 +94,20 @@
                     added->m_tasks.size(), submission.m_tenant,
                     submission.m_config_revision);
   }
-  if (m_early_cancellations.erase(submission.m_id) > 0) {
-    OnCancel(submission.m_id, now);
-  }
-}
-
-void Cell::OnCancel(const std::string& job_id, TimePoint now) {
-  Job* const job = FindMutableJob(job_id);
-  if (job == nullptr) {
-    if (m_ended_jobs.count(job_id) == 0) {
-      m_early_cancellations.insert(job_id);
+  const auto early = m_early_cancellations.find(submission.m_id);
+  if (early != m_early_cancellations.end()) {
+    for (const std::optional<std::string>& tenant : early->second) {
+      OnCancel(submission.m_id, {tenant, 0}, now);
     }
-    return;
-  }
-  if (job->m_cancelled || IsTerminal(job->m_state)) {
-    return;
-  }
-  job->m_cancelled = true;
-  if (m_active) {
-    EndJob(job, JobState::kCancelled, now);
+    m_early_cancellations.erase(early);
   }
 }
 
 void Cell::RestoreEndedJob(const std::string& job_id,
                            JobState state,
+                           const std::string& tenant,
                            TimePoint now) {
-  m_ended_jobs[job_id] = {state, now};
+  m_ended_jobs[job_id] = {state, now, tenant};
 }
 
 Result<void> Cell::RestoreJobProgress(const std::string& job_id,
--- a/src/libhyssopspar/jobs/cell_loader.cpp
+++ b/src/libhyssopspar/jobs/cell_loader.cpp
@@ -41,8 +41,15 @@
   }
   const std::string cancelled_job = JobIdOfCancelKey(record.m_key);
   if (!cancelled_job.empty()) {
+    const Result<CallerIdentity> caller = DecodeCancellation(*record.m_value);
+    if (!caller) {
+      CellLog()->warn("cancellation-ignored key={} error={}", record.m_key,
+                      ToString(caller.error()));
+      return;
+    }
+    cell->NoteCancellation(cancelled_job, caller.value());
     if (!HasEnded(cancelled_job)) {
-      cell->OnCancel(cancelled_job, now);
+      cell->OnCancel(cancelled_job, caller.value(), now);
     }
     return;
   }
@@ -71,7 +78,8 @@
   for (const auto& entry : m_progress) {
     const JobProgress& progress = entry.second.m_progress;
     if (HasEnded(entry.first)) {
-      cell->RestoreEndedJob(entry.first, progress.m_state, now);
+      cell->RestoreEndedJob(entry.first, progress.m_state, progress.m_tenant,
+                            now);
       continue;
     }
     const Result<void> restored =
--- a/src/libhyssopspar/jobs/cell_loader_test.cpp
+++ b/src/libhyssopspar/jobs/cell_loader_test.cpp
@@ -68,7 +68,7 @@
         {"c", EncodeProgress(completed)}},
        {JobRecord("a"), JobRecord("b"), {"c", std::string(kTombstoneValue)}});
   m_cell.OnJob(MakeJob("a", Step(1, 1000)), m_now);
-  m_cell.OnCancel("a", m_now);
+  m_cell.OnCancel("a", {}, m_now);
   Run(milliseconds(500));
   EXPECT_EQ(m_cell.StateOf("a"), JobState::kCompleted);
   EXPECT_EQ(m_cell.StateOf("b"), JobState::kFailed);
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -45,6 +45,7 @@
   m_held_back_tasks = 0;
   for (TenantAccount& account : m_tenants.m_accounts) {
     account.m_waiting_tasks = 0;
+    account.m_is_kept_for_task = false;
   }
   ++m_work.m_passes;
   ApplyTimedChanges(now);
@@ -93,11 +94,10 @@
     m_highest_priority =
         std::min(m_highest_priority, job->m_submission.m_queue.m_priority);
     if (job->m_pending > 0 && !IsSetAside(*job)) {
-      order.emplace_back(
-          Order{job->m_submission.m_queue.m_priority,
-                job->m_account && over_share[*job->m_account],
-                UrgencyOf(*job, m_run_times, unix_now)},
-          job);
+      order.emplace_back(Order{job->m_submission.m_queue.m_priority,
+                               job->m_account && over_share[*job->m_account],
+                               UrgencyOf(*job, m_run_times, unix_now)},
+                         job);
     }
   }
   std::sort(order.begin(), order.end());
@@ -302,7 +302,7 @@
   std::vector<std::size_t> pending =
       PlaceableTasks(*job, first, plan, now, &placement);
   HoldBackGrowth(*job, plan, now, &pending);
-  HoldBackOverQuota(*job, plan, now, &pending);
+  HoldBackOverQuota(job, plan, now, &pending);
   if (!plan.m_gang && pending.size() > allowed) {
     pending.resize(allowed);
   }
--- a/src/libhyssopspar/jobs/cell_store.cpp
+++ b/src/libhyssopspar/jobs/cell_store.cpp
@@ -278,7 +278,8 @@
   TombstoneJobsAction tombstones;
   for (auto it = m_jobs.begin(); it != m_jobs.end();) {
     if (MayTombstone(*it->second, now)) {
-      m_ended_jobs[it->first] = {it->second->m_state, now};
+      m_ended_jobs[it->first] = {it->second->m_state, now,
+                                 it->second->m_submission.m_tenant};
       tombstones.m_jobs.push_back(it->first);
       it = m_jobs.erase(it);
     } else {
@@ -298,6 +299,13 @@
   for (auto it = m_ended_jobs.begin(); it != m_ended_jobs.end();) {
     if (now - it->second.m_since > m_settings.m_ended_job_retention) {
       dropped.m_jobs.push_back(it->first);
+      const auto cancellations = m_cancellation_records.find(it->first);
+      if (cancellations != m_cancellation_records.end()) {
+        for (const std::string& tenant : cancellations->second) {
+          dropped.m_cancel_keys.push_back(CancelKey(it->first, tenant));
+        }
+        m_cancellation_records.erase(cancellations);
+      }
       m_dropped_jobs.insert(it->first);
       it = m_ended_jobs.erase(it);
     } else {
--- a/src/libhyssopspar/jobs/cell_store_test.cpp
+++ b/src/libhyssopspar/jobs/cell_store_test.cpp
@@ -116,7 +116,7 @@
   ChangeProgress("large");
   Run(milliseconds(2500));
   ASSERT_GT(m_cell.FindJob("large")->m_stored_parts, 1U);
-  m_cell.OnCancel("large", m_now);
+  m_cell.OnCancel("large", {}, m_now);
   m_running.clear();
   Run(milliseconds(2500));
   std::map<std::string, std::string> newest;
@@ -249,7 +249,7 @@
   Run(milliseconds(1000));
   EXPECT_EQ(m_cell.StateOf("refused"), JobState::kRunning);
   EXPECT_TRUE(m_stops.empty());
-  m_cell.OnCancel("refused", m_now);
+  m_cell.OnCancel("refused", {}, m_now);
   Run(milliseconds(100));
   EXPECT_EQ(m_stops.size(), 2U);
   EXPECT_EQ(m_cell.StateOf("refused"), JobState::kCancelled);
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -45,9 +45,7 @@
     ++worker.m_serving_images[step.m_image];
   }
   worker.m_used += ReservedResourcesOf(step);
-  if (TenantAccount* const account = AccountOf(*job)) {
-    account->m_used += CountedResourcesOf(step);
-  }
+  AddTenantUse(*job, step);
   Task& task = job->m_tasks[ref.m_index];
   task.m_worker = worker_index;
   if (task.m_start_status != StartStatus::kInherited) {
@@ -75,10 +73,7 @@
     }
   }
   worker.m_used -= ReservedResourcesOf(step);
-  if (TenantAccount* const account = AccountOf(*job)) {
-    account->m_used -= CountedResourcesOf(step);
-    HYSSOPSPAR_INVARIANT(IsNonNegative(account->m_used));
-  }
+  RemoveTenantUse(*job, step);
   HYSSOPSPAR_INVARIANT(IsNonNegative(worker.m_used));
   m_schedule_needed = true;
 }
@@ -235,9 +230,9 @@
 bool Cell::MayStart(const Job& job, const Task& task, TimePoint now) const {
   const Worker& worker = m_workers[static_cast<std::size_t>(task.m_worker)];
   // Since the placement, the worker may have become another kind by a restart,
-  // or its capacity may have shrunk.
+  // its capacity may have shrunk, or the tenant's quota may have been lowered.
   return !IsTerminal(job.m_state) && MayPlaceTasks(now) &&
-         IsUsable(worker, m_excluded_domains) &&
+         IsWithinQuota(job, task) && IsUsable(worker, m_excluded_domains) &&
          task.m_worker_incarnation == worker.m_incarnation_unix_ms &&
          Fits(worker.m_used + worker.m_unexpected_run_resources,
               worker.m_entry.m_capacity);
--- a/src/libhyssopspar/jobs/cell_tenants.cpp
+++ b/src/libhyssopspar/jobs/cell_tenants.cpp
@@ -1,8 +1,9 @@
-// Quotas and shares of tenants.
+// Quotas and shares of tenants, and the cancellation of their jobs.
 
 #include <algorithm>
 #include <utility>
 
+#include "hyssopspar/invariant.h"
 #include "hyssopspar/jobs/cell.h"
 #include "jobs/cell_log.h"
 
@@ -13,6 +14,10 @@
 /// Minimum time between log lines about a tenant's tasks that wait for its
 /// quota.
 constexpr milliseconds kWaitReportInterval{1000};
+/// Time after which a job that waits for its tenant's quota holds that tenant's
+/// less urgent jobs back. Otherwise smaller tasks could take all that becomes
+/// free, for ever.
+constexpr milliseconds kQuotaPatience{3000};
 
 }  // namespace
 
@@ -26,31 +31,95 @@
   return job.m_account ? &m_tenants.m_accounts[*job.m_account] : nullptr;
 }
 
-void Cell::HoldBackOverQuota(const Job& job,
+void Cell::OnCancel(const std::string& job_id,
+                    const CallerIdentity& caller,
+                    TimePoint now) {
+  Job* const job = FindMutableJob(job_id);
+  if (job == nullptr) {
+    if (m_ended_jobs.count(job_id) == 0) {
+      m_early_cancellations[job_id].insert(caller.m_tenant);
+    }
+    return;
+  }
+  if (job->m_cancelled || IsTerminal(job->m_state)) {
+    return;
+  }
+  if (!MayAccess(caller, job->m_submission.m_tenant)) {
+    CellLog()->info("cancellation-ignored job={} tenant={} caller={}", job_id,
+                    job->m_submission.m_tenant, caller.m_tenant.value_or(""));
+    return;
+  }
+  job->m_cancelled = true;
+  if (m_active) {
+    EndJob(job, JobState::kCancelled, now);
+  }
+}
+
+void Cell::NoteCancellation(const std::string& job_id,
+                            const CallerIdentity& caller) {
+  m_cancellation_records[job_id].insert(caller.m_tenant.value_or(""));
+}
+
+const std::string& Cell::TenantOf(const std::string& job_id) const {
+  static const std::string kNone;
+  const Job* const job = FindJob(job_id);
+  if (job != nullptr) {
+    return job->m_submission.m_tenant;
+  }
+  const auto ended = m_ended_jobs.find(job_id);
+  return ended == m_ended_jobs.end() ? kNone : ended->second.m_tenant;
+}
+
+void Cell::AddTenantUse(const Job& job, const StepPlan& step) {
+  if (TenantAccount* const account = AccountOf(job)) {
+    AddUse(account, step);
+  }
+}
+
+void Cell::RemoveTenantUse(const Job& job, const StepPlan& step) {
+  if (TenantAccount* const account = AccountOf(job)) {
+    RemoveUse(account, step);
+    HYSSOPSPAR_INVARIANT(IsNonNegative(account->m_used));
+  }
+}
+
+bool Cell::IsWithinQuota(const Job& job, const Task& task) const {
+  return !job.m_account ||
+         IsStartStillAllowed(
+             m_tenants.m_accounts[*job.m_account],
+             StepOf(job, static_cast<std::size_t>(&task - job.m_tasks.data())));
+}
+
+void Cell::HoldBackOverQuota(Job* job,
                              const StepPlan& plan,
                              TimePoint now,
                              std::vector<std::size_t>* pending) {
-  TenantAccount* const account = AccountOf(job);
+  TenantAccount* const account = AccountOf(*job);
   if (account == nullptr || pending->empty()) {
     return;
   }
-  const Resources each = CountedResourcesOf(plan);
-  std::size_t allowed = 0;
-  if (plan.m_gang) {
-    // A gang is placed as a whole or not at all.
-    Resources all;
-    for (std::size_t i = 0; i < pending->size(); ++i) {
-      all += each;
-    }
-    allowed = StartsWithinQuota(*account, all, 1) * pending->size();
-  } else {
-    allowed = StartsWithinQuota(*account, each, pending->size());
+  const std::size_t allowed =
+      account->m_is_kept_for_task
+          ? 0
+          : StepStartsWithinQuota(*account, plan, pending->size());
+  if (allowed > 0) {
+    job->m_quota_turn_at = TimePoint::max();
+  } else if (job->m_quota_turn_at == TimePoint::max()) {
+    job->m_quota_turn_at = now + kQuotaPatience;
+  } else if (now >= job->m_quota_turn_at &&
+             FitsQuotaEventually(*account, plan, pending->size())) {
+    account->m_is_kept_for_task = true;
   }
-  if (allowed == pending->size()) {
-    return;
+  if (allowed < pending->size()) {
+    account->m_waiting_tasks += pending->size() - allowed;
+    pending->resize(allowed);
+    ReportQuotaWait(*job, account, now);
   }
-  account->m_waiting_tasks += pending->size() - allowed;
-  pending->resize(allowed);
+}
+
+void Cell::ReportQuotaWait(const Job& job,
+                           TenantAccount* account,
+                           TimePoint now) {
   if (now < account->m_next_wait_report) {
     return;
   }
@@ -60,10 +129,10 @@
   CellLog()->info(
       "quota-wait tenant={} job={} tasks={} cpu={}/{} memory={}/{} "
       "accelerators={}/{} view_age_ms={}",
-      account->m_policy.m_name, job.m_submission.m_id,
-      account->m_waiting_tasks, used.m_cpu_milli, limit.m_cpu_milli,
-      used.m_memory_mib, limit.m_memory_mib, used.m_accelerators,
-      limit.m_accelerators, ToMillis(now - m_operators_current_at));
+      account->m_policy.m_name, job.m_submission.m_id, account->m_waiting_tasks,
+      used.m_cpu_milli, limit.m_cpu_milli, used.m_memory_mib,
+      limit.m_memory_mib, used.m_accelerators, limit.m_accelerators,
+      ToMillis(now - m_operators_current_at));
 }
 
 void Cell::SetUnexpectedRuns(Worker* worker, std::vector<TenantRuns> runs) {
@@ -73,8 +142,7 @@
     m_schedule_needed = true;
   }
   for (const TenantRuns& current : runs) {
-    m_tenants.m_accounts[current.m_account].m_unexpected +=
-        current.m_resources;
+    m_tenants.m_accounts[current.m_account].m_unexpected += current.m_resources;
   }
   worker->m_unexpected_runs_of_tenants = std::move(runs);
 }
--- a/src/libhyssopspar/jobs/job.cpp
+++ b/src/libhyssopspar/jobs/job.cpp
@@ -144,6 +144,7 @@
                             const std::vector<std::string>& worker_names) {
   JobProgress progress;
   progress.m_state = job.m_state;
+  progress.m_tenant = job.m_submission.m_tenant;
   if (!NeedsTasks(job)) {
     return progress;
   }
--- a/src/libhyssopspar/jobs/records.cpp
+++ b/src/libhyssopspar/jobs/records.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr const char* kCancelSuffix = "/cancel";
+/// Value of a cancellation by a caller that was not authenticated.
+constexpr const char* kOpenCancellation = "1";
 /// Most bytes that the progress of one task takes without its checkpoint, when
 /// all neighbours differ.
 constexpr std::size_t kMaxProgressBytesPerTask = 36;
@@ -26,6 +28,12 @@
   archive(column.m_counts, column.m_values);
 }
 
+/// A cancellation by an authenticated caller, as it is stored.
+struct CancellationRecord {
+  std::string m_tenant;
+  std::int64_t m_config_revision = 0;
+};
+
 /// JobProgress as it is stored.
 struct StoredProgress {
   JobState m_state = JobState::kQueued;
@@ -38,6 +46,7 @@
   RepeatedColumn<std::uint32_t> m_crash_counts;
   RepeatedColumn<std::uint32_t> m_crash_evidence;
   RepeatedColumn<std::int64_t> m_worker_incarnations;
+  std::string m_tenant;
 };
 
 template <class Archive, class T>
@@ -47,6 +56,7 @@
           progress.m_task_checkpoints, progress.m_workers,
           progress.m_crash_counts, progress.m_crash_evidence,
           progress.m_worker_incarnations);
+  archive.Tail(progress.m_tenant);
 }
 
 namespace {
@@ -87,8 +97,32 @@
           owner.m_max_cpu_capacity);
 }
 
-std::string CancelKey(const std::string& job_id) {
-  return job_id + kCancelSuffix;
+template <class Archive, class T>
+void VisitFields(Archive& archive, T& record, const CancellationRecord* /**/) {
+  archive(record.m_tenant, record.m_config_revision);
+}
+
+std::string CancelKey(const std::string& job_id, const std::string& tenant) {
+  return job_id + kCancelSuffix + (tenant.empty() ? "" : "/" + tenant);
+}
+
+std::string EncodeCancellation(const CallerIdentity& caller) {
+  return caller.m_tenant ? pvt::Encode(CancellationRecord{
+                               *caller.m_tenant, caller.m_config_revision})
+                         : kOpenCancellation;
+}
+
+Result<CallerIdentity> DecodeCancellation(const std::string& bytes) {
+  if (bytes == kOpenCancellation) {
+    return CallerIdentity();
+  }
+  const Result<CancellationRecord> record =
+      pvt::Decode<CancellationRecord>(bytes);
+  if (!record) {
+    return record.error();
+  }
+  return CallerIdentity{record.value().m_tenant,
+                        record.value().m_config_revision};
 }
 
 std::string JobIdOfCancelKey(const std::string& key) {
@@ -132,6 +166,7 @@
   StoredProgress stored;
   stored.m_state = progress.m_state;
   stored.m_workers = progress.m_workers;
+  stored.m_tenant = progress.m_tenant;
   Compress(progress.m_task_states, &stored.m_task_states);
   Compress(progress.m_run_numbers, &stored.m_run_numbers);
   Compress(progress.m_failure_counts, &stored.m_failure_counts);
@@ -152,6 +187,7 @@
   JobProgress progress;
   progress.m_state = stored.m_state;
   progress.m_workers = stored.m_workers;
+  progress.m_tenant = stored.m_tenant;
   const bool expanded =
       Expand(stored.m_task_states, &progress.m_task_states) &&
       Expand(stored.m_run_numbers, &progress.m_run_numbers) &&
--- a/src/libhyssopspar/jobs/records_test.cpp
+++ b/src/libhyssopspar/jobs/records_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "pvt/archive.h"
+
 namespace hyssopspar::jobs {
 namespace {
 
@@ -70,5 +72,58 @@
   EXPECT_FALSE(EncodeStorableSubmission(job, StoreLimits()));
 }
 
+// Records of jobs without a tenant are those of earlier versions, which must be
+// readable, and which nodes that are not updated yet have to read.
+TEST(RecordsTest, JobsWithoutATenantHaveTheEarlierFormat) {
+  Submission job;
+  job.m_id = "5c0e7a21d94b36f8";
+  job.m_plan.m_steps.resize(1);
+  const std::string bytes = EncodeSubmission(job);
+  EXPECT_EQ(pvt::FromCbor(bytes).value().size(), 4U);
+  EXPECT_TRUE(DecodeSubmission(bytes));
+  const std::string progress = EncodeProgress(MixedProgress(2));
+  EXPECT_EQ(pvt::FromCbor(progress).value().size(), 10U);
+  EXPECT_EQ(DecodeProgress(progress).value().m_tenant, "");
+}
+
+TEST(RecordsTest, RestoresTheTenant) {
+  Submission job;
+  job.m_plan.m_steps.resize(1);
+  job.m_tenant = "a";
+  job.m_config_revision = 7;
+  const Result<Submission> decoded = DecodeSubmission(EncodeSubmission(job));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded.value().m_tenant, "a");
+  EXPECT_EQ(decoded.value().m_config_revision, 7);
+  JobProgress progress;
+  progress.m_tenant = "a";
+  EXPECT_EQ(DecodeProgress(EncodeProgress(progress)).value().m_tenant, "a");
+}
+
+// The value "1" of earlier versions stands for any caller.
+TEST(RecordsTest, RestoresCancellations) {
+  EXPECT_EQ(EncodeCancellation(CallerIdentity()), "1");
+  const Result<CallerIdentity> open = DecodeCancellation("1");
+  ASSERT_TRUE(open);
+  EXPECT_FALSE(open.value().m_tenant.has_value());
+  for (const char* const tenant : {"a", ""}) {
+    const Result<CallerIdentity> caller =
+        DecodeCancellation(EncodeCancellation({tenant, 7}));
+    ASSERT_TRUE(caller);
+    EXPECT_EQ(caller.value().m_tenant, tenant);
+    EXPECT_EQ(caller.value().m_config_revision, 7);
+  }
+  for (const char* const bytes : {"", "0", "nonsense"}) {
+    EXPECT_FALSE(DecodeCancellation(bytes)) << bytes;
+  }
+}
+
+// Another tenant's cancellation replaced the tenant's own in the store.
+TEST(RecordsTest, CancellationsOfDifferentTenantsHaveDifferentKeys) {
+  EXPECT_EQ(CancelKey("5c0e"), "5c0e/cancel");
+  EXPECT_NE(CancelKey("5c0e", "a"), CancelKey("5c0e", "b"));
+  EXPECT_EQ(JobIdOfCancelKey(CancelKey("5c0e", "a/cancel")), "5c0e");
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/tenants/api_keys.cpp
+++ b/src/libhyssopspar/jobs/tenants/api_keys.cpp
@@ -19,9 +19,8 @@
 Secret DrawSecret() {
   std::random_device device;
   Secret secret;
-  std::generate(secret.begin(), secret.end(), [&device] {
-    return static_cast<unsigned char>(device());
-  });
+  std::generate(secret.begin(), secret.end(),
+                [&device] { return static_cast<unsigned char>(device()); });
   return secret;
 }
 
--- a/src/libhyssopspar/jobs/tenants/caller_auth.cpp
+++ b/src/libhyssopspar/jobs/tenants/caller_auth.cpp
@@ -13,33 +13,46 @@
          std::to_string(ToMillis(now - view_as_of)) + " ms old";
 }
 
+/// Why the call carries nothing that could be a key.
+const char* WhyNoKey(const CallKey& key) {
+  if (key.m_is_ambiguous) {
+    return "the call carries different keys";
+  }
+  return key.m_value && !key.m_value->empty() ? "the key is too long"
+                                              : "the call carries no key";
+}
+
 }  // namespace
 
 Result<CallerIdentity> AuthenticateCaller(const SiteConfig& config,
                                           const QueueRoute& queue,
-                                          const std::optional<std::string>& key,
+                                          const CallKey& key,
                                           const KeyViewSettings& settings,
                                           TimePoint view_as_of,
                                           TimePoint now) {
   CallerIdentity caller;
-  caller.m_config_revision = config.m_revision;
   if (!config.m_has_tenants) {
     return caller;
   }
+  caller.m_config_revision = config.m_revision;
+  const bool may_be_key = !key.m_is_ambiguous && key.m_value &&
+                          !key.m_value->empty() &&
+                          key.m_value->size() <= kMaxApiKeyBytes;
   const std::string* const tenant =
-      key ? FindTenant(config.m_api_keys, *key) : nullptr;
+      may_be_key ? FindTenant(config.m_api_keys, *key.m_value) : nullptr;
   if (queue.m_is_public) {
     caller.m_tenant = tenant == nullptr ? "" : *tenant;
     return caller;
   }
-  if (!key || key->empty()) {
-    return Fail(ErrorCode::kUnauthenticated, "the call carries no key");
+  if (!may_be_key) {
+    // Decided whatever the age of the view: no configuration has such a key.
+    return Fail(ErrorCode::kUnauthenticated, WhyNoKey(key));
   }
   const Duration age = now - view_as_of;
   const bool may_be_revoked =
       settings.m_revocation_limit &&
-      age > std::chrono::duration_cast<Duration>(
-                *settings.m_revocation_limit * kUsableViewShare);
+      age > std::chrono::duration_cast<Duration>(*settings.m_revocation_limit *
+                                                 kUsableViewShare);
   if (may_be_revoked) {
     return Fail(ErrorCode::kUnavailable, ViewAge(view_as_of, now));
   }
--- a/src/libhyssopspar/jobs/tenants/tenant_accounts.cpp
+++ b/src/libhyssopspar/jobs/tenants/tenant_accounts.cpp
@@ -11,6 +11,14 @@
   return total > 0 ? static_cast<double>(used) / static_cast<double>(total) : 0;
 }
 
+/// True if \p used does not exceed \p limit, in which 0 means no limit.
+bool IsWithin(const Resources& used, const Resources& limit) {
+  return (limit.m_cpu_milli == 0 || used.m_cpu_milli <= limit.m_cpu_milli) &&
+         (limit.m_memory_mib == 0 || used.m_memory_mib <= limit.m_memory_mib) &&
+         (limit.m_accelerators == 0 ||
+          used.m_accelerators <= limit.m_accelerators);
+}
+
 /// Number of tasks that \p limit allows beside \p used; 0 as \p limit: all.
 std::int64_t RoomFor(std::int64_t limit,
                      std::int64_t used,
@@ -60,16 +68,66 @@
   const Resources used = account.m_used + account.m_unexpected;
   std::int64_t room = static_cast<std::int64_t>(wanted);
   room = RoomFor(limit.m_cpu_milli, used.m_cpu_milli, each.m_cpu_milli, room);
-  room = RoomFor(limit.m_memory_mib, used.m_memory_mib, each.m_memory_mib,
+  room =
+      RoomFor(limit.m_memory_mib, used.m_memory_mib, each.m_memory_mib, room);
+  room = RoomFor(limit.m_accelerators, used.m_accelerators, each.m_accelerators,
                  room);
-  room = RoomFor(limit.m_accelerators, used.m_accelerators,
-                 each.m_accelerators, room);
   if (room == 0 && wanted > 0 && used == Resources()) {
     return 1;
   }
   return static_cast<std::size_t>(room);
 }
 
+std::size_t StepStartsWithinQuota(const TenantAccount& account,
+                                  const StepPlan& step,
+                                  std::size_t wanted) {
+  const Resources each = CountedResourcesOf(step);
+  if (!step.m_gang || wanted == 0) {
+    return StartsWithinQuota(account, each, wanted);
+  }
+  Resources all_but_one;
+  for (std::size_t i = 1; i < wanted; ++i) {
+    all_but_one += each;
+  }
+  const Resources& limit = account.m_policy.m_maximum;
+  const Resources used = account.m_used + account.m_unexpected;
+  const bool fits = IsWithin(used + all_but_one + each, limit) ||
+                    (used == Resources() && IsWithin(all_but_one, limit));
+  return fits ? wanted : 0;
+}
+
+bool IsStartStillAllowed(const TenantAccount& account, const StepPlan& step) {
+  const std::size_t placed = step.m_gang ? step.m_tasks : 1;
+  TenantAccount others = account;
+  for (std::size_t i = 0; i < placed; ++i) {
+    others.m_used -= CountedResourcesOf(step);
+  }
+  return StepStartsWithinQuota(others, step, placed) > 0;
+}
+
+bool FitsQuotaEventually(const TenantAccount& account,
+                         const StepPlan& step,
+                         std::size_t wanted) {
+  TenantAccount later;
+  later.m_policy = account.m_policy;
+  later.m_used = account.m_used_lastingly;
+  return StepStartsWithinQuota(later, step, wanted) > 0;
+}
+
+void AddUse(TenantAccount* account, const StepPlan& step) {
+  account->m_used += CountedResourcesOf(step);
+  if (step.m_long_running) {
+    account->m_used_lastingly += CountedResourcesOf(step);
+  }
+}
+
+void RemoveUse(TenantAccount* account, const StepPlan& step) {
+  account->m_used -= CountedResourcesOf(step);
+  if (step.m_long_running) {
+    account->m_used_lastingly -= CountedResourcesOf(step);
+  }
+}
+
 double DominantShare(const TenantAccount& account, const Resources& total) {
   const Resources used = account.m_used + account.m_unexpected;
   return std::max({ShareOf(used.m_cpu_milli, total.m_cpu_milli),
@@ -92,9 +150,9 @@
   }
   std::vector<bool> over(accounts.m_accounts.size(), false);
   for (std::size_t i = 0; i < over.size() && weights > 0; ++i) {
-    over[i] = active[i] &&
-              share_of[i] * weights >
-                  shares * accounts.m_accounts[i].m_policy.m_weight;
+    over[i] =
+        active[i] && share_of[i] * weights >
+                         shares * accounts.m_accounts[i].m_policy.m_weight;
   }
   return over;
 }
--- a/src/libhyssopspar/pvt/archive.h
+++ b/src/libhyssopspar/pvt/archive.h
@@ -47,6 +47,15 @@
     (m_items.push_back(ToJson(fields)), ...);
   }
 
+  /// Appends fields that later versions have added, unless all have their
+  /// default values. Call it last.
+  template <class... T>
+  void Tail(const T&... fields) {
+    if (!((fields == T()) && ...)) {
+      (*this)(fields...);
+    }
+  }
+
   /// The array; call it once.
   Json::array_t Take() { return std::move(m_items); }
 
@@ -113,6 +122,14 @@
     (ReadField(fields), ...);
   }
 
+  /// Reads what ArchiveWriter::Tail() may have left out.
+  template <class... T>
+  void Tail(T&... fields) {
+    if (m_next_index < m_json.size()) {
+      (*this)(fields...);
+    }
+  }
+
   /// True when every field was read and the array has no further elements.
   bool IsComplete() const {
     return m_all_read && m_next_index == m_json.size();
--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -211,6 +211,7 @@
   std::set<std::string> m_applied_excluded_domains;
   jobs::CellLoader m_loader;
   OwnerWorkReport m_work_report;
+  TimePoint m_next_tenant_metrics;
 };
 
 template <class T, class Handler>
--- a/src/node/cell_host_acting.cpp
+++ b/src/node/cell_host_acting.cpp
@@ -9,6 +9,7 @@
 #include "hyssopspar/logging.h"
 #include "node/cell_host.h"
 #include "node/cell_host_limits.h"
+#include "node/tenant_metrics.h"
 
 namespace hyssopspar::node {
 
@@ -23,6 +24,8 @@
 constexpr std::size_t kMaxCompactedRecords = 5000;
 /// Delay before such an append that has failed is repeated.
 constexpr milliseconds kCompactionRetryDelay{1000};
+/// Time between updates of the metrics of tenants.
+constexpr milliseconds kTenantMetricsInterval{1000};
 
 }  // namespace
 
@@ -105,6 +108,10 @@
 void CellHost::ReportWork(TimePoint now) {
   m_work_report.AddStages(m_cell->TakeStageTimes(), m_metrics);
   m_work_report.LogWhenDue(m_cell->Work(), now);
+  if (now >= m_next_tenant_metrics) {
+    m_next_tenant_metrics = now + kTenantMetricsInterval;
+    WriteTenantMetrics(m_cell->Tenants(), m_metrics);
+  }
 }
 
 bool CellHost::IsExpired(TimePoint send_before) {
@@ -232,6 +239,9 @@
     removals.push_back({id, std::nullopt});
     removals.push_back({jobs::CancelKey(id), std::nullopt});
   }
+  for (const std::string& key : action.m_cancel_keys) {
+    removals.push_back({key, std::nullopt});
+  }
   CompactJobStream(removals);
 }
 
--- a/src/node/cell_host_release.cpp
+++ b/src/node/cell_host_release.cpp
@@ -7,6 +7,7 @@
 #include "hyssopspar/logging.h"
 #include "node/cell_host.h"
 #include "node/cell_host_limits.h"
+#include "node/tenant_metrics.h"
 
 namespace hyssopspar::node {
 
@@ -166,6 +167,9 @@
         ->info("step-down cell={} epoch={} reason={}", m_cell_number,
                m_claim.m_epoch, reason);
   }
+  if (m_phase == Phase::kOwning) {
+    ClearTenantMetrics(m_cell->Tenants(), m_metrics);
+  }
   ++m_generation;
   m_phase = Phase::kNotOwner;
   m_renewing = false;
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -25,6 +25,9 @@
 constexpr milliseconds kAnswerMargin{300};
 /// Time limit of a query to the cell's owner.
 constexpr milliseconds kOwnerQueryTimeout{1000};
+/// Time limit of the query that precedes a cancellation. Most of the caller's
+/// time is left for storing the record.
+constexpr milliseconds kAccessQueryTimeout{500};
 
 bool IsJobId(const std::string& text) {
   return text.size() == kJobIdDigits &&
@@ -52,6 +55,20 @@
   return now + std::max(timeout - kAnswerMargin, kAnswerMargin);
 }
 
+jobs::CallKey KeyOf(const HttpRequest& request) {
+  jobs::CallKey key;
+  const auto header = request.m_headers.find(kApiKeyHeader);
+  if (header != request.m_headers.end()) {
+    key.m_value = header->second;
+  }
+  key.m_is_ambiguous = request.m_ambiguous_headers.count(kApiKeyHeader) > 0;
+  return key;
+}
+
+HttpResponse UnknownJob() {
+  return ErrorResponse(410, "not-found", "no such job");
+}
+
 }  // namespace
 
 Front::Front(jobs::PlatformAdapter* platform,
@@ -73,27 +90,31 @@
     const jobs::QueueRoute& queue,
     const HttpRequest& request,
     const HttpReply& reply) {
-  const auto header = request.m_headers.find(kApiKeyHeader);
-  const Result<jobs::CallerIdentity> caller = jobs::AuthenticateCaller(
-      m_operator_view->Config(), queue,
-      header == request.m_headers.end()
-          ? std::nullopt
-          : std::optional<std::string>(header->second),
-      m_key_view, m_operator_view->CurrentAsOf(), Clock::now());
+  const TimePoint now = Clock::now();
+  const Result<jobs::CallerIdentity> caller =
+      jobs::AuthenticateCaller(m_operator_view->Config(), queue, KeyOf(request),
+                               m_key_view, m_operator_view->CurrentAsOf(), now);
   if (caller) {
     return caller.value();
   }
   const Error& error = caller.error();
   const bool stale = error.m_code == ErrorCode::kUnavailable;
+  const char* const reason = stale ? "stale-keys" : "unauthenticated";
   m_metrics
       ->Value("hyssopspar_calls_refused_total",
-              FormatMetricLabel("reason",
-                                stale ? "stale-keys" : "unauthenticated"))
+              FormatMetricLabel("reason", reason))
       .fetch_add(1);
-  Log(kLogComponent)
-      ->info("call-refused queue={} revision={} error={}",
-             queue.m_policy.m_name, m_operator_view->Config().m_revision,
-             ToString(error));
+  const std::optional<std::size_t> calls =
+      CountRefusal(&m_refusals, reason, now);
+  if (calls) {
+    Log(kLogComponent)
+        ->info(
+            "call-refused reason={} calls={} queue={} revision={} "
+            "view_age_ms={} error={}",
+            reason, *calls, queue.m_policy.m_name,
+            m_operator_view->Config().m_revision,
+            ToMillis(now - m_operator_view->CurrentAsOf()), ToString(error));
+  }
   if (stale) {
     reply(Unavailable(error.m_detail));
   } else {
@@ -113,7 +134,7 @@
       jobs::MatchQueue(m_operator_view->Config(), HostOf(request), path);
   if (queue == nullptr) {
     Log(kLogComponent)
-        ->info("no-queue path={} revision={}", path,
+        ->info("no-queue revision={}", path,
                m_operator_view->Config().m_revision);
     reply(ErrorResponse(404, "not-found", "no such queue"));
     return;
@@ -125,16 +146,16 @@
   }
   const std::string job_id = path.substr(queue->m_path_prefix.size());
   if (request.m_method == "GET" && job_id.empty()) {
-    AnswerPending(queue->m_policy.m_name, request, reply);
+    AnswerPending(*caller, queue->m_policy.m_name, request, reply);
   } else if (!IsJobId(job_id)) {
     reply(ErrorResponse(400, "invalid-argument",
                         "a job's id has 16 hexadecimal digits"));
   } else if (request.m_method == "POST") {
     Submit(*queue, *caller, job_id, request, reply);
   } else if (request.m_method == "GET") {
-    AnswerState(job_id, request, reply);
+    AnswerState(*caller, job_id, request, reply);
   } else if (request.m_method == "DELETE") {
-    Cancel(job_id, request, reply);
+    Cancel(*caller, job_id, request, reply);
   } else {
     reply(ErrorResponse(405, "invalid-argument", "unknown method"));
   }
@@ -163,7 +184,7 @@
       ToMillis(std::chrono::system_clock::now().time_since_epoch());
   submission.m_queue = queue.m_policy;
   submission.m_plan = std::move(plan.value());
-  submission.m_tenant = caller.m_tenant;
+  submission.m_tenant = caller.m_tenant.value_or("");
   submission.m_config_revision = caller.m_config_revision;
   const Result<std::string> record =
       jobs::EncodeStorableSubmission(submission, m_limits);
@@ -174,41 +195,62 @@
                         record.error().m_detail));
     return;
   }
-  Store({job_id, record.value()}, request, reply);
+  Store({job_id, record.value()}, DeadlineOf(request, Clock::now()), reply);
 }
 
-void Front::Cancel(const std::string& job_id,
+void Front::Cancel(const jobs::CallerIdentity& caller,
+                   const std::string& job_id,
                    const HttpRequest& request,
                    const HttpReply& reply) {
-  // The value has no meaning, but a record without a value would remove the
-  // key.
-  Store({jobs::CancelKey(job_id), "1"}, request, reply);
+  const TimePoint now = Clock::now();
+  const TimePoint deadline = DeadlineOf(request, now);
+  const KeyedRecord record{
+      jobs::CancelKey(job_id, caller.m_tenant.value_or("")),
+      jobs::EncodeCancellation(caller)};
+  if (!caller.m_tenant) {
+    Store(record, deadline, reply);
+    return;
+  }
+  // Only the owner knows whose job it is. When it can't be asked, or has not
+  // read the job yet, the record is stored all the same: the cell ignores it if
+  // the job is another tenant's.
+  m_owner_client->CheckAccess(
+      job_id, caller, std::min(deadline, now + kAccessQueryTimeout),
+      [this, record, deadline, job_id, reply](const Result<bool>& access) {
+        if (access && !access.value()) {
+          Log(kLogComponent)->info("cancellation-refused id={}", job_id);
+          reply(UnknownJob());
+        } else {
+          Store(record, deadline, reply);
+        }
+      });
 }
 
 void Front::Store(KeyedRecord record,
-                  const HttpRequest& request,
+                  TimePoint deadline,
                   const HttpReply& reply) {
   const std::string key = record.m_key;
   m_appender->Store(
-      std::move(record), DeadlineOf(request, Clock::now()),
-      [this, key, reply](StoreOutcome outcome) {
+      std::move(record), deadline, [this, key, reply](StoreOutcome outcome) {
         reply(StoreAnswer(outcome, RetryAfter(m_appender->FailingSince(), key,
                                               Clock::now())));
       });
 }
 
-void Front::AnswerState(const std::string& job_id,
+void Front::AnswerState(const jobs::CallerIdentity& caller,
+                        const std::string& job_id,
                         const HttpRequest& request,
                         const HttpReply& reply) {
   const TimePoint now = Clock::now();
   m_owner_client->GetState(
-      job_id, std::min(DeadlineOf(request, now), now + kOwnerQueryTimeout),
+      job_id, caller,
+      std::min(DeadlineOf(request, now), now + kOwnerQueryTimeout),
       [this, job_id, reply](const Result<jobs::JobState>& state) {
         if (state) {
           reply(JsonResponse(200, m_platform->EncodeState(state.value())));
         } else if (state.error().m_code == ErrorCode::kNotFound) {
           Log(kLogComponent)->info("unknown-job id={}", job_id);
-          reply(ErrorResponse(410, "not-found", "no such job"));
+          reply(UnknownJob());
         } else {
           Log(kLogComponent)
               ->info("state-unknown id={} error={}", job_id,
@@ -218,12 +260,14 @@
       });
 }
 
-void Front::AnswerPending(const std::string& queue,
+void Front::AnswerPending(const jobs::CallerIdentity& caller,
+                          const std::string& queue,
                           const HttpRequest& request,
                           const HttpReply& reply) {
   const TimePoint now = Clock::now();
   m_owner_client->GetPending(
-      queue, std::min(DeadlineOf(request, now), now + kOwnerQueryTimeout),
+      queue, caller,
+      std::min(DeadlineOf(request, now), now + kOwnerQueryTimeout),
       [this, reply](const Result<std::size_t>& pending) {
         if (pending) {
           reply(JsonResponse(200, m_platform->EncodePending(pending.value())));
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -16,6 +16,7 @@
 #include "node/job_appender.h"
 #include "node/operator_view.h"
 #include "node/owner_client.h"
+#include "node/refusal_log.h"
 
 namespace hyssopspar::node {
 
@@ -44,19 +45,20 @@
               const std::string& job_id,
               const HttpRequest& request,
               const HttpReply& reply);
-  void Cancel(const std::string& job_id,
+  void Cancel(const jobs::CallerIdentity& caller,
+              const std::string& job_id,
               const HttpRequest& request,
               const HttpReply& reply);
-  void AnswerState(const std::string& job_id,
+  void AnswerState(const jobs::CallerIdentity& caller,
+                   const std::string& job_id,
                    const HttpRequest& request,
                    const HttpReply& reply);
-  void AnswerPending(const std::string& queue,
+  void AnswerPending(const jobs::CallerIdentity& caller,
+                     const std::string& queue,
                      const HttpRequest& request,
                      const HttpReply& reply);
   /// Stores \p record and answers with the outcome.
-  void Store(KeyedRecord record,
-             const HttpRequest& request,
-             const HttpReply& reply);
+  void Store(KeyedRecord record, TimePoint deadline, const HttpReply& reply);
 
   jobs::PlatformAdapter* m_platform;
   const OperatorView* m_operator_view;
@@ -65,6 +67,7 @@
   StoreLimits m_limits;
   jobs::KeyViewSettings m_key_view;
   Metrics* m_metrics;
+  RefusalLog m_refusals;
 };
 
 }  // namespace hyssopspar::node
--- a/src/node/owner_client.cpp
+++ b/src/node/owner_client.cpp
@@ -5,6 +5,7 @@
 
 #include "hyssopspar/logging.h"
 #include "hyssopspar/text.h"
+#include "node/caller_headers.h"
 
 namespace hyssopspar::node {
 
@@ -12,8 +13,12 @@
 
 constexpr const char* kLogComponent = "owner";
 constexpr const char* kJobPath = "/v1/jobs/";
+constexpr const char* kAccessPath = "/v1/access/";
 constexpr const char* kPendingPath = "/v1/pending/";
 constexpr const char* kOfferPath = "/v1/offers/";
+/// Answers to queries about access.
+constexpr const char* kOpenJob = "open";
+constexpr const char* kJobOfAnotherTenant = "other-tenant";
 /// Time limit of a takeover offer to the owner.
 constexpr milliseconds kOfferTimeout{1000};
 /// Unused connections kept to each owner.
@@ -43,10 +48,11 @@
     : m_cell_host(host), m_loop(loop), m_pool(1, kIdleConnections) {}
 
 Result<jobs::JobState> OwnerClient::LocalState(
-    const std::string& job_id) const {
+    const std::string& job_id,
+    const jobs::CallerIdentity& caller) const {
   const std::optional<jobs::JobState> state =
       m_cell_host->OwnedCell()->StateOf(job_id);
-  if (state) {
+  if (state && MayAccessLocally(job_id, caller)) {
     return *state;
   }
   if (!m_cell_host->IsJobViewFresh()) {
@@ -55,6 +61,11 @@
   return Fail(ErrorCode::kNotFound, "no job " + job_id);
 }
 
+bool OwnerClient::MayAccessLocally(const std::string& job_id,
+                                   const jobs::CallerIdentity& caller) const {
+  return jobs::MayAccess(caller, m_cell_host->OwnedCell()->TenantOf(job_id));
+}
+
 Result<std::size_t> OwnerClient::LocalPending(const std::string& queue) const {
   if (!m_cell_host->IsJobViewFresh()) {
     return Fail(ErrorCode::kUnavailable, "the view of jobs is old");
@@ -63,14 +74,15 @@
 }
 
 void OwnerClient::GetState(const std::string& job_id,
+                           const jobs::CallerIdentity& caller,
                            TimePoint deadline,
                            std::function<void(Result<jobs::JobState>)> done) {
   if (m_cell_host->OwnedCell() != nullptr) {
-    done(LocalState(job_id));
+    done(LocalState(job_id, caller));
     return;
   }
   QueryOwner(
-      kJobPath + job_id, deadline,
+      kJobPath + job_id, caller, deadline,
       [done = std::move(done)](const Result<std::string>& text) {
         if (!text) {
           done(text.error());
@@ -86,14 +98,33 @@
       });
 }
 
+void OwnerClient::CheckAccess(const std::string& job_id,
+                              const jobs::CallerIdentity& caller,
+                              TimePoint deadline,
+                              std::function<void(Result<bool>)> done) {
+  if (m_cell_host->OwnedCell() != nullptr) {
+    done(MayAccessLocally(job_id, caller));
+    return;
+  }
+  QueryOwner(kAccessPath + job_id, caller, deadline,
+             [done = std::move(done)](const Result<std::string>& text) {
+               if (!text) {
+                 done(text.error());
+               } else {
+                 done(text.value() != kJobOfAnotherTenant);
+               }
+             });
+}
+
 void OwnerClient::GetPending(const std::string& queue,
+                             const jobs::CallerIdentity& caller,
                              TimePoint deadline,
                              std::function<void(Result<std::size_t>)> done) {
   if (m_cell_host->OwnedCell() != nullptr) {
     done(LocalPending(queue));
     return;
   }
-  QueryOwner(kPendingPath + queue, deadline,
+  QueryOwner(kPendingPath + queue, caller, deadline,
              [done = std::move(done)](const Result<std::string>& text) {
                if (!text) {
                  done(text.error());
@@ -105,6 +136,7 @@
 }
 
 void OwnerClient::QueryOwner(const std::string& target,
+                             const jobs::CallerIdentity& caller,
                              TimePoint deadline,
                              std::function<void(Result<std::string>)> done) {
   const jobs::OwnerView& owner = m_cell_host->Owner();
@@ -114,6 +146,7 @@
   }
   HttpRequest request;
   request.m_target = target;
+  SetCallerHeaders(caller, &request.m_headers);
   m_pool.Send(owner.m_record->m_address, std::move(request), deadline,
               [this, epoch = owner.m_record->m_epoch,
                done = std::move(done)](Result<HttpResponse> answer) {
@@ -137,7 +170,7 @@
 }
 
 void OwnerClient::OfferTakeover(double cpu_capacity) {
-  QueryOwner(kOfferPath + std::to_string(cpu_capacity),
+  QueryOwner(kOfferPath + std::to_string(cpu_capacity), jobs::CallerIdentity(),
              Clock::now() + kOfferTimeout,
              [](const Result<std::string>& answer) {
                if (!answer) {
@@ -152,12 +185,21 @@
   if (m_cell_host->OwnedCell() == nullptr) {
     return ErrorResponse(503, "not-owner", "this node does not own the cell");
   }
+  const jobs::CallerIdentity caller = CallerFromHeaders(request.m_headers);
   std::string rest;
+  if (ConsumePrefix(request.m_target, kAccessPath, &rest)) {
+    return TextResponse(MayAccessLocally(rest, caller) ? kOpenJob
+                                                       : kJobOfAnotherTenant);
+  }
   if (ConsumePrefix(request.m_target, kJobPath, &rest)) {
-    const Result<jobs::JobState> state = LocalState(rest);
+    const Result<jobs::JobState> state = LocalState(rest, caller);
     if (state) {
       return TextResponse(ToString(state.value()));
     }
+    Log(kLogComponent)
+        ->info("query-failed job={} tenant={} revision={} error={}", rest,
+               caller.m_tenant.value_or(""), caller.m_config_revision,
+               ToString(state.error()));
     const int status = state.error().m_code == ErrorCode::kNotFound ? 404 : 503;
     return ErrorResponse(status, std::string(ToString(state.error().m_code)),
                          state.error().m_detail);
--- a/src/node/owner_client.h
+++ b/src/node/owner_client.h
@@ -11,6 +11,7 @@
 #include "hyssopspar/error.h"
 #include "hyssopspar/http_message.h"
 #include "hyssopspar/jobs/job_progress.h"
+#include "hyssopspar/jobs/tenants/job_access.h"
 #include "hyssopspar/upstream_pool.h"
 #include "node/cell_host.h"
 
@@ -28,11 +29,21 @@
   /// kUnavailable when the cell has no owner, or when the owner lacks the job
   /// but its view of the job stream is too old to rule it out; and with the
   /// errors of UpstreamPool::Send.
+  /// A job that \p caller has no access to does not exist for it.
   void GetState(const std::string& job_id,
+                const jobs::CallerIdentity& caller,
                 TimePoint deadline,
                 std::function<void(Result<jobs::JobState>)> done);
+  /// Yields false if the owner knows that the job is another tenant's, and true
+  /// if the job is open to \p caller or unknown to the owner. Fails like
+  /// GetState() when the owner can't be asked.
+  void CheckAccess(const std::string& job_id,
+                   const jobs::CallerIdentity& caller,
+                   TimePoint deadline,
+                   std::function<void(Result<bool>)> done);
   /// Yields the number of jobs in a queue of which no task has been started.
   void GetPending(const std::string& queue,
+                  const jobs::CallerIdentity& caller,
                   TimePoint deadline,
                   std::function<void(Result<std::size_t>)> done);
 
@@ -48,14 +59,19 @@
 
  private:
   /// State of a job of the cell, which this node must own.
-  Result<jobs::JobState> LocalState(const std::string& job_id) const;
+  Result<jobs::JobState> LocalState(const std::string& job_id,
+                                    const jobs::CallerIdentity& caller) const;
+  bool MayAccessLocally(const std::string& job_id,
+                        const jobs::CallerIdentity& caller) const;
   /// Number of pending jobs of a queue of the cell, which this node must own.
   /// Fails with kUnavailable while the view of the job stream is too old to
   /// count jobs that were just accepted.
   Result<std::size_t> LocalPending(const std::string& queue) const;
-  /// Sends a GET request for \p target to the owner and yields the body of its
-  /// answer. An owner that refuses the connection is marked unreachable.
+  /// Sends a GET request for \p target on behalf of \p caller to the owner and
+  /// yields the body of its answer. An owner that refuses the connection is
+  /// marked unreachable.
   void QueryOwner(const std::string& target,
+                  const jobs::CallerIdentity& caller,
                   TimePoint deadline,
                   std::function<void(Result<std::string>)> done);
 
