Simulate tenants with changing quotas and a hot tenant

Cause: quotas were tested without owner changes, late orders and cut workers only. Change: jobs of the simulation may have tenants, one of which sends half of them; quotas change during the fault period.

--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -105,6 +105,11 @@
   job.m_accepted_unix_ms = number;
   job.m_queue.m_name = "queue";
   job.m_queue.m_service = "pool";
+  if (!m_tenants.empty()) {
+    const std::size_t sender = static_cast<std::size_t>(number);
+    job.m_tenant =
+        m_tenants[sender % 2 == 0 ? 0 : sender / 2 % m_tenants.size()].m_name;
+  }
   job.m_queue.m_max_attempts = kMaxAttempts;
   job.m_queue.m_ticket_validity =
       m_options.m_tickets_required ? kTicketValidity : milliseconds(0);
@@ -211,6 +216,7 @@
   for (const auto& entry : m_progress) {
     owner->m_loader.ApplyProgressRecord({entry.first, entry.second});
   }
+  UpdateTenants(owner);
   UpdateOwnerInputs(owner);
   owner->m_loaded = true;
   owner->m_loader.Finish(owner->m_cell.get(), m_now);
@@ -256,8 +262,10 @@
     return false;
   }
   owner->m_views_current_at = m_now;
-  return owner == m_current_owner && owner->m_loaded &&
-         UpdateOwnerInputs(owner);
+  const bool quotas_changed = UpdateTenants(owner);
+  const bool inputs_changed =
+      owner == m_current_owner && owner->m_loaded && UpdateOwnerInputs(owner);
+  return quotas_changed || inputs_changed;
 }
 
 void JobSimulation::PollStore(Owner* owner) {
@@ -325,6 +333,7 @@
 
 void JobSimulation::Run() {
   AddWorkers();
+  AddTenants();
   StartNewOwner();
   ScheduleJobs();
   if (m_options.m_faults) {
--- a/testsuite/job_state/job_world.h
+++ b/testsuite/job_state/job_world.h
@@ -12,6 +12,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "hyssopspar/jobs/cell.h"
@@ -52,6 +53,16 @@
   /// any time in the fault period.
   double m_long_running_share = 0;
   MisobservedFaults m_misobserved;
+  /// Number of tenants with quotas, the first of which sends half of the jobs;
+  /// 0: jobs have no tenants.
+  int m_tenants = 0;
+  int m_quota_changes = 0;  ///< Of each tenant, in the fault period.
+};
+
+/// A tenant and its quotas, with the times at which they were stored.
+struct SimulatedTenant {
+  std::string m_name;
+  std::vector<std::pair<TimePoint, Resources>> m_quotas;
 };
 
 /// What the network and the store show of a worker.
@@ -106,6 +117,11 @@
   void ScheduleFaults();
   void ScheduleGroupCrashes();
   void ScheduleStoreRefusals();
+  void AddTenants();
+  /// Stores another quota.
+  void ChangeQuota(SimulatedTenant* tenant, std::int64_t cpu_milli);
+  /// Passes the stored quotas on to the owner. Returns true if they changed.
+  bool UpdateTenants(Owner* owner);
   Submission RandomJob(int number);
   /// Schedules the faults of m_options.m_misobserved.
   void ScheduleMisobservedFaults();
@@ -190,6 +206,8 @@
   /// Checks the invariants that a new run may violate.
   void CheckNewRun(SimulatedWorker* worker, const StartOrder& order);
   void CheckCapacity(const SimulatedWorker& worker);
+  /// Checks that the tenant's runs on all workers are within its quota.
+  void CheckQuota(const std::string& tenant);
   /// Checks a start that is sent to an incarnation that the owner has heard of.
   void CheckLabel(const Owner& owner,
                   const StartAction& action,
@@ -228,6 +246,8 @@
   bool m_outage_expires_entries = false;
   /// Lasting tasks that crash their workers.
   std::set<std::string> m_crashing_lasting_tasks;
+  std::vector<SimulatedTenant> m_tenants;
+  std::size_t m_stored_quotas = 0;  ///< Number of quotas of all tenants.
   SimulatedAdviser m_adviser;
   /// End of the network partition between a worker and all owners, by worker.
   std::map<int, TimePoint> m_unreachable_until;
--- a/testsuite/job_state/job_world_checks.cpp
+++ b/testsuite/job_state/job_world_checks.cpp
@@ -107,6 +107,7 @@
     CrashUnder(worker, order);
   }
   CheckCapacity(*worker);
+  CheckQuota(m_jobs.at(order.m_task.m_job).m_tenant);
   for (const std::unique_ptr<SimulatedWorker>& other : m_workers) {
     other->Advance(m_now);
     if (other.get() != worker && other->IsUp() &&
--- a/testsuite/job_state/job_world_internal.h
+++ b/testsuite/job_state/job_world_internal.h
@@ -35,6 +35,7 @@
   CellLoader m_loader;
   std::size_t m_job_records_applied = 0;  ///< Number of m_job_records.
   bool m_active = true;                   ///< False once killed or fenced.
+  std::size_t m_quotas_applied = 0;       ///< Number of quotas of all tenants.
   bool m_loaded = false;                  ///< Stored progress has been applied.
   TimePoint m_store_unreachable_until;
   /// Workers that only this owner cannot reach, and that its worker list lacks,
