--- a/src/include/hyssopspar/error.h
+++ b/src/include/hyssopspar/error.h
@@ -24,9 +24,9 @@
   kUnavailable,     ///< The peer answered that it can't serve now.
   kQueueFull,
   kTooLarge,
-  kFenced,     ///< A writer with a higher epoch has taken over.
-  kInvariant,  ///< A state invariant does not hold.
-  kUnauthenticated,  ///< The caller has not proved who it is.
+  kFenced,           ///< A writer with a higher epoch has taken over.
+  kInvariant,        ///< A state invariant does not hold.
+  kUnauthenticated,  ///< No valid credentials.
 };
 
 /// Name of \p code in lower case with dashes, as printed in logs and answers.
--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -541,6 +541,7 @@
   /// Last loss of a worker on which no suspect had just been started.
   TimePoint m_last_unexplained_loss;
   TenantAccounts m_tenants;
+  TimePoint m_next_lapse_check;  ///< See DropLapsedUnexpectedRuns().
   StartWindow m_start_window;
   bool m_window_was_full = false;  ///< In the last pass, for waiting tasks.
   std::size_t m_unanswered_starts = 0;  ///< Start actions without an answer.
--- a/src/include/hyssopspar/jobs/forecast/load_cycle.h
+++ b/src/include/hyssopspar/jobs/forecast/load_cycle.h
@@ -25,6 +25,16 @@
   double m_cos_value = 0;
 };
 
+/// A fit of `level + a sin + b cos`.
+struct LoadFit {
+  std::size_t m_candidate = 0;  ///< Number of the cycle length.
+  double m_level = 0;
+  double m_sin = 0;
+  double m_cos = 0;
+  /// Standard deviation of the observations from the fit.
+  double m_deviation = 0;
+};
+
 /// Load of one serving job, observed at the tasks of the job on all workers.
 struct LoadCycle {
   TimePoint m_origin;  ///< Time of phase 0.
@@ -35,14 +45,8 @@
   double m_square = 0;  ///< Weighted sum of their squares.
   std::array<CycleSums, kCycleCandidates> m_sums;
 
-  // The best fit.
-  std::size_t m_candidate = 0;
-  double m_level = 0;
-  double m_sin = 0;
-  double m_cos = 0;
-  /// Standard deviation of the observations from the fit.
-  double m_deviation = 0;
-  /// True when the cycle explains the observations.
+  LoadFit m_fit;
+  /// True when the fit's cycle explains the observations.
   bool m_has_cycle = false;
 };
 
@@ -50,11 +54,16 @@
 /// tasks. \p weight is at most 1; lower for a less certain observation.
 void ObserveLoad(LoadCycle* cycle, TimePoint at, double value, double weight);
 
-/// Expected log(tail ratio) at \p at. Use it only if m_has_cycle.
+/// True if the cycle is known and was observed shortly before \p now. An older
+/// one has lost its phase, or its tasks are so overloaded that their tails say
+/// nothing about the load.
+bool HasForecast(const LoadCycle& cycle, TimePoint now);
+
+/// Expected log(tail ratio) at \p at. Use it only if HasForecast().
 double ForecastLoad(const LoadCycle& cycle, TimePoint at);
 
 /// Largest expected change of log(tail ratio) from \p from to a time in
-/// [\p begin, \p end]; 0 if no cycle is known.
+/// [\p begin, \p end]; 0 without a forecast at \p begin.
 double LargestLoadChange(const LoadCycle& cycle,
                          TimePoint from,
                          TimePoint begin,
--- a/src/include/hyssopspar/jobs/interference.h
+++ b/src/include/hyssopspar/jobs/interference.h
@@ -58,12 +58,12 @@
 
   /// Updates the model by one observation. \p sources are the best-effort tasks
   /// on the same worker; without any, only the baseline is updated.
-  /// \p expected is the log(tail ratio) expected of the task without them, if
+  /// \p baseline is the log(tail ratio) expected of the task without them, if
   /// it is known better than by the image's baseline.
   void Observe(const std::string& serving,
                double tail_ratio,
                const std::vector<InterferenceSource>& sources,
-               std::optional<double> expected = std::nullopt);
+               std::optional<double> baseline = std::nullopt);
 
   /// Share, from 0 to 1, of the sensitivity of \p serving that exceeds the
   /// sensitivity of every image in \p others. A high value means that placing
--- a/src/include/hyssopspar/jobs/job_plan.h
+++ b/src/include/hyssopspar/jobs/job_plan.h
@@ -87,7 +87,7 @@
   std::int64_t m_accepted_unix_ms = 0;
   QueuePolicy m_queue;
   JobPlan m_plan;
-  std::string m_tenant;  ///< Whose job it is; empty: nobody's in particular.
+  std::string m_tenant;  ///< Name of the job's tenant; empty without one.
   /// Revision of the configuration by which the caller was authenticated; 0
   /// without tenants.
   std::int64_t m_config_revision = 0;
--- a/src/include/hyssopspar/jobs/tenants/caller_auth.h
+++ b/src/include/hyssopspar/jobs/tenants/caller_auth.h
@@ -16,8 +16,8 @@
 /// How old a node's view of the configuration may be.
 struct KeyViewSettings {
   /// A revoked key must not be accepted longer than this after its revocation
-  /// was acknowledged; unset: only the usual time until a configuration is in
-  /// force applies.
+  /// was acknowledged; unset: a known key is accepted whatever the age of the
+  /// view.
   std::optional<milliseconds> m_revocation_limit;
   /// Time within which a new configuration is in force. An older view may lack
   /// a new key.
--- a/src/include/hyssopspar/jobs/tenants/tenant_accounts.h
+++ b/src/include/hyssopspar/jobs/tenants/tenant_accounts.h
@@ -48,7 +48,8 @@
 std::size_t AccountIndex(TenantAccounts* accounts, const std::string& tenant);
 
 /// Sets the policies of the tenants. A tenant that is not in \p policies keeps
-/// its last one, since its jobs go on. Returns true if a policy changed.
+/// its last one, since its jobs go on; without any tenant there are no quotas.
+/// Returns true if a policy changed.
 bool ApplyPolicies(TenantAccounts* accounts,
                    const std::vector<TenantPolicy>& policies);
 
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -331,6 +331,7 @@
   }
   UpdateTouchedWorkers(now);
   EndRunsWithExpiredLeases(now);
+  DropLapsedUnexpectedRuns(now);
   if (m_schedule_needed || now >= m_next_schedule) {
     Schedule(now);
   }
--- a/src/libhyssopspar/jobs/cell_report.cpp
+++ b/src/libhyssopspar/jobs/cell_report.cpp
@@ -51,7 +51,6 @@
     return;
   }
   m_next_load_report = now + kReportInterval;
-  DropLapsedUnexpectedRuns(now);
   std::array<TaskCounts, kKindCount> load;
   for (const Job* const job : m_open_jobs) {
     AddTaskCounts(*job, &load);
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -301,8 +301,8 @@
   StepPlacement placement;
   std::vector<std::size_t> pending =
       PlaceableTasks(*job, first, plan, now, &placement);
-  HoldBackGrowth(*job, plan, now, &pending);
   HoldBackOverQuota(job, plan, now, &pending);
+  HoldBackGrowth(*job, plan, now, &pending);
   if (!plan.m_gang && pending.size() > allowed) {
     pending.resize(allowed);
   }
--- a/src/libhyssopspar/jobs/cell_tenants.cpp
+++ b/src/libhyssopspar/jobs/cell_tenants.cpp
@@ -14,6 +14,8 @@
 /// Minimum time between log lines about a tenant's tasks that wait for its
 /// quota.
 constexpr milliseconds kWaitReportInterval{1000};
+/// Time between checks for unexpected runs whose leases have expired.
+constexpr milliseconds kLapseCheckInterval{1000};
 /// Time after which a job that waits for its tenant's quota holds that tenant's
 /// less urgent jobs back. Otherwise smaller tasks could take all that becomes
 /// free, for ever.
@@ -148,8 +150,13 @@
 }
 
 void Cell::DropLapsedUnexpectedRuns(TimePoint now) {
+  if (m_tenants.m_accounts.empty() || now < m_next_lapse_check) {
+    return;
+  }
+  m_next_lapse_check = now + kLapseCheckInterval;
   for (Worker& worker : m_workers) {
-    if (!worker.m_reachable && now > worker.m_lease_deadline &&
+    const bool reports = worker.m_listed && worker.m_reachable;
+    if (!reports && now > worker.m_lease_deadline &&
         !worker.m_unexpected_runs_of_tenants.empty()) {
       SetUnexpectedRuns(&worker, {});
     }
--- a/src/libhyssopspar/jobs/forecast/load_cycle.cpp
+++ b/src/libhyssopspar/jobs/forecast/load_cycle.cpp
@@ -18,6 +18,10 @@
 /// Time in which the weight of an observation falls to 1/e.
 constexpr Seconds kMemory{25};
 constexpr milliseconds kFitInterval{200};
+/// A cycle is forgotten after a gap of this length, as its phase is lost.
+constexpr Seconds kMaxGap{10};
+/// Time for which a cycle is used without a new observation.
+constexpr milliseconds kForecastValidity{3000};
 /// Pulls the amplitude towards 0 while there are few observations.
 constexpr double kRidge = 0.5;
 /// Least weight of observations, and least part of a cycle that they must
@@ -57,16 +61,10 @@
   }
 }
 
-struct Fit {
-  double m_level = 0;
-  double m_sin = 0;
-  double m_cos = 0;
-  double m_variance = 0;  ///< Of the observations from the fit.
-};
-
 /// Solves the normal equations of one cycle length; nothing if the
 /// observations don't determine them.
-std::optional<Fit> Solve(const LoadCycle& cycle, const CycleSums& sums) {
+std::optional<LoadFit> Solve(const LoadCycle& cycle, std::size_t candidate) {
+  const CycleSums& sums = cycle.m_sums[candidate];
   // Centred sums, so that two unknowns remain.
   const double weight = cycle.m_weight;
   const double ss = sums.m_sin_sin - sums.m_sin * sums.m_sin / weight + kRidge;
@@ -78,15 +76,16 @@
   if (determinant <= 0) {
     return std::nullopt;
   }
-  Fit fit;
+  LoadFit fit;
+  fit.m_candidate = candidate;
   fit.m_sin = (sv * cc - cv * sc) / determinant;
   fit.m_cos = (cv * ss - sv * sc) / determinant;
   fit.m_level =
       (cycle.m_value - fit.m_sin * sums.m_sin - fit.m_cos * sums.m_cos) /
       weight;
   const double total = cycle.m_square - cycle.m_value * cycle.m_value / weight;
-  fit.m_variance =
-      std::max(0.0, (total - fit.m_sin * sv - fit.m_cos * cv) / weight);
+  const double unexplained = total - fit.m_sin * sv - fit.m_cos * cv;
+  fit.m_deviation = std::sqrt(std::max(0.0, unexplained / weight));
   return fit;
 }
 
@@ -95,25 +94,20 @@
   const double mean = cycle->m_value / weight;
   const double variance = std::max(0.0, cycle->m_square / weight - mean * mean);
   const Seconds covered = cycle->m_observed_until - cycle->m_origin;
-  double best = variance * kMaxUnexplainedShare;
   cycle->m_has_cycle = false;
-  cycle->m_level = mean;
-  cycle->m_sin = 0;
-  cycle->m_cos = 0;
-  cycle->m_deviation = std::sqrt(variance);
-  for (std::size_t i = 0; i < kCycleCandidates; ++i) {
-    if (weight < kMinWeight || covered < CycleLength(i) * kMinCoveredCycles) {
-      break;
+  cycle->m_fit = LoadFit();
+  cycle->m_fit.m_level = mean;
+  cycle->m_fit.m_deviation = std::sqrt(variance);
+  double best = std::sqrt(variance * kMaxUnexplainedShare);
+  for (std::size_t i = 0; i < kCycleCandidates && weight >= kMinWeight; ++i) {
+    if (covered < CycleLength(i) * kMinCoveredCycles) {
+      return;
     }
-    const std::optional<Fit> fit = Solve(*cycle, cycle->m_sums[i]);
-    if (fit && fit->m_variance < best) {
-      best = fit->m_variance;
+    const std::optional<LoadFit> fit = Solve(*cycle, i);
+    if (fit && fit->m_deviation < best) {
+      best = fit->m_deviation;
       cycle->m_has_cycle = true;
-      cycle->m_candidate = i;
-      cycle->m_level = fit->m_level;
-      cycle->m_sin = fit->m_sin;
-      cycle->m_cos = fit->m_cos;
-      cycle->m_deviation = std::sqrt(fit->m_variance);
+      cycle->m_fit = *fit;
     }
   }
 }
@@ -121,7 +115,8 @@
 }  // namespace
 
 void ObserveLoad(LoadCycle* cycle, TimePoint at, double value, double weight) {
-  if (cycle->m_origin == TimePoint()) {
+  if (at - cycle->m_observed_until > kMaxGap) {
+    *cycle = LoadCycle();
     cycle->m_origin = at;
     cycle->m_observed_until = at;
   }
@@ -153,18 +148,22 @@
   }
 }
 
+bool HasForecast(const LoadCycle& cycle, TimePoint now) {
+  return cycle.m_has_cycle && now - cycle.m_observed_until < kForecastValidity;
+}
+
 double ForecastLoad(const LoadCycle& cycle, TimePoint at) {
-  const double angle = AngularFrequency(cycle.m_candidate) *
+  const double angle = AngularFrequency(cycle.m_fit.m_candidate) *
                        Seconds(at - cycle.m_origin).count();
-  return cycle.m_level + cycle.m_sin * std::sin(angle) +
-         cycle.m_cos * std::cos(angle);
+  return cycle.m_fit.m_level + cycle.m_fit.m_sin * std::sin(angle) +
+         cycle.m_fit.m_cos * std::cos(angle);
 }
 
 double LargestLoadChange(const LoadCycle& cycle,
                          TimePoint from,
                          TimePoint begin,
                          TimePoint end) {
-  if (!cycle.m_has_cycle) {
+  if (!HasForecast(cycle, begin)) {
     return 0;
   }
   double largest = ForecastLoad(cycle, begin);
--- a/src/libhyssopspar/jobs/forecast/load_cycle_test.cpp
+++ b/src/libhyssopspar/jobs/forecast/load_cycle_test.cpp
@@ -39,7 +39,7 @@
     const milliseconds observed = length * 2;
     const LoadCycle cycle = ObserveWave(length, observed);
     ASSERT_TRUE(cycle.m_has_cycle) << length.count();
-    EXPECT_LT(cycle.m_deviation, 0.1);
+    EXPECT_LT(cycle.m_fit.m_deviation, 0.1);
     for (milliseconds ahead{0}; ahead <= length / 4; ahead += length / 16) {
       EXPECT_NEAR(ForecastLoad(cycle, kStart + observed + ahead),
                   WaveAt(observed + ahead, length), 0.12)
@@ -69,7 +69,7 @@
     ObserveLoad(&cycle, kStart + i * milliseconds(70), noise(random), 1);
   }
   EXPECT_FALSE(cycle.m_has_cycle);
-  EXPECT_NEAR(cycle.m_deviation, 0.3, 0.05);
+  EXPECT_NEAR(cycle.m_fit.m_deviation, 0.3, 0.05);
 }
 
 // A service whose users change their habits must not be forecast by the old
@@ -81,18 +81,20 @@
     ObserveLoad(&cycle, kStart + time, WaveAt(time, milliseconds(10000)) + 0.5,
                 1);
   }
-  EXPECT_NEAR(cycle.m_level, -0.4, 0.05);
+  EXPECT_NEAR(cycle.m_fit.m_level, -0.4, 0.05);
   EXPECT_TRUE(cycle.m_has_cycle);
 }
 
-// Observations by reports that arrive out of order, or long after a pause of
-// the owner, must not break the sums.
-TEST(LoadCycleTest, AcceptsLateAndDistantObservations) {
+// Reports that arrive out of order must not break the sums, and a forecast
+// without reports, as during an overload, must not be used for ever.
+TEST(LoadCycleTest, ForgetsACycleWithoutObservations) {
   LoadCycle cycle = ObserveWave(milliseconds(10000), milliseconds(20000));
   ObserveLoad(&cycle, kStart + milliseconds(19000), -0.9, 1);
+  EXPECT_TRUE(HasForecast(cycle, kStart + std::chrono::seconds(21)));
+  EXPECT_FALSE(HasForecast(cycle, kStart + std::chrono::seconds(25)));
   ObserveLoad(&cycle, kStart + std::chrono::hours(10), -0.9, 1);
-  EXPECT_TRUE(std::isfinite(cycle.m_level));
-  EXPECT_TRUE(std::isfinite(cycle.m_deviation));
+  EXPECT_TRUE(std::isfinite(cycle.m_fit.m_level));
+  EXPECT_TRUE(std::isfinite(cycle.m_fit.m_deviation));
   EXPECT_FALSE(cycle.m_has_cycle);
 }
 
--- a/src/libhyssopspar/jobs/forecast/tail_outlook.cpp
+++ b/src/libhyssopspar/jobs/forecast/tail_outlook.cpp
@@ -27,9 +27,14 @@
                                  TimePoint now,
                                  milliseconds horizon) {
   ServingTailLatency tail = reported.m_tail;
-  if (reported.m_cycle != nullptr) {
-    tail.m_ratio *= std::exp(LargestLoadChange(
-        *reported.m_cycle, now - kReportCentre, now, now + horizon));
+  if (reported.m_cycle == nullptr) {
+    return tail;
+  }
+  const double change = LargestLoadChange(
+      *reported.m_cycle, now - kReportCentre, now, now + horizon);
+  // A tail above its target is acted upon even if its load is falling.
+  if (change > 0 || tail.m_ratio <= 1) {
+    tail.m_ratio *= std::exp(change);
   }
   return tail;
 }
@@ -62,9 +67,9 @@
     soon.push_back(HighestWithin(reported, now, kThrottleHorizon));
     ahead.push_back(HighestWithin(reported, now, kRunHorizon));
     all_have_cycles = all_have_cycles && reported.m_cycle != nullptr &&
-                      reported.m_cycle->m_has_cycle;
+                      HasForecast(*reported.m_cycle, now);
     if (all_have_cycles) {
-      deviation = std::max(deviation, reported.m_cycle->m_deviation);
+      deviation = std::max(deviation, reported.m_cycle->m_fit.m_deviation);
     }
   }
   return {WorstByImage(soon), WorstByImage(ahead),
@@ -79,7 +84,7 @@
   for (const ReportedTail& reported : tails) {
     const ServingTailLatency& tail = reported.m_tail;
     LoadCycle* const cycle = reported.m_cycle;
-    const bool has_cycle = cycle != nullptr && cycle->m_has_cycle;
+    const bool has_cycle = cycle != nullptr && HasForecast(*cycle, now);
     model->Observe(tail.m_image, tail.m_ratio, sources,
                    has_cycle ? std::optional<double>(ForecastLoad(*cycle, at))
                              : std::nullopt);
--- a/src/libhyssopspar/jobs/pacing.cpp
+++ b/src/libhyssopspar/jobs/pacing.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Range of the deviations from a forecast that set the limits. A smaller one
-/// is not trusted; at a larger one the limits are the defaults.
+/// is not trusted; with a larger one the limits are the defaults.
 constexpr double kMinLoadDeviation = 0.06;
 constexpr double kMaxLoadDeviation = 0.17;
 /// Tasks throttled below this percentage are paused instead, because they would
@@ -91,8 +91,10 @@
 }  // namespace
 
 TailLimits LimitsForDeviation(double deviation) {
-  const double margin =
-      std::clamp(deviation, kMinLoadDeviation, kMaxLoadDeviation);
+  if (deviation > kMaxLoadDeviation) {
+    return TailLimits();
+  }
+  const double margin = std::max(deviation, kMinLoadDeviation);
   TailLimits limits;
   limits.m_place = std::exp(-1.5 * margin);
   limits.m_throttle = std::exp(-margin);
--- a/src/libhyssopspar/jobs/tenants/tenant_accounts.cpp
+++ b/src/libhyssopspar/jobs/tenants/tenant_accounts.cpp
@@ -46,6 +46,14 @@
 bool ApplyPolicies(TenantAccounts* accounts,
                    const std::vector<TenantPolicy>& policies) {
   bool changed = false;
+  if (policies.empty()) {
+    for (TenantAccount& account : accounts->m_accounts) {
+      TenantPolicy unlimited;
+      unlimited.m_name = account.m_policy.m_name;
+      changed = changed || !(account.m_policy == unlimited);
+      account.m_policy = unlimited;
+    }
+  }
   for (const TenantPolicy& policy : policies) {
     TenantPolicy& current =
         accounts->m_accounts[AccountIndex(accounts, policy.m_name)].m_policy;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -19,6 +19,9 @@
 constexpr milliseconds kMaxWorkerLease{6000};
 /// Upper limit of all times in the settings.
 constexpr milliseconds kMaxDuration{60000};
+/// Least limit of the age of the view of keys. The view is up to 0.7 s old in
+/// normal operation, and a lower limit would refuse all callers.
+constexpr milliseconds kMinKeyViewLimit{2000};
 /// Default of the time after which a revoked key must not be accepted.
 constexpr milliseconds kDefaultRevocationLimit{5000};
 /// Defaults and range of the sizes that the store accepts.
@@ -72,10 +75,10 @@
   SettingsReader tenants = reader->Table("tenants");
   settings.m_config_limit =
       tenants.Millis("config_limit_ms", settings.m_config_limit,
-                     milliseconds(100), kMaxDuration);
+                     kMinKeyViewLimit, kMaxDuration);
   const milliseconds revocation_limit =
       tenants.Millis("revocation_limit_ms", kDefaultRevocationLimit,
-                     milliseconds(100), kMaxDuration);
+                     kMinKeyViewLimit, kMaxDuration);
   if (tenants.Bool("strict_revocation", false)) {
     settings.m_revocation_limit = revocation_limit;
   }
