--- a/src/gate/gate_config.cpp
+++ b/src/gate/gate_config.cpp
@@ -21,6 +21,7 @@
   config.m_vm_list_address = reader->Address("vm_list_address");
   config.m_log_level = reader->Choice(
       "log_level", {"debug", "info", "warn", "error", "off"}, "info");
+  config.m_limits = ReadResourceLimits(reader);
   config.m_threads = static_cast<int>(reader->Int("threads", 2, 1, 64));
   config.m_max_body_bytes = static_cast<std::size_t>(
       reader->Int("body_bytes", 1 << 20, 1024, 1LL << 30));
--- a/src/gate/gate_config.h
+++ b/src/gate/gate_config.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "hyssopspar/gate_settings.h"
+#include "hyssopspar/resource_limits.h"
 #include "hyssopspar/settings_reader.h"
 
 namespace hyssopspar::gate {
@@ -20,6 +21,7 @@
   std::string m_log_address;
   std::string m_vm_list_address;
   std::string m_log_level;
+  ResourceLimits m_limits;
   std::size_t m_max_body_bytes = 1 << 20;  ///< Largest request body.
   /// Largest answer body that is recorded under an idempotency key.
   std::size_t m_max_recorded_body_bytes = 4096;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -96,6 +96,7 @@
       settings.m_ownership_lease +
       std::chrono::duration_cast<milliseconds>(settings.m_cell.m_lease /
                                                jobs::kMinWorkerClockRate);
+  settings.m_limits = ReadResourceLimits(reader);
   SettingsReader machine = reader->Table("machine");
   settings.m_ownership.m_cpu_capacity =
       machine.Number("cpu_share", 1, 0, 1) *
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -8,6 +8,7 @@
 
 #include "hyssopspar/jobs/cell_settings.h"
 #include "hyssopspar/jobs/ownership.h"
+#include "hyssopspar/resource_limits.h"
 #include "hyssopspar/settings_reader.h"
 #include "hyssopspar/time.h"
 
@@ -33,6 +34,7 @@
   /// All worker leases that an owner has granted expire within this time after
   /// its last renewal.
   milliseconds m_max_lease_after_renewal{10000};
+  ResourceLimits m_limits;
   jobs::CellSettings m_cell;
   jobs::OwnershipSettings m_ownership;
 };
--- a/src/sched/sched_config.cpp
+++ b/src/sched/sched_config.cpp
@@ -56,6 +56,7 @@
       "vm_list_period_ms", config.m_vm_list_period, milliseconds(50), kMinute);
   config.m_append_timeout = reader->Millis(
       "append_timeout_ms", config.m_append_timeout, milliseconds(50), kMinute);
+  config.m_limits = ReadResourceLimits(reader);
   ReadLeaseSettings(reader, &settings);
   settings.m_max_config_age =
       reader->Millis("freshness_ms", settings.m_max_config_age,
--- a/src/sched/sched_config.h
+++ b/src/sched/sched_config.h
@@ -5,6 +5,7 @@
 
 #include <string>
 
+#include "hyssopspar/resource_limits.h"
 #include "hyssopspar/sched_settings.h"
 #include "hyssopspar/settings_reader.h"
 
@@ -16,6 +17,7 @@
   std::string m_log_address;      ///< The platform's log service.
   std::string m_vm_list_address;  ///< The platform's VM list service.
   std::string m_log_level;
+  ResourceLimits m_limits;
   milliseconds m_vm_list_period{1000};  ///< Period of reading the VM list.
   milliseconds m_append_timeout{2000};  ///< Of one append to the log.
 };
--- a/testsuite/platform/standin/http.h
+++ b/testsuite/platform/standin/http.h
@@ -40,7 +40,17 @@
 };
 
 /// What happens to the connection instead of an answer.
-enum class Delivery { kAnswer, kSilent, kReset };
+enum class Delivery {
+  kAnswer,
+  kSilent,
+  kReset,
+  kEndlessTrailers,
+  kEndlessExtension,
+  kEndlessBody
+};
+
+/// Bytes of an endless answer, after which its sender gives up.
+inline constexpr std::size_t kEndlessAnswerBytes = 96 << 20;
 
 struct Response {
   int m_status = 200;
@@ -91,6 +101,25 @@
   return true;
 }
 
+/// Sends an answer that has no end. Returns false if the peer closed the
+/// connection, or took kEndlessAnswerBytes.
+inline bool SendEndlessAnswer(int fd, Delivery delivery) {
+  const std::string line = "x-filler: " + std::string(4000, 'a') + "\r\n";
+  const std::string text(4096, 'a');
+  const bool trailers = delivery == Delivery::kEndlessTrailers;
+  bool sent =
+      SendAll(fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  if (delivery == Delivery::kEndlessBody) {
+    sent = sent && SendAll(fd, "7fffffff\r\n");
+  } else {
+    sent = sent && SendAll(fd, trailers ? "0\r\n" : "5;x=");
+  }
+  for (std::size_t n = 0; sent && n < kEndlessAnswerBytes; n += text.size()) {
+    sent = SendAll(fd, trailers ? line : text);
+  }
+  return false;
+}
+
 /// Reads more bytes before \p deadline. Returns false at the end of the
 /// connection or at the deadline.
 inline bool ReadMore(int fd, std::string* buffer, Clock::time_point deadline) {
@@ -288,12 +317,15 @@
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
         break;
       }
-      const bool sent = SendAll(
-          fd,
-          "HTTP/1.1 " + std::to_string(response.m_status) +
-              " X\r\nContent-Type: " + response.m_type +
-              "\r\nContent-Length: " + std::to_string(response.m_body.size()) +
-              "\r\n\r\n" + response.m_body);
+      const bool endless = response.m_delivery != Delivery::kAnswer;
+      const bool sent =
+          endless
+              ? SendEndlessAnswer(fd, response.m_delivery)
+              : SendAll(fd, "HTTP/1.1 " + std::to_string(response.m_status) +
+                                " X\r\nContent-Type: " + response.m_type +
+                                "\r\nContent-Length: " +
+                                std::to_string(response.m_body.size()) +
+                                "\r\n\r\n" + response.m_body);
       if (!sent) {
         break;
       }
--- a/testsuite/platform/standin/site.h
+++ b/testsuite/platform/standin/site.h
@@ -33,6 +33,7 @@
   std::string m_record;
   std::string m_folder;
   bool m_trouble = true;
+  std::string m_more_settings;  ///< Appended to the settings of each node.
 };
 
 inline CaseArguments ParseArguments(int argc, char** argv) {
@@ -186,6 +187,11 @@
     }
   }
 
+  pid_t Pid(int index) const { return m_pids[static_cast<std::size_t>(index)]; }
+  std::string FrontAddress(int index) const {
+    return NodeIp(index) + ":" + std::to_string(m_ports[0]);
+  }
+
   /// True if the node's process has ended.
   bool HasEnded(int index) {
     pid_t& pid = m_pids[static_cast<std::size_t>(index)];
@@ -309,7 +315,8 @@
          << "longest_lease_ms = 10000\n"
          << "[machine]\n"
          << "cpu_share = 0.1\n"
-         << "cores = 1\n";
+         << "cores = 1\n"
+         << m_arguments.m_more_settings;
   }
 
   CaseArguments m_arguments;
