Bound the memory of all connections with one budget per process

Change: read buffers of servers and clients have a maximum (header limit plus 16 KiB; 32 KiB for answers). Each connection tells a budget of the process what it holds; the budget is a quarter of `limits.memory_mb`, or of the machine's memory. Beyond it, connections that hold more than the new message are closed, else the message is refused with 503 before a handler sees it. At a server's share of the descriptors (`limits.max_fds`) the connection that has waited longest for a request is closed. Accepting pauses when no descriptor is left. The front's 400 no longer quotes a megabyte of the body; a scheduler refuses JSON nested deeper than 64. Counters by reason and one log line per second.

Processor time per request was not measured.

--- a/src/gate/gate_process.cpp
+++ b/src/gate/gate_process.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gate/gate_request.h"
+#include "hyssopspar/connection_budget.h"
 #include "hyssopspar/health.h"
 #include "hyssopspar/logging.h"
 #include "hyssopspar/scheduler.h"
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr std::size_t kEventQueueCapacity = 65536;
+/// The budget of connections has room for so many of the largest bodies.
+constexpr std::size_t kBodiesInBudget = 8;
 constexpr std::size_t kAppendThreads = 4;
 constexpr std::size_t kAppendQueueCapacity = 4096;
 /// Period of WakeEvent, and of the checks for requests in flight at shutdown.
@@ -58,6 +61,7 @@
           [&config] {
             HttpServerLimits limits;
             limits.m_max_request_body_bytes = config.m_max_body_bytes;
+            limits.m_max_connections = MaxServerConnections(config.m_limits, 2);
             return limits;
           }(),
           config.m_threads) {
@@ -70,6 +74,8 @@
 GateProcess::~GateProcess() = default;
 
 Result<void> GateProcess::Start() {
+  SetProcessBudget(m_config.m_limits,
+                   kBodiesInBudget * m_config.m_max_body_bytes);
   Result<void> linked = m_peer_link.Start(m_config.m_peer_listen);
   if (!linked) {
     return linked;
--- a/src/include/hyssopspar/resource_limits.h
+++ b/src/include/hyssopspar/resource_limits.h
@@ -18,4 +18,15 @@
 /// Reads the table `[limits]` of \p reader.
 ResourceLimits ReadResourceLimits(SettingsReader* reader);
 
+/// Bytes of memory: the setting, or the machine's memory.
+std::size_t EffectiveMemory(const ResourceLimits& limits);
+
+/// Descriptors: the setting or the operating system's limit, whichever is less.
+std::size_t EffectiveDescriptors(const ResourceLimits& limits);
+
+/// The share of the descriptors that the connections of one server may take:
+/// one of \p divisor parts, and at least 16.
+std::size_t MaxServerConnections(const ResourceLimits& limits,
+                                 std::size_t divisor);
+
 }  // namespace hyssopspar
--- a/src/libhyssopspar/exchange.cpp
+++ b/src/libhyssopspar/exchange.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http.hpp>
 #include <utility>
 
+#include "hyssopspar/connection_budget.h"
+#include "pvt/message_reader.h"
 #include "pvt/net.h"
 
 namespace hyssopspar::pvt {
@@ -19,6 +21,8 @@
 
 /// Largest accepted response body.
 constexpr std::uint64_t kMaxResponseBytes = 64ULL << 20;
+/// Limits trailers and chunk extensions of a response.
+constexpr std::size_t kMaxBufferBytes = 32 << 10;
 /// A connect attempt that takes longer is abandoned and started again. The
 /// limit is many round trips within a region, and less than the 1 s after which
 /// the kernel sends a lost SYN again.
@@ -33,7 +37,8 @@
   if (ec == beast::error::timeout) {
     return ErrorCode::kTimeout;
   }
-  if (ec == http::error::body_limit || ec == http::error::header_limit) {
+  if (ec == http::error::body_limit || ec == http::error::header_limit ||
+      ec == http::error::buffer_overflow) {
     return ErrorCode::kTooLarge;
   }
   const bool parse_error =
@@ -50,15 +55,22 @@
 struct Exchange::Impl {
   std::string m_address;
   beast::tcp_stream m_stream;
-  beast::flat_buffer m_buffer;
+  beast::flat_buffer m_buffer{kMaxBufferBytes};
   http::request<http::string_body> m_request;
   std::optional<http::response_parser<http::string_body>> m_parser;
   TimePoint m_deadline;
   Callback m_callback;
+  ConnectionCharge m_charge;
   bool m_connected = false;
 
   Impl(asio::any_io_executor executor, std::string address)
-      : m_address(std::move(address)), m_stream(std::move(executor)) {}
+      : m_address(std::move(address)), m_stream(std::move(executor)) {
+    ConnectionBudget::Process().Add(&m_charge);
+  }
+
+  ~Impl() { ConnectionBudget::Process().Remove(&m_charge); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
 };
 
 Exchange::Exchange(asio::any_io_executor executor, std::string address)
@@ -76,9 +88,7 @@
   m_impl->m_stream.socket().close(ignored);
 }
 
-void Exchange::Send(const HttpRequest& request,
-                    TimePoint deadline,
-                    Callback done) {
+void Exchange::Send(HttpRequest request, TimePoint deadline, Callback done) {
   m_impl->m_callback = std::move(done);
   m_impl->m_deadline = deadline;
   http::request<http::string_body>& message = m_impl->m_request;
@@ -90,7 +100,7 @@
   for (const HttpHeaders::value_type& header : request.m_headers) {
     message.set(header.first, header.second);
   }
-  message.body() = request.m_body;
+  message.body() = std::move(request.m_body);
   message.prepare_payload();
   if (m_impl->m_connected) {
     Write();
@@ -148,33 +158,90 @@
 }
 
 void Exchange::Read() {
+  m_impl->m_request = {};
   m_impl->m_parser.emplace();
   m_impl->m_parser->body_limit(kMaxResponseBytes);
-  http::async_read(
-      m_impl->m_stream, m_impl->m_buffer, *m_impl->m_parser,
-      [self = shared_from_this()](beast::error_code ec, std::size_t) {
-        if (ec) {
+  ReadMore();
+}
+
+void Exchange::ReadMore() {
+  m_impl->m_stream.async_read_some(
+      m_impl->m_buffer.prepare(
+          NextReadBytes(m_impl->m_buffer, m_impl->m_parser->is_header_done())),
+      [self = shared_from_this()](beast::error_code ec, std::size_t bytes) {
+        self->m_impl->m_buffer.commit(bytes);
+        if (ec == asio::error::eof) {
+          self->ParseEnd();
+        } else if (ec) {
           self->Finish(Fail(ErrorCodeAfterSend(ec), ec.message()));
-          return;
+        } else {
+          self->Parse();
         }
-        http::response<http::string_body> message =
-            self->m_impl->m_parser->release();
-        HttpResponse response;
-        response.m_status = static_cast<int>(message.result_int());
-        response.m_headers = CopyHeaders(message);
-        response.m_body = std::move(message.body());
-        if (!message.keep_alive()) {
-          self->Close();
-        }
-        self->Finish(std::move(response));
       });
 }
 
+void Exchange::Parse() {
+  beast::error_code ec;
+  ParseStep step = ParseBuffered(&*m_impl->m_parser, &m_impl->m_buffer, &ec);
+  if (step == ParseStep::kHeader) {
+    step = ParseBuffered(&*m_impl->m_parser, &m_impl->m_buffer, &ec);
+  }
+  if (step == ParseStep::kFailed) {
+    const ErrorCode code = ErrorCodeAfterSend(ec);
+    ConnectionBudget::Process().Count(code == ErrorCode::kTooLarge
+                                          ? ConnectionRefusal::kAnswerTooLarge
+                                          : ConnectionRefusal::kMalformed);
+    Finish(Fail(code, ec.message()));
+  } else if (!ConnectionBudget::Process().TrySet(
+                 &m_impl->m_charge, m_impl->m_buffer.capacity() +
+                                        FieldsMemory(*m_impl->m_parser) +
+                                        BodyMemory(*m_impl->m_parser))) {
+    ConnectionBudget::Process().Count(ConnectionRefusal::kMemory);
+    Finish(Fail(ErrorCode::kTooLarge, "no memory for the answer"));
+  } else if (step == ParseStep::kDone) {
+    Deliver();
+  } else {
+    ReadMore();
+  }
+}
+
+/// The connection has ended, which may be the end of the body.
+void Exchange::ParseEnd() {
+  beast::error_code ec = http::error::end_of_stream;
+  if (m_impl->m_parser->got_some()) {
+    m_impl->m_parser->put_eof(ec);
+  }
+  if (ec) {
+    Finish(Fail(ErrorCodeAfterSend(ec), ec.message()));
+    return;
+  }
+  Deliver();
+}
+
+void Exchange::Deliver() {
+  http::response<http::string_body> message = m_impl->m_parser->release();
+  HttpResponse response;
+  response.m_status = static_cast<int>(message.result_int());
+  response.m_headers = CopyHeaders(message);
+  response.m_body = std::move(message.body());
+  if (!message.keep_alive()) {
+    Close();
+  }
+  Finish(std::move(response));
+}
+
 void Exchange::Finish(Result<HttpResponse> result) {
   m_impl->m_stream.expires_never();
   if (!result || m_impl->m_buffer.size() > 0) {
     Close();
   }
+  m_impl->m_parser.reset();
+  if (m_impl->m_buffer.capacity() > kMaxIdleBufferBytes) {
+    m_impl->m_buffer.clear();
+    m_impl->m_buffer.shrink_to_fit();
+  }
+  ConnectionBudget::Process().TrySet(&m_impl->m_charge,
+                                     m_impl->m_buffer.capacity());
   Callback done = std::move(m_impl->m_callback);
   m_impl->m_callback = nullptr;
   done(std::move(result));
--- a/src/libhyssopspar/health.cpp
+++ b/src/libhyssopspar/health.cpp
@@ -1,5 +1,7 @@
 #include "hyssopspar/health.h"
 
+#include "hyssopspar/connection_budget.h"
+
 namespace hyssopspar {
 
 namespace {
@@ -26,7 +28,8 @@
                  : TextResponse(503, "not ready\n");
   }
   if (path == "/metrics") {
-    return TextResponse(200, metrics.Render());
+    return TextResponse(
+        200, metrics.Render() + ConnectionBudget::Process().Render());
   }
   return std::nullopt;
 }
--- a/src/libhyssopspar/http_platform.cpp
+++ b/src/libhyssopspar/http_platform.cpp
@@ -3,16 +3,19 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "hyssopspar/json_depth.h"
 #include "hyssopspar/platform_codec.h"
 
 namespace hyssopspar {
 
 namespace {
 
+constexpr std::size_t kMaxDetailBytes = 300;
+
 /// Error for a response with a status other than 200.
 Error StatusError(const HttpResponse& response) {
-  const std::string detail =
-      "status " + std::to_string(response.m_status) + " " + response.m_body;
+  const std::string detail = "status " + std::to_string(response.m_status) +
+                             " " + response.m_body.substr(0, kMaxDetailBytes);
   switch (response.m_status) {
     case 404:
       return Error{ErrorCode::kNotFound, detail};
@@ -48,7 +51,9 @@
     return StatusError(response.value());
   }
   const nlohmann::json json =
-      nlohmann::json::parse(response.value().m_body, nullptr, false);
+      IsNestedDeeperThan(response.value().m_body, kMaxJsonDepth)
+          ? nlohmann::json()
+          : nlohmann::json::parse(response.value().m_body, nullptr, false);
   if (!json.is_object() || !json.contains("offset") ||
       !json["offset"].is_number_unsigned()) {
     return Fail(ErrorCode::kMalformed, "append answer without offset");
--- a/src/libhyssopspar/http_server.cpp
+++ b/src/libhyssopspar/http_server.cpp
@@ -4,19 +4,18 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/core/error.hpp>
 #include <exception>
 #include <memory>
-#include <mutex>
-#include <optional>
-#include <set>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include "hyssopspar/connection_budget.h"
 #include "hyssopspar/logging.h"
+#include "pvt/http_session.h"
 #include "pvt/net.h"
 #include "pvt/run_loop.h"
 
@@ -24,179 +23,13 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using asio::ip::tcp;
 
 namespace {
 
 constexpr const char* kLogComponent = "http";
-
-/// State that all sessions of one server share.
-struct SharedState {
-  HttpHandler m_handler;
-  HttpServerLimits m_limits;
-  std::atomic<bool> m_accepting{true};
-  std::atomic<std::size_t> m_in_flight{0};
-  std::atomic<std::size_t> m_open_connections{0};
-};
-
-/// One connection: reads a request, calls the handler, writes the response, and
-/// repeats this.
-class Session : public std::enable_shared_from_this<Session> {
- public:
-  Session(tcp::socket socket, std::shared_ptr<SharedState> shared)
-      : m_stream(std::move(socket)), m_shared(std::move(shared)) {
-    m_shared->m_open_connections.fetch_add(1);
-  }
-
-  ~Session() { m_shared->m_open_connections.fetch_sub(1); }
-  Session(const Session&) = delete;
-  Session& operator=(const Session&) = delete;
-
-  void Run() {
-    asio::dispatch(m_stream.get_executor(),
-                   [self = shared_from_this()] { self->WaitForRequest(); });
-  }
-
- private:
-  /// Waits for the first bytes of a request for up to the idle timeout. The
-  /// rest is then read within the I/O timeout.
-  void WaitForRequest() {
-    if (m_buffer.size() > 0) {
-      Read();
-      return;
-    }
-    m_stream.expires_after(m_shared->m_limits.m_idle_timeout);
-    m_stream.async_read_some(
-        m_buffer.prepare(kFirstReadBytes),
-        [self = shared_from_this()](beast::error_code ec, std::size_t bytes) {
-          if (!ec) {
-            self->m_buffer.commit(bytes);
-            self->Read();
-          }
-        });
-  }
-
-  void Read() {
-    m_parser.emplace();
-    m_parser->body_limit(m_shared->m_limits.m_max_request_body_bytes);
-    m_parser->header_limit(static_cast<std::uint32_t>(
-        m_shared->m_limits.m_max_request_header_bytes));
-    m_stream.expires_after(m_shared->m_limits.m_io_timeout);
-    http::async_read(
-        m_stream, m_buffer, *m_parser,
-        [self = shared_from_this()](beast::error_code ec, std::size_t) {
-          self->OnRead(ec);
-        });
-  }
-
-  void OnRead(beast::error_code ec) {
-    m_stream.expires_never();
-    if (ec == http::error::body_limit) {
-      Reject(ErrorResponse(413, "too-large", "request body too large"));
-    } else if (ec == http::error::header_limit) {
-      Reject(ErrorResponse(431, "too-large", "request header too large"));
-      // The next branch handles all other errors of the HTTP parser. Socket
-      // errors match no branch, which ends the session.
-    } else if (ec.category() ==
-                   http::make_error_code(http::error::end_of_stream)
-                       .category() &&
-               ec != http::error::end_of_stream) {
-      Reject(ErrorResponse(400, "malformed", "bad HTTP request"));
-    } else if (!ec) {
-      Handle();
-    }
-  }
-
-  /// Answers a request that was not read to its end, and closes the connection.
-  void Reject(HttpResponse response) {
-    m_keep_alive = false;
-    m_has_unread_request = true;
-    m_shared->m_in_flight.fetch_add(1);
-    Write(std::move(response));
-  }
-
-  void Handle() {
-    http::request<http::string_body> message = m_parser->release();
-    m_keep_alive = message.keep_alive();
-    HttpRequest request;
-    request.m_method = std::string(message.method_string());
-    request.m_target = std::string(message.target());
-    request.m_headers = pvt::CopyHeaders(message);
-    request.m_body = std::move(message.body());
-    m_shared->m_in_flight.fetch_add(1);
-    HandleWithReply(m_shared->m_handler, std::move(request),
-                    [self = shared_from_this()](HttpResponse response) {
-                      asio::post(
-                          self->m_stream.get_executor(),
-                          [self, response = std::move(response)]() mutable {
-                            self->Write(std::move(response));
-                          });
-                    });
-  }
-
-  void Write(HttpResponse response) {
-    m_keep_alive = m_keep_alive && m_shared->m_accepting.load();
-    m_response.emplace();
-    m_response->result(static_cast<unsigned>(response.m_status));
-    m_response->version(11);
-    for (const HttpHeaders::value_type& header : response.m_headers) {
-      m_response->set(header.first, header.second);
-    }
-    m_response->keep_alive(m_keep_alive);
-    m_response->body() = std::move(response.m_body);
-    m_response->prepare_payload();
-    m_stream.expires_after(m_shared->m_limits.m_io_timeout);
-    http::async_write(
-        m_stream, *m_response,
-        [self = shared_from_this()](beast::error_code ec, std::size_t) {
-          self->OnWritten(ec);
-        });
-  }
-
-  void OnWritten(beast::error_code ec) {
-    m_shared->m_in_flight.fetch_sub(1);
-    if (ec || !m_keep_alive) {
-      beast::error_code ignored;
-      m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-      if (!ec && m_has_unread_request) {
-        m_stream.expires_after(kMaxDiscardTime);
-        DiscardUnreadRequest();
-      }
-      return;
-    }
-    WaitForRequest();
-  }
-
-  /// Reads and discards the rest of the request. Closing a connection with
-  /// unread bytes resets it, and the client could lose the response.
-  void DiscardUnreadRequest() {
-    m_buffer.clear();
-    m_stream.async_read_some(
-        m_buffer.prepare(kDiscardReadBytes),
-        [self = shared_from_this()](beast::error_code ec, std::size_t bytes) {
-          self->m_discarded_bytes += bytes;
-          if (!ec && self->m_discarded_bytes < kMaxDiscardedBytes) {
-            self->DiscardUnreadRequest();
-          }
-        });
-  }
-
-  static constexpr std::size_t kFirstReadBytes = 4096;
-  static constexpr std::size_t kDiscardReadBytes = 16 << 10;
-  /// Limits of what is read from a client after its request was rejected.
-  static constexpr std::size_t kMaxDiscardedBytes = 64 << 20;
-  static constexpr milliseconds kMaxDiscardTime{5000};
-
-  beast::tcp_stream m_stream;
-  std::shared_ptr<SharedState> m_shared;
-  beast::flat_buffer m_buffer;
-  std::optional<http::request_parser<http::string_body>> m_parser;
-  std::optional<http::response<http::string_body>> m_response;
-  bool m_keep_alive = true;
-  bool m_has_unread_request = false;
-  std::size_t m_discarded_bytes = 0;
-};
+/// Time until an attempt to accept without a free descriptor is repeated.
+constexpr milliseconds kDescriptorPause{20};
 
 }  // namespace
 
@@ -223,7 +56,9 @@
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
   asio::io_context m_io;
   tcp::acceptor m_acceptor{m_io};
-  std::shared_ptr<SharedState> m_shared = std::make_shared<SharedState>();
+  asio::steady_timer m_accept_timer{m_io};
+  std::shared_ptr<pvt::ServerState> m_shared =
+      std::make_shared<pvt::ServerState>();
   std::vector<std::thread> m_threads;
   int m_thread_count = 1;
 
@@ -238,16 +73,42 @@
     if (!m_acceptor.is_open()) {
       return;
     }
-    const std::size_t limit = m_shared->m_limits.m_max_connections;
-    const bool at_limit =
-        limit > 0 && m_shared->m_open_connections.load() >= limit;
-    if (!ec && !at_limit) {
+    if (ec == asio::error::no_descriptors) {
+      WaitForDescriptor();
+      return;
+    }
+    if (!ec && HasRoom()) {
       beast::error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
-      std::make_shared<Session>(std::move(socket), m_shared)->Run();
+      pvt::StartSession(std::move(socket), m_shared);
     }
     Accept();
   }
+
+  /// At the limit of connections, closes one that waits for a request, so that
+  /// silent clients don't keep others out. Returns false if there is none.
+  bool HasRoom() {
+    const std::size_t limit = m_shared->m_limits.m_max_connections;
+    if (limit == 0 || m_shared->m_open_connections.load() < limit ||
+        ConnectionBudget::Process().CloseLongestWaiting(m_shared.get())) {
+      return true;
+    }
+    ConnectionBudget::Process().Count(ConnectionRefusal::kConnections);
+    return false;
+  }
+
+  /// Accepts again after a pause. The connection stays in the queue of the
+  /// listening socket, so accepting at once would fail again without end.
+  void WaitForDescriptor() {
+    ConnectionBudget::Process().Count(ConnectionRefusal::kDescriptors);
+    ConnectionBudget::Process().CloseLongestWaiting(m_shared.get());
+    m_accept_timer.expires_after(kDescriptorPause);
+    m_accept_timer.async_wait([this](beast::error_code ec) {
+      if (!ec && m_acceptor.is_open()) {
+        Accept();
+      }
+    });
+  }
 };
 
 HttpServer::HttpServer(HttpHandler handler,
--- a/src/libhyssopspar/platform_codec.cpp
+++ b/src/libhyssopspar/platform_codec.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <websocketpp/base64/base64.hpp>
 
+#include "hyssopspar/json_depth.h"
+
 namespace hyssopspar {
 
 namespace {
@@ -25,16 +27,23 @@
                               {VmState::kLeaving, "leaving"},
                               {VmState::kDead, "dead"}})
 
+constexpr std::size_t kMaxDetailBytes = 300;
+
 /// Parses \p text and has \p read fill a T from it. Fails with kMalformed when
 /// the text is not JSON, or a field is missing or of the wrong type.
 template <class T, class Function>
 Result<T> ParseJson(const std::string& text, Function read) {
   try {
     T value;
+    if (IsNestedDeeperThan(text, kMaxJsonDepth)) {
+      return Fail(ErrorCode::kMalformed, "nested too deeply");
+    }
     read(Json::parse(text), value);
     return value;
   } catch (const Json::exception& e) {
-    return Fail(ErrorCode::kMalformed, e.what());
+    // Parsers quote the text that they reject.
+    return Fail(ErrorCode::kMalformed,
+                std::string(e.what()).substr(0, kMaxDetailBytes));
   }
 }
 
--- a/src/libhyssopspar/pvt/exchange.h
+++ b/src/libhyssopspar/pvt/exchange.h
@@ -30,7 +30,7 @@
   /// Errors: kNotSent if no byte was sent, else kTimeout, kTooLarge, kMalformed
   /// or kConnectionLost. A reused connection that the server closed before it
   /// answered gives kConnectionLost; the request is never sent again.
-  void Send(const HttpRequest& request, TimePoint deadline, Callback done);
+  void Send(HttpRequest request, TimePoint deadline, Callback done);
 
   /// True between exchanges while the connection is open.
   bool IsReusable() const;
@@ -42,6 +42,10 @@
   void Connect();
   void Write();
   void Read();
+  void ReadMore();
+  void Parse();
+  void ParseEnd();
+  void Deliver();
   void Finish(Result<HttpResponse> result);
 
   std::unique_ptr<Impl> m_impl;
--- a/src/libhyssopspar/resource_limits.cpp
+++ b/src/libhyssopspar/resource_limits.cpp
@@ -1,11 +1,17 @@
 #include "hyssopspar/resource_limits.h"
 
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
+
 namespace hyssopspar {
 
 namespace {
 
 constexpr std::int64_t kMaxMemoryMb = 1 << 20;
 constexpr std::int64_t kMaxDescriptors = 1 << 24;
+constexpr std::size_t kMinServerConnections = 16;
 
 }  // namespace
 
@@ -20,4 +26,26 @@
   return limits;
 }
 
+std::size_t EffectiveMemory(const ResourceLimits& limits) {
+  return limits.m_memory_bytes > 0
+             ? limits.m_memory_bytes
+             : static_cast<std::size_t>(sysconf(_SC_PHYS_PAGES)) *
+                   static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+std::size_t EffectiveDescriptors(const ResourceLimits& limits) {
+  rlimit system{};
+  getrlimit(RLIMIT_NOFILE, &system);
+  const std::size_t most = static_cast<std::size_t>(
+      std::min<rlim_t>(system.rlim_cur, kMaxDescriptors));
+  return limits.m_max_descriptors > 0 ? std::min(limits.m_max_descriptors, most)
+                                      : most;
+}
+
+std::size_t MaxServerConnections(const ResourceLimits& limits,
+                                 std::size_t divisor) {
+  return std::max(EffectiveDescriptors(limits) / divisor,
+                  kMinServerConnections);
+}
+
 }  // namespace hyssopspar
--- a/src/libhyssopspar/upstream_pool.cpp
+++ b/src/libhyssopspar/upstream_pool.cpp
@@ -103,7 +103,7 @@
              [impl, connection, address, request = std::move(request), deadline,
               done = std::move(done)]() mutable {
                connection.m_exchange->Send(
-                   request, deadline,
+                   std::move(request), deadline,
                    [impl, connection, address,
                     done = std::move(done)](Result<HttpResponse> answer) {
                      impl->Release(address, connection);
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -1,10 +1,12 @@
 #include "node/node_process.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <future>
 #include <thread>
 #include <utility>
 
+#include "hyssopspar/connection_budget.h"
 #include "hyssopspar/health.h"
 #include "hyssopspar/jobs/records.h"
 #include "hyssopspar/logging.h"
@@ -31,14 +33,32 @@
 /// Time between checks for requests in flight during the shutdown.
 constexpr milliseconds kDrainPollInterval{50};
 
-HttpServerLimits FrontLimits() {
+/// The budget of connections has room for so many of the store's largest
+/// answers, as each stream may have one under way.
+constexpr std::size_t kAppendsInBudget = 4;
+/// Most connections of callers, where the descriptors suffice.
+constexpr std::size_t kMaxFrontConnections = 2000;
+/// Shares of the descriptors. The rest is for the store, workers and peers.
+constexpr std::size_t kFrontShare = 2;
+constexpr std::size_t kInternalShare = 8;
+constexpr std::size_t kReadyShare = 16;
+
+HttpServerLimits FrontLimits(const ResourceLimits& resources) {
   HttpServerLimits limits;
   limits.m_max_request_body_bytes = 1 << 20;
-  limits.m_max_connections = 2000;
+  limits.m_max_connections = std::min(
+      kMaxFrontConnections, MaxServerConnections(resources, kFrontShare));
   limits.m_idle_timeout = std::chrono::seconds(60);
   return limits;
 }
 
+HttpServerLimits LimitsWithShare(const ResourceLimits& resources,
+                                 std::size_t share) {
+  HttpServerLimits limits;
+  limits.m_max_connections = MaxServerConnections(resources, share);
+  return limits;
+}
+
 }  // namespace
 
 NodeProcess::NodeProcess(const NodeSettings& settings,
@@ -77,24 +97,27 @@
           [this](HttpRequest request, HttpReply reply) {
             HandleFrontRequest(std::move(request), std::move(reply));
           },
-          FrontLimits(),
+          FrontLimits(settings.m_limits),
           1),
       m_ready_server(
           [this](const HttpRequest& request, const HttpReply& reply) {
             HandleReadinessCheck(request, reply);
           },
-          HttpServerLimits(),
+          LimitsWithShare(settings.m_limits, kReadyShare),
           1),
       m_internal_server(
           [this](HttpRequest request, HttpReply reply) {
             HandleInternalRequest(std::move(request), std::move(reply));
           },
-          HttpServerLimits(),
+          LimitsWithShare(settings.m_limits, kInternalShare),
           1) {}
 
 NodeProcess::~NodeProcess() = default;
 
 Result<void> NodeProcess::Start() {
+  SetProcessBudget(
+      m_settings.m_limits,
+      kAppendsInBudget * m_settings.m_cell.m_store_limits.m_max_batch_bytes);
   BOOST_OUTCOME_TRY(m_internal_server.Start(m_settings.m_internal_listen));
   BOOST_OUTCOME_TRY(m_ready_server.Start(m_settings.m_ready_listen));
   BOOST_OUTCOME_TRY(m_front_server.Start(m_settings.m_front_listen));
--- a/src/sched/sched_api.cpp
+++ b/src/sched/sched_api.cpp
@@ -6,6 +6,7 @@
 
 #include "hyssopspar/config_doc.h"
 #include "hyssopspar/decision.h"
+#include "hyssopspar/json_depth.h"
 #include "hyssopspar/text.h"
 
 namespace hyssopspar::sched {
@@ -68,7 +69,9 @@
 }
 
 ApiResult SubmitJob(const Scheduler& scheduler, const HttpRequest& request) {
-  const Json json = Json::parse(request.m_body, nullptr, false);
+  const Json json = IsNestedDeeperThan(request.m_body, kMaxJsonDepth)
+                        ? Json()
+                        : Json::parse(request.m_body, nullptr, false);
   const bool well_formed = json.is_object() && json.contains("job") &&
                            json["job"].is_string() && json.contains("key") &&
                            json["key"].is_string();
--- a/src/sched/sched_process.cpp
+++ b/src/sched/sched_process.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "hyssopspar/connection_budget.h"
 #include "hyssopspar/health.h"
 #include "hyssopspar/logging.h"
 
@@ -14,6 +15,8 @@
 constexpr std::size_t kAppendThreads = 8;
 constexpr std::size_t kSyncThreads = 8;
 constexpr int kHttpServerThreads = 2;
+/// Room for several pages of the log.
+constexpr std::size_t kMinBudgetBytes = 8 << 20;
 constexpr milliseconds kTickPeriod{5};
 /// Time limit for the append of a submission or cancellation, with all retries.
 constexpr milliseconds kApiAppendTimeout{5000};
@@ -34,7 +37,11 @@
           [this](HttpRequest request, HttpReply reply) {
             OnHttp(std::move(request), std::move(reply));
           },
-          HttpServerLimits(),
+          [&config] {
+            HttpServerLimits limits;
+            limits.m_max_connections = MaxServerConnections(config.m_limits, 2);
+            return limits;
+          }(),
           kHttpServerThreads) {
   for (std::size_t i = 0; i < kAppendThreads; ++i) {
     m_log_stores.push_back(
@@ -48,6 +55,7 @@
 SchedProcess::~SchedProcess() = default;
 
 Result<void> SchedProcess::Start() {
+  SetProcessBudget(m_config.m_limits, kMinBudgetBytes);
   Result<void> started = m_server.Start(m_config.m_listen);
   if (!started) {
     return started;
--- a/testsuite/hostile/crowd.cpp
+++ b/testsuite/hostile/crowd.cpp
@@ -6,6 +6,7 @@
 #include <cerrno>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 
 #include "platform/standin/http.h"
@@ -214,6 +215,7 @@
     return failures;
   }
   const std::string peak = StatusLine(target.m_pid, "VmHWM:");
+  std::cout << "peak of resident memory: " << peak << " KiB\n";
   if (std::stoul(peak) > kMemoryMb << 10) {
     failures.push_back("resident memory: " + peak + " KiB");
   }
--- a/testsuite/hostile/hostile_node.cpp
+++ b/testsuite/hostile/hostile_node.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-constexpr int kJobs = 8;
-
 hostile::Target MakeTarget(const review::Site& site) {
   hostile::Target target;
   target.m_pid = site.Pid(0);
