--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -125,6 +125,7 @@
     SettingsReader placement = reader->Table("placement");
     settings.m_cell.m_forecasts_load = placement.Bool("load_forecast", false);
   }
+  settings.m_limits = ReadResourceLimits(reader);
   SettingsReader machine = reader->Table("machine");
   settings.m_ownership.m_cpu_capacity =
       machine.Number("cpu_share", 1, 0, 1) *
