Answer 503 to requests that certainly reached nothing

Change: deadlines count from the receipt. JobAppender and GroupCommit answer records that can no longer be sent in time (0.15 s left, 0.3 s beside a slow store) before the deadline; relayed records carry the sender's time-out; CertainlyHadNoEffect() is the one list of errors without effect; Exchange checks a reused connection before it writes; a stopping node answers what waits. An append of which a byte may have been sent stays unknown.

--- a/src/include/hyssopspar/store/keyed_log.h
+++ b/src/include/hyssopspar/store/keyed_log.h
@@ -68,11 +68,28 @@
   std::vector<KeyedRecord> m_records;
 };
 
+/// True if a call to the store that ended with \p code had no effect and will
+/// have none: it was not sent, or the store answered that it did not execute
+/// it.
+inline bool CertainlyHadNoEffect(ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kNotSent:
+    case ErrorCode::kUnavailable:
+    case ErrorCode::kInvalidArgument:
+    case ErrorCode::kNotFound:
+    case ErrorCode::kConflict:
+    case ErrorCode::kFenced:
+      return true;
+    default:
+      return false;
+  }
+}
+
 /// Asynchronous calls to the store. Each callback runs exactly once, by the
-/// call's deadline. kNotSent, kUnavailable and kInvalidArgument mean that the
-/// call had no effect; with the last, the store has refused its content, but
-/// may take it later. After kTimeout and kConnectionLost it may have taken
-/// effect or may still do.
+/// call's deadline. CertainlyHadNoEffect() tells which errors mean that the
+/// call had no effect; with kInvalidArgument the store has refused its content,
+/// but may take it later. After other errors, as kTimeout and kConnectionLost,
+/// it may have taken effect or may still do.
 class KeyedLog {
  public:
   virtual ~KeyedLog() = default;
--- a/src/libhyssopspar/concurrent_test.cpp
+++ b/src/libhyssopspar/concurrent_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include <optional>
 #include <thread>
 
 #include "hyssopspar/bounded_ring.h"
@@ -116,6 +117,26 @@
   EXPECT_EQ(second.value().m_body, "next");
 }
 
+// A request on a connection that the server had closed while it was unused
+// ended as "may have run", although it had reached nothing.
+TEST(Concurrent, ConnectionClosedWhileUnusedIsReplaced) {
+  std::optional<HttpServer> server;
+  server.emplace(Echo, HttpServerLimits(), 1);
+  ASSERT_TRUE(server->Start("127.0.0.1:0"));
+  const std::string address = AddressOf(server->Port());
+  HttpClient client(address);
+  const auto send = [&client] {
+    return client.Send(Post("x"), Clock::now() + kCallTimeout);
+  };
+  ASSERT_TRUE(send());
+  server.reset();
+  HttpServer next(Echo, HttpServerLimits(), 1);
+  ASSERT_TRUE(next.Start(address));
+  const Result<HttpResponse> answer = send();
+  EXPECT_TRUE(answer) << ToString(answer.error());
+  next.Stop();
+}
+
 TEST(Concurrent, RefusedConnectionFailsWithNotSent) {
   HttpServer server(Echo, HttpServerLimits(), 1);
   ASSERT_TRUE(server.Start("127.0.0.1:0").has_value());
--- a/src/libhyssopspar/exchange.cpp
+++ b/src/libhyssopspar/exchange.cpp
@@ -76,6 +76,17 @@
   m_impl->m_stream.socket().close(ignored);
 }
 
+bool Exchange::IsClosedByPeer() {
+  beast::error_code ec;
+  m_impl->m_stream.socket().non_blocking(true, ec);
+  char byte = 0;
+  m_impl->m_stream.socket().receive(asio::buffer(&byte, 1),
+                                    tcp::socket::message_peek, ec);
+  // An idle connection has nothing to read; an unsolicited byte could be taken
+  // for the next response.
+  return ec != asio::error::would_block;
+}
+
 void Exchange::Send(const HttpRequest& request,
                     TimePoint deadline,
                     Callback done) {
@@ -92,6 +103,9 @@
   }
   message.body() = request.m_body;
   message.prepare_payload();
+  if (m_impl->m_connected && IsClosedByPeer()) {
+    Close();
+  }
   if (m_impl->m_connected) {
     Write();
   } else {
--- a/src/libhyssopspar/pvt/exchange.h
+++ b/src/libhyssopspar/pvt/exchange.h
@@ -28,8 +28,9 @@
 
   /// Sends \p request and calls \p done once, at \p deadline at the latest.
   /// Errors: kNotSent if no byte was sent, else kTimeout, kTooLarge, kMalformed
-  /// or kConnectionLost. A reused connection that the server closed before it
-  /// answered gives kConnectionLost; the request is never sent again.
+  /// or kConnectionLost. A reused connection that the server has closed before
+  /// the call is replaced, since nothing was sent on it; one that is closed
+  /// later gives kConnectionLost. The request is never sent again.
   void Send(const HttpRequest& request, TimePoint deadline, Callback done);
 
   /// True between exchanges while the connection is open.
@@ -39,6 +40,8 @@
 
  private:
   struct Impl;
+  /// True if the connection can't be reused, as far as known here.
+  bool IsClosedByPeer();
   void Connect();
   void Write();
   void Read();
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
 #include <utility>
 
 #include "hyssopspar/jobs/records.h"
 #include "hyssopspar/logging.h"
+#include "node/request_deadline.h"
 #include "node/retry_after.h"
 #include "node/store_answer.h"
 
@@ -17,12 +17,6 @@
 constexpr const char* kLogComponent = "front";
 constexpr const char* kApiKeyHeader = "api-key";
 constexpr std::size_t kJobIdDigits = 16;
-/// Time within which a request is answered: the default for requests without a
-/// deadline, and the limit for longer deadlines.
-constexpr milliseconds kMaxRequestTimeout{3000};
-/// Part of the caller's timeout kept for sending the answer, and the least time
-/// for handling a request.
-constexpr milliseconds kAnswerMargin{300};
 /// Time limit of a query to the cell's owner.
 constexpr milliseconds kOwnerQueryTimeout{1000};
 
@@ -38,20 +32,6 @@
   return host.substr(0, host.find(':'));
 }
 
-/// Time by which the request has to be handled, from its timeout in
-/// milliseconds or the default timeout.
-TimePoint DeadlineOf(const HttpRequest& request, TimePoint now) {
-  const std::string text = HeaderOr(request.m_headers, "x-deadline-ms");
-  std::int64_t millis = 0;
-  const std::from_chars_result parsed =
-      std::from_chars(text.data(), text.data() + text.size(), millis);
-  const bool given = parsed.ec == std::errc() && millis > 0;
-  const milliseconds timeout =
-      given ? std::min(milliseconds(millis), kMaxRequestTimeout)
-            : kMaxRequestTimeout;
-  return now + std::max(timeout - kAnswerMargin, kAnswerMargin);
-}
-
 }  // namespace
 
 Front::Front(jobs::PlatformAdapter* platform,
@@ -86,9 +66,9 @@
   const Error& error = caller.error();
   const bool stale = error.m_code == ErrorCode::kUnavailable;
   m_metrics
-      ->Value("hyssopspar_calls_refused_total",
-              FormatMetricLabel("reason",
-                                stale ? "stale-keys" : "unauthenticated"))
+      ->Value(
+          "hyssopspar_calls_refused_total",
+          FormatMetricLabel("reason", stale ? "stale-keys" : "unauthenticated"))
       .fetch_add(1);
   Log(kLogComponent)
       ->info("call-refused queue={} revision={} error={}",
@@ -103,7 +83,9 @@
   return std::nullopt;
 }
 
-void Front::Handle(const HttpRequest& request, const HttpReply& reply) {
+void Front::Handle(const HttpRequest& request,
+                   TimePoint received,
+                   const HttpReply& reply) {
   if (!m_operator_view->HasConfig()) {
     reply(Unavailable("no configuration yet"));
     return;
@@ -124,17 +106,18 @@
     return;
   }
   const std::string job_id = path.substr(queue->m_path_prefix.size());
+  const TimePoint deadline = DeadlineOf(request, received);
   if (request.m_method == "GET" && job_id.empty()) {
-    AnswerPending(queue->m_policy.m_name, request, reply);
+    AnswerPending(queue->m_policy.m_name, deadline, reply);
   } else if (!IsJobId(job_id)) {
     reply(ErrorResponse(400, "invalid-argument",
                         "a job's id has 16 hexadecimal digits"));
   } else if (request.m_method == "POST") {
-    Submit(*queue, *caller, job_id, request, reply);
+    Submit(*queue, *caller, job_id, request, deadline, reply);
   } else if (request.m_method == "GET") {
-    AnswerState(job_id, request, reply);
+    AnswerState(job_id, deadline, reply);
   } else if (request.m_method == "DELETE") {
-    Cancel(job_id, request, reply);
+    Cancel(job_id, deadline, reply);
   } else {
     reply(ErrorResponse(405, "invalid-argument", "unknown method"));
   }
@@ -144,6 +127,7 @@
                    const jobs::CallerIdentity& caller,
                    const std::string& job_id,
                    const HttpRequest& request,
+                   TimePoint deadline,
                    const HttpReply& reply) {
   if (request.m_body.size() > m_operator_view->Config().m_max_body_bytes) {
     reply(ErrorResponse(413, "too-large", "job too large"));
@@ -174,35 +158,34 @@
                         record.error().m_detail));
     return;
   }
-  Store({job_id, record.value()}, request, reply);
+  Store({job_id, record.value()}, deadline, reply);
 }
 
 void Front::Cancel(const std::string& job_id,
-                   const HttpRequest& request,
+                   TimePoint deadline,
                    const HttpReply& reply) {
   // The value has no meaning, but a record without a value would remove the
   // key.
-  Store({jobs::CancelKey(job_id), "1"}, request, reply);
+  Store({jobs::CancelKey(job_id), "1"}, deadline, reply);
 }
 
 void Front::Store(KeyedRecord record,
-                  const HttpRequest& request,
+                  TimePoint deadline,
                   const HttpReply& reply) {
   const std::string key = record.m_key;
   m_appender->Store(
-      std::move(record), DeadlineOf(request, Clock::now()),
-      [this, key, reply](StoreOutcome outcome) {
+      std::move(record), deadline, [this, key, reply](StoreOutcome outcome) {
         reply(StoreAnswer(outcome, RetryAfter(m_appender->FailingSince(), key,
                                               Clock::now())));
       });
 }
 
 void Front::AnswerState(const std::string& job_id,
-                        const HttpRequest& request,
+                        TimePoint deadline,
                         const HttpReply& reply) {
   const TimePoint now = Clock::now();
   m_owner_client->GetState(
-      job_id, std::min(DeadlineOf(request, now), now + kOwnerQueryTimeout),
+      job_id, std::min(deadline, now + kOwnerQueryTimeout),
       [this, job_id, reply](const Result<jobs::JobState>& state) {
         if (state) {
           reply(JsonResponse(200, m_platform->EncodeState(state.value())));
@@ -219,11 +202,11 @@
 }
 
 void Front::AnswerPending(const std::string& queue,
-                          const HttpRequest& request,
+                          TimePoint deadline,
                           const HttpReply& reply) {
   const TimePoint now = Clock::now();
   m_owner_client->GetPending(
-      queue, std::min(DeadlineOf(request, now), now + kOwnerQueryTimeout),
+      queue, std::min(deadline, now + kOwnerQueryTimeout),
       [this, reply](const Result<std::size_t>& pending) {
         if (pending) {
           reply(JsonResponse(200, m_platform->EncodePending(pending.value())));
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -30,8 +30,11 @@
         const jobs::KeyViewSettings& key_view,
         Metrics* metrics);
 
-  /// Answers \p request through \p reply, at once or later.
-  void Handle(const HttpRequest& request, const HttpReply& reply);
+  /// Answers \p request, which was received at \p received, through \p reply,
+  /// at once or later.
+  void Handle(const HttpRequest& request,
+              TimePoint received,
+              const HttpReply& reply);
 
  private:
   /// Identifies the caller, or answers the call and returns nothing.
@@ -43,20 +46,19 @@
               const jobs::CallerIdentity& caller,
               const std::string& job_id,
               const HttpRequest& request,
+              TimePoint deadline,
               const HttpReply& reply);
   void Cancel(const std::string& job_id,
-              const HttpRequest& request,
+              TimePoint deadline,
               const HttpReply& reply);
   void AnswerState(const std::string& job_id,
-                   const HttpRequest& request,
+                   TimePoint deadline,
                    const HttpReply& reply);
   void AnswerPending(const std::string& queue,
-                     const HttpRequest& request,
+                     TimePoint deadline,
                      const HttpReply& reply);
   /// Stores \p record and answers with the outcome.
-  void Store(KeyedRecord record,
-             const HttpRequest& request,
-             const HttpReply& reply);
+  void Store(KeyedRecord record, TimePoint deadline, const HttpReply& reply);
 
   jobs::PlatformAdapter* m_platform;
   const OperatorView* m_operator_view;
--- a/src/node/group_commit.h
+++ b/src/node/group_commit.h
@@ -26,8 +26,10 @@
               const StoreLimits& limits);
 
   /// Appends \p records. Fails with kUnavailable at once when too many records
-  /// wait; otherwise errors are those of KeyedLog::Append.
+  /// wait, and with kNotSent shortly before \p deadline when they could not be
+  /// sent in time; otherwise errors are those of KeyedLog::Append.
   void Append(const std::vector<KeyedRecord>& records,
+              TimePoint deadline,
               std::function<void(Result<Offset>)> done);
 
  private:
@@ -36,11 +38,14 @@
   /// Records of one caller.
   struct Entry {
     std::vector<KeyedRecord> m_records;
+    TimePoint m_deadline;
     Callback m_done;
     bool m_alone = false;  ///< Shares no append with other callers.
   };
 
   void SendNext();
+  /// Fails the waiting entries with too little time left for an append.
+  void FailExpired();
   void OnAnswer(std::vector<Entry> entries, const Result<Offset>& end);
 
   KeyedLog* m_log;
--- a/src/node/job_appender.cpp
+++ b/src/node/job_appender.cpp
@@ -29,6 +29,9 @@
 /// A request is retried only if at least this much time is left until its
 /// deadline.
 constexpr milliseconds kMinTimeForRetry{300};
+/// Same for the first append of a request that had to wait, while the store is
+/// not slow. A shorter append would often end unknown.
+constexpr milliseconds kMinTimeForAppend{150};
 
 }  // namespace
 
@@ -47,12 +50,13 @@
       m_peer_commit(log, loop, m_partition, limits) {}
 
 void JobAppender::StoreForPeer(const std::vector<KeyedRecord>& records,
+                               TimePoint deadline,
                                std::function<void(Result<Offset>)> done) {
   if (m_path_status.m_store_unreachable) {
     done(Fail(ErrorCode::kUnavailable, "the store can't be reached"));
     return;
   }
-  m_peer_commit.Append(records, std::move(done));
+  m_peer_commit.Append(records, deadline, std::move(done));
 }
 
 void JobAppender::Send(const std::vector<KeyedRecord>& records,
@@ -96,6 +100,14 @@
   Entry entry{
       std::move(record), deadline, Clock::now() + kUnknownRetryPeriod, false,
       std::move(done),   false};
+  if (m_stopped) {
+    Abandon(entry, {ErrorCode::kNotSent, "the node stops"});
+    return;
+  }
+  if (deadline - Clock::now() < kMinTimeForAppend) {
+    Abandon(entry, {ErrorCode::kNotSent, "deadline passed before the append"});
+    return;
+  }
   // While all routes to the store fail, only one append at a time probes it.
   if (m_in_flight && m_path_status.m_store_unreachable &&
       m_path_status.m_relay_failed) {
@@ -106,10 +118,53 @@
   m_waiting.push_back(std::move(entry));
   if (!m_in_flight) {
     SendNext();
+  } else {
+    WatchDeadline(m_waiting.back());
+  }
+}
+
+milliseconds JobAppender::MinTimeForAppend() const {
+  return m_path_status.m_slow ? kMinTimeForRetry : kMinTimeForAppend;
+}
+
+void JobAppender::WatchDeadline(const Entry& entry) {
+  const TimePoint expires =
+      entry.m_deadline -
+      (entry.m_maybe_stored ? milliseconds(0) : MinTimeForAppend());
+  if (expires <= m_in_flight_until + kRetryDelay) {
+    m_loop->PostAt(expires, [this] { AnswerExpired(); });
+  }
+}
+
+void JobAppender::AnswerExpired() {
+  const TimePoint now = Clock::now();
+  // With no append in flight a request is sent also to a slow store: it shows
+  // whether the store is still slow.
+  const milliseconds needed_to_send =
+      m_in_flight ? MinTimeForAppend() : kMinTimeForAppend;
+  std::vector<Entry> kept;
+  std::vector<Entry> expired;
+  for (Entry& entry : m_waiting) {
+    const milliseconds needed =
+        entry.m_maybe_stored ? milliseconds(0) : needed_to_send;
+    (entry.m_deadline - now <= needed ? expired : kept)
+        .push_back(std::move(entry));
+  }
+  m_waiting = std::move(kept);
+  for (const Entry& entry : expired) {
+    Abandon(entry, {ErrorCode::kNotSent, "deadline passed before the append"});
+  }
+}
+
+void JobAppender::Stop() {
+  m_stopped = true;
+  for (const Entry& entry : std::exchange(m_waiting, {})) {
+    Abandon(entry, {ErrorCode::kNotSent, "the node stops"});
   }
 }
 
 void JobAppender::SendNext() {
+  AnswerExpired();
   if (m_waiting.empty()) {
     return;
   }
@@ -122,6 +177,12 @@
   }
   m_in_flight = true;
   const TimePoint sent = Clock::now();
+  m_in_flight_until = std::min(
+      latest_deadline,
+      sent + (m_path_status.m_slow ? kSlowAppendTimeout : kAppendTimeout));
+  for (const Entry& entry : m_waiting) {
+    WatchDeadline(entry);
+  }
   const std::uint64_t append_number = ++m_append_number;
   m_loop->PostAt(sent + kRejectUnstoredAfter, [this, append_number] {
     if (m_in_flight && m_append_number == append_number &&
@@ -129,10 +190,7 @@
       RejectUnstored();
     }
   });
-  Send(records,
-       std::min(
-           latest_deadline,
-           sent + (m_path_status.m_slow ? kSlowAppendTimeout : kAppendTimeout)),
+  Send(records, m_in_flight_until,
        [this, sent, entries = std::move(entries)](const Result<Offset>& end) {
          OnAnswer(entries, sent, end);
        });
@@ -192,13 +250,13 @@
     OnRefused(std::move(entries), end.error());
     return;
   }
-  const bool maybe_stored =
-      code != ErrorCode::kNotSent && code != ErrorCode::kUnavailable;
+  const bool maybe_stored = !CertainlyHadNoEffect(code);
   for (Entry& entry : entries) {
     entry.m_maybe_stored = entry.m_maybe_stored || maybe_stored;
     const bool retried_long =
         entry.m_maybe_stored && now > entry.m_report_unknown_after;
-    if (retried_long || entry.m_deadline - now < kMinTimeForRetry) {
+    if (m_stopped || retried_long ||
+        entry.m_deadline - now < kMinTimeForRetry) {
       Abandon(entry, end.error());
     } else {
       m_waiting.push_back(std::move(entry));
--- a/src/node/job_appender.h
+++ b/src/node/job_appender.h
@@ -41,16 +41,23 @@
 
   /// Appends records relayed by another node, in appends of their own. Fails
   /// with kUnavailable at once while the store is unreachable from here;
-  /// otherwise errors are those of KeyedLog::Append.
+  /// with kNotSent shortly before \p deadline if they could not be sent by
+  /// then; otherwise errors are those of KeyedLog::Append.
   void StoreForPeer(const std::vector<KeyedRecord>& records,
+                    TimePoint deadline,
                     std::function<void(Result<Offset>)> done);
 
   /// Appends \p record. Retries until \p deadline; a record that is stored
-  /// twice has the effect of one, as repeats of a job do nothing.
+  /// twice has the effect of one, as repeats of a job do nothing. A record that
+  /// could not be sent is reported as not stored before \p deadline.
   void Store(KeyedRecord record,
              TimePoint deadline,
              std::function<void(StoreOutcome)> done);
 
+  /// Answers the requests that wait, and all later ones: those that are
+  /// certainly not in the store as not stored. For a node that stops.
+  void Stop();
+
   /// Send time of the first of the failed appends since the last success;
   /// max(): the last append succeeded.
   TimePoint FailingSince() const { return m_failing_since; }
@@ -67,6 +74,12 @@
   };
 
   void SendNext();
+  /// Least time until its deadline with which a record is sent at first.
+  milliseconds MinTimeForAppend() const;
+  /// Answers the waiting requests that have too little time left.
+  void AnswerExpired();
+  /// Sets a timer for AnswerExpired if \p entry may have to wait too long.
+  void WatchDeadline(const Entry& entry);
   /// Takes the requests of the next append from those that wait.
   std::vector<Entry> TakeNextEntries();
   /// Appends \p records on the route that suits the state of the store.
@@ -91,7 +104,9 @@
   std::vector<Entry> m_waiting;
   PeerStore* m_peer_store;
   std::function<std::string()> m_owner_address;
-  bool m_in_flight = false;  ///< Also set during the delay after a failure.
+  bool m_in_flight = false;     ///< Also set during the delay after a failure.
+  TimePoint m_in_flight_until;  ///< Deadline of the append in flight.
+  bool m_stopped = false;
   std::uint64_t m_append_number = 0;  ///< Number of the last append sent.
   StorePathStatus m_path_status;
   TimePoint m_failing_since = TimePoint::max();
--- a/src/node/job_appender_test.cpp
+++ b/src/node/job_appender_test.cpp
@@ -10,8 +10,10 @@
 #include <mutex>
 #include <set>
 
+#include "hyssopspar/http_server.h"
 #include "hyssopspar/logging.h"
 #include "hyssopspar/store/record_batch.h"
+#include "node/request_deadline.h"
 
 namespace hyssopspar::node {
 namespace {
@@ -144,18 +146,22 @@
     });
   }
 
-  void StoreForPeer(const std::string& key) {
-    m_loop.Post([this, key] {
-      m_appender.StoreForPeer(
-          {{key, "value"}}, [this, key](const Result<Offset>& end) {
-            std::lock_guard<std::mutex> lock(m_mutex);
-            m_outcomes[key] =
-                end ? StoreOutcome::kStored
-                : end.error().m_code == ErrorCode::kInvalidArgument
-                    ? StoreOutcome::kRefused
-                    : StoreOutcome::kUnknown;
-            m_changed.notify_all();
-          });
+  void StoreForPeer(const std::string& key,
+                    milliseconds timeout = std::chrono::seconds(3)) {
+    m_loop.Post([this, key, timeout] {
+      m_appender.StoreForPeer({{key, "value"}}, Clock::now() + timeout,
+                              [this, key](const Result<Offset>& end) {
+                                std::lock_guard<std::mutex> lock(m_mutex);
+                                m_outcomes[key] =
+                                    end ? StoreOutcome::kStored
+                                    : end.error().m_code ==
+                                            ErrorCode::kInvalidArgument
+                                        ? StoreOutcome::kRefused
+                                    : CertainlyHadNoEffect(end.error().m_code)
+                                        ? StoreOutcome::kNotStored
+                                        : StoreOutcome::kUnknown;
+                                m_changed.notify_all();
+                              });
     });
   }
 
@@ -293,6 +299,98 @@
   EXPECT_EQ(WaitFor("a"), StoreOutcome::kUnknown);
 }
 
+// A request that had waited past its deadline for the loop was stored late, and
+// its caller, who had gone, did not learn of it.
+TEST_F(JobAppenderTest, RequestPastItsDeadlineIsNotSent) {
+  Store("a", milliseconds(-1));
+  EXPECT_EQ(WaitFor("a"), StoreOutcome::kNotStored);
+  EXPECT_TRUE(m_log.AppendSizes().empty());
+}
+
+// While the store was slow, a request waited past its deadline behind the
+// append in flight.
+TEST_F(JobAppenderTest, WaitingRequestIsAnsweredBeforeItsDeadline) {
+  m_log.DeferAnswers();
+  Store("a", kRequestTimeout);
+  m_log.WaitForDeferred();
+  Store("b", milliseconds(350));
+  EXPECT_EQ(WaitFor("b"), StoreOutcome::kNotStored);
+  // The append of "a" has taken so long that the store counts as slow.
+  m_log.AnswerDeferred(Offset{1});
+  EXPECT_EQ(WaitFor("a"), StoreOutcome::kStored);
+  m_log.DeferAnswers();
+  Store("c", kRequestTimeout);
+  m_log.WaitForDeferred();
+  Store("d", milliseconds(400));
+  EXPECT_EQ(WaitFor("d"), StoreOutcome::kNotStored);
+  m_log.AnswerDeferred(Offset{1});
+  EXPECT_THAT(m_log.AppendSizes(), testing::ElementsAre(1, 1));
+}
+
+// Records that waited at the relaying node were neither sent nor refused before
+// the sender's deadline, so that their callers got 504.
+TEST_F(JobAppenderTest, WaitingPeerRecordIsRefusedBeforeItsDeadline) {
+  m_log.DeferAnswers();
+  StoreForPeer("a");
+  m_log.WaitForDeferred();
+  StoreForPeer("b", milliseconds(300));
+  EXPECT_EQ(WaitFor("b"), StoreOutcome::kNotStored);
+  m_log.AnswerDeferred(Offset{1});
+  EXPECT_EQ(WaitFor("a"), StoreOutcome::kStored);
+  EXPECT_THAT(m_log.AppendSizes(), testing::ElementsAre(1));
+}
+
+// Requests that waited when their node stopped got no answer.
+TEST_F(JobAppenderTest, StopAnswersRequestsThatAreNotSent) {
+  m_log.DeferAnswers();
+  Store("sent", kRequestTimeout);
+  m_log.WaitForDeferred();
+  Store("waiting", kRequestTimeout);
+  m_loop.Post([this] { m_appender.Stop(); });
+  EXPECT_EQ(WaitFor("waiting"), StoreOutcome::kNotStored);
+  Store("later", kRequestTimeout);
+  EXPECT_EQ(WaitFor("later"), StoreOutcome::kNotStored);
+  m_log.AnswerDeferred(Offset{1});
+  EXPECT_EQ(WaitFor("sent"), StoreOutcome::kStored);
+}
+
+// An answer that names a condition which does not hold counted as unknown.
+TEST_F(JobAppenderTest, ReportsNotStoredWhenTheStoreAnswersThatItIsNot) {
+  for (const ErrorCode code :
+       {ErrorCode::kNotFound, ErrorCode::kConflict, ErrorCode::kFenced}) {
+    m_log.SetAnswer(Fail(code, "not appended"));
+    const std::string key(ToString(code));
+    Store(key, milliseconds(350));
+    EXPECT_EQ(WaitFor(key), StoreOutcome::kNotStored) << key;
+  }
+}
+
+// Without its sender's timeout, a relaying node can't refuse in time.
+TEST_F(JobAppenderTest, RelayedRecordsCarryATimeoutBelowTheSenders) {
+  std::promise<HttpRequest> received;
+  HttpServer server(
+      [&received](const HttpRequest& request, const HttpReply& reply) {
+        received.set_value(request);
+        reply(JsonResponse(200, "{}"));
+      },
+      HttpServerLimits(), 1);
+  ASSERT_TRUE(server.Start("127.0.0.1:0"));
+  std::promise<bool> stored;
+  m_loop.Post([&] {
+    m_peers.Append("127.0.0.1:" + std::to_string(server.Port()), {{"a", "v"}},
+                   Clock::now() + kRequestTimeout,
+                   [&stored](const Result<Offset>& end) {
+                     stored.set_value(end.has_value());
+                   });
+  });
+  EXPECT_TRUE(stored.get_future().get());
+  const std::optional<milliseconds> timeout =
+      TimeoutOf(received.get_future().get());
+  ASSERT_TRUE(timeout);
+  EXPECT_LT(*timeout, kRequestTimeout);
+  server.Stop();
+}
+
 TEST_F(JobAppenderTest, DecodesEncodedRecordsAndRejectsOtherBytes) {
   const std::vector<KeyedRecord> records = {{"key", std::string("\0\xff", 2)},
                                             {"k2", std::string("v")}};
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -10,6 +10,8 @@
 #include "hyssopspar/logging.h"
 #include "hyssopspar/store/record_batch.h"
 #include "hyssopspar/text.h"
+#include "node/request_deadline.h"
+#include "node/store_answer.h"
 
 namespace hyssopspar::node {
 
@@ -30,6 +32,11 @@
 constexpr milliseconds kExitMargin{1000};
 /// Time between checks for requests in flight during the shutdown.
 constexpr milliseconds kDrainPollInterval{50};
+/// Part of the drain time in which requests that still wait for the store are
+/// answered as not run. A stopping node gave these no answer.
+constexpr milliseconds kLastAnswersTime{300};
+/// Time limit of relayed records whose sender gives none.
+constexpr milliseconds kDefaultRelayTimeout{3000};
 
 HttpServerLimits FrontLimits() {
   HttpServerLimits limits;
@@ -123,10 +130,9 @@
   m_front_server.StopAccepting();
   const TimePoint drain_deadline =
       started + m_settings.m_shutdown_grace - kExitMargin;
-  while (m_front_server.InFlightRequests() > 0 &&
-         Clock::now() < drain_deadline) {
-    std::this_thread::sleep_for(kDrainPollInterval);
-  }
+  AwaitAnswers(drain_deadline - kLastAnswersTime);
+  m_loop.Post([this] { m_appender.Stop(); });
+  AwaitAnswers(drain_deadline);
   Log(kLogComponent)
       ->info("stopped in_flight={}", m_front_server.InFlightRequests());
   m_front_server.Stop();
@@ -139,7 +145,14 @@
   m_loop.Stop();
 }
 
+void NodeProcess::AwaitAnswers(TimePoint deadline) {
+  while (m_front_server.InFlightRequests() > 0 && Clock::now() < deadline) {
+    std::this_thread::sleep_for(kDrainPollInterval);
+  }
+}
+
 void NodeProcess::HandlePeerRequest(const HttpRequest& request,
+                                    TimePoint received,
                                     const HttpReply& reply) {
   if (StartsWith(request.m_target, kHandoverPath)) {
     HandleHandover(request, reply);
@@ -155,20 +168,10 @@
     reply(ErrorResponse(400, "malformed", records.error().m_detail));
     return;
   }
-  m_appender.StoreForPeer(records.value(), [reply](const Result<Offset>& end) {
-    if (end) {
-      reply(JsonResponse(200, "{}"));
-      return;
-    }
-    const ErrorCode code = end.error().m_code;
-    const bool certainly_not_stored =
-        code == ErrorCode::kNotSent || code == ErrorCode::kUnavailable;
-    const int status = code == ErrorCode::kInvalidArgument ? 400
-                       : certainly_not_stored              ? 503
-                                                           : 504;
-    reply(ErrorResponse(status, std::string(ToString(code)),
-                        end.error().m_detail));
-  });
+  m_appender.StoreForPeer(
+      records.value(),
+      received + TimeoutOf(request).value_or(kDefaultRelayTimeout),
+      [reply](const Result<Offset>& end) { reply(RelayAnswer(end)); });
 }
 
 void NodeProcess::HandleHandover(const HttpRequest& request,
@@ -224,17 +227,19 @@
 
 void NodeProcess::HandleFrontRequest(HttpRequest request, HttpReply reply) {
   const HttpReply refuse = reply;
-  const bool queued = m_loop.TryPost(
-      [this, request = std::move(request), reply = std::move(reply)] {
-        HandleWithReply(
-            [this](const HttpRequest& received, const HttpReply& answer) {
-              m_front.Handle(received,
-                             WithRequestMetrics(received.m_method, answer));
-            },
-            request, reply);
-      });
+  const TimePoint received = Clock::now();
+  const bool queued = m_loop.TryPost([this, received,
+                                      request = std::move(request),
+                                      reply = std::move(reply)] {
+    HandleWithReply(
+        [this, received](const HttpRequest& message, const HttpReply& answer) {
+          m_front.Handle(message, received,
+                         WithRequestMetrics(message.m_method, answer));
+        },
+        request, reply);
+  });
   if (!queued) {
-    refuse(ErrorResponse(503, "not-run", "too many requests waiting"));
+    refuse(Unavailable("too many requests waiting"));
   }
 }
 
@@ -253,10 +258,11 @@
     reply(*health);
     return;
   }
-  m_loop.Post([this, request = std::move(request), reply = std::move(reply)] {
+  m_loop.Post([this, received = Clock::now(), request = std::move(request),
+               reply = std::move(reply)] {
     HandleWithReply(
-        [this](const HttpRequest& received, const HttpReply& answer) {
-          HandlePeerRequest(received, answer);
+        [this, received](const HttpRequest& message, const HttpReply& answer) {
+          HandlePeerRequest(message, received, answer);
         },
         request, reply);
   });
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -44,7 +44,11 @@
   void HandleReadinessCheck(const HttpRequest& request, const HttpReply& reply);
   void HandleInternalRequest(HttpRequest request, HttpReply reply);
   void HandleHandover(const HttpRequest& request, const HttpReply& reply);
-  void HandlePeerRequest(const HttpRequest& request, const HttpReply& reply);
+  void HandlePeerRequest(const HttpRequest& request,
+                         TimePoint received,
+                         const HttpReply& reply);
+  /// Waits until no caller's request is unanswered, until \p deadline.
+  void AwaitAnswers(TimePoint deadline);
   /// Internal address of the cell's owner if that is another node, else "".
   std::string OwnerAddress() const;
   /// Wraps \p reply so that it adds the request's time to the metrics.
--- a/src/node/peer_store.cpp
+++ b/src/node/peer_store.cpp
@@ -1,8 +1,10 @@
 #include "node/peer_store.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "hyssopspar/store/record_batch.h"
+#include "node/request_deadline.h"
 
 namespace hyssopspar::node {
 
@@ -10,6 +12,9 @@
 
 /// Unused connections kept to each node.
 constexpr std::size_t kIdleConnections = 1;
+/// Part of the timeout that the relaying node leaves for its answer, so that
+/// "not sent" arrives before the deadline. Many round trips within a region.
+constexpr milliseconds kAnswerMargin{100};
 
 }  // namespace
 
@@ -35,6 +40,11 @@
   request.m_method = "POST";
   request.m_target = kRecordsPath;
   request.m_body = EncodeRecords(records);
+  const milliseconds timeout =
+      std::chrono::duration_cast<milliseconds>(deadline - Clock::now()) -
+      kAnswerMargin;
+  request.m_headers[kTimeoutHeader] =
+      std::to_string(std::max(timeout, milliseconds(1)).count());
   m_pool.Send(
       peer, std::move(request), deadline,
       [loop = m_loop, done = std::move(done)](Result<HttpResponse> answer) {
--- a/src/node/store_answer.cpp
+++ b/src/node/store_answer.cpp
@@ -26,4 +26,16 @@
   return ErrorResponse(504, "unknown", "the store did not confirm in time");
 }
 
+HttpResponse RelayAnswer(const Result<Offset>& end) {
+  if (end) {
+    return JsonResponse(200, "{}");
+  }
+  const ErrorCode code = end.error().m_code;
+  const int status = code == ErrorCode::kInvalidArgument ? 400
+                     : CertainlyHadNoEffect(code)        ? 503
+                                                         : 504;
+  return ErrorResponse(status, std::string(ToString(code)),
+                       end.error().m_detail);
+}
+
 }  // namespace hyssopspar::node
--- a/src/node/store_answer.h
+++ b/src/node/store_answer.h
@@ -22,4 +22,7 @@
 HttpResponse StoreAnswer(StoreOutcome outcome,
                          std::chrono::seconds retry_after);
 
+/// Answer to another node whose records were appended with the result \p end.
+HttpResponse RelayAnswer(const Result<Offset>& end);
+
 }  // namespace hyssopspar::node
--- a/src/node/store_answer_test.cpp
+++ b/src/node/store_answer_test.cpp
@@ -24,5 +24,19 @@
   EXPECT_EQ(StoreAnswer(StoreOutcome::kUnknown, kRetryAfter).m_status, 504);
 }
 
+// A relaying node answered 504 to records that the store had not taken.
+TEST(StoreAnswerTest, TellsOtherNodesWhatIsCertainlyNotStored) {
+  EXPECT_EQ(RelayAnswer(Offset{1}).m_status, 200);
+  const auto status_of = [](ErrorCode code) {
+    return RelayAnswer(Fail(code, "planted")).m_status;
+  };
+  EXPECT_EQ(status_of(ErrorCode::kNotSent), 503);
+  EXPECT_EQ(status_of(ErrorCode::kUnavailable), 503);
+  EXPECT_EQ(status_of(ErrorCode::kNotFound), 503);
+  EXPECT_EQ(status_of(ErrorCode::kInvalidArgument), 400);
+  EXPECT_EQ(status_of(ErrorCode::kTimeout), 504);
+  EXPECT_EQ(status_of(ErrorCode::kConnectionLost), 504);
+}
+
 }  // namespace
 }  // namespace hyssopspar::node
