Share the estimate of a job's objective

Cause: admission control needs the objective, the critical path and the late limit that the order of waiting jobs uses; a second copy would drift. Change: ObjectiveOf(), CriticalPathSteps(), IsLongRunning(), kLateLimitFactor and kMinUnusedCpuFraction are declared in headers. No decision changes. Result: hyssopspar_test passes except the known failing CellCrashTest.KeepsTaskWhoseWorkersAreResetAndCutOff (210 of 211, built without optimisation).

--- a/src/include/hyssopspar/jobs/job.h
+++ b/src/include/hyssopspar/jobs/job.h
@@ -71,6 +71,9 @@
   std::map<std::size_t, StepAdvice> m_advice;  ///< By occurrence and step.
 };
 
+/// Number of steps in the longest chain of dependencies; at least 1.
+std::uint32_t CriticalPathSteps(const JobPlan& plan);
+
 /// Creates a job with all tasks pending.
 Job MakeJob(Submission submission);
 
--- a/src/include/hyssopspar/jobs/placement.h
+++ b/src/include/hyssopspar/jobs/placement.h
@@ -52,6 +52,9 @@
 /// demand of its best-effort tasks; negative if that demand exceeds it.
 double UnusedCpuMilli(const Worker& worker);
 
+/// Fraction of its demand that a best-effort task must find as unused CPU.
+inline constexpr double kMinUnusedCpuFraction = 0.6;
+
 /// Score term for a worker on which a run of the task has failed. Outweighs any
 /// difference in free CPU.
 inline constexpr double kFailurePenalty = 1e5;
--- a/src/include/hyssopspar/jobs/urgency.h
+++ b/src/include/hyssopspar/jobs/urgency.h
@@ -29,6 +29,19 @@
   std::map<std::string, Duration> m_slowest_by_queue;
 };
 
+/// Late limit as a multiple of the objective: a job that ends later has no
+/// value.
+inline constexpr std::int64_t kLateLimitFactor = 3;
+
+/// True if a step of the job runs until the job is cancelled.
+bool IsLongRunning(const JobPlan& plan);
+
+/// Time from its acceptance in which a job of the queue is to end, with
+/// \p critical_path_steps steps that take \p step_time each.
+milliseconds ObjectiveOf(const QueuePolicy& queue,
+                         std::uint32_t critical_path_steps,
+                         milliseconds step_time);
+
 /// Whether a job can still meet its queue's completion objective, or at least
 /// end within the late limit, a multiple of the objective.
 enum class DeadlineStatus {
--- a/src/libhyssopspar/jobs/job.cpp
+++ b/src/libhyssopspar/jobs/job.cpp
@@ -8,18 +8,6 @@
 
 namespace {
 
-std::uint32_t CriticalPathSteps(const JobPlan& plan) {
-  std::vector<std::uint32_t> depth;
-  for (const StepPlan& step : plan.m_steps) {
-    std::uint32_t longest_dependency = 0;
-    for (const std::uint32_t dependency : step.m_depends_on) {
-      longest_dependency = std::max(longest_dependency, depth[dependency]);
-    }
-    depth.push_back(longest_dependency + 1);
-  }
-  return depth.empty() ? 1 : *std::max_element(depth.begin(), depth.end());
-}
-
 /// True unless the job has ended in a way after which its tasks don't matter. A
 /// cancelled job is restored with its tasks while some may still run.
 bool NeedsTasks(const Job& job) {
@@ -47,6 +35,18 @@
 
 }  // namespace
 
+std::uint32_t CriticalPathSteps(const JobPlan& plan) {
+  std::vector<std::uint32_t> depth;
+  for (const StepPlan& step : plan.m_steps) {
+    std::uint32_t longest_dependency = 0;
+    for (const std::uint32_t dependency : step.m_depends_on) {
+      longest_dependency = std::max(longest_dependency, depth[dependency]);
+    }
+    depth.push_back(longest_dependency + 1);
+  }
+  return depth.empty() ? 1 : *std::max_element(depth.begin(), depth.end());
+}
+
 Job MakeJob(Submission submission) {
   Job job;
   job.m_submission = std::move(submission);
--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -12,8 +12,6 @@
 constexpr double kPreferredRackBonus = 1e6;
 /// Fraction of their reserved CPU that serving tasks are assumed to use.
 constexpr double kServingCpuUtilization = 0.45;
-/// Fraction of its demand that a best-effort task must find as unused CPU.
-constexpr double kMinUnusedCpuFraction = 0.6;
 /// Predicted tail ratio above which no best-effort task is added.
 constexpr double kMaxPredictedTailRatio = 0.7;
 /// Score of a worker whose serving tasks all have the same image as the task. A
--- a/src/libhyssopspar/jobs/urgency.cpp
+++ b/src/libhyssopspar/jobs/urgency.cpp
@@ -15,9 +15,6 @@
 /// Run time of the slowest task of a step relative to the mean, until a step of
 /// the queue has ended.
 constexpr double kSlowestTaskFactor = 1.5;
-/// Late limit as a multiple of the objective: a job that ends later has no
-/// value.
-constexpr std::int64_t kLateLimitFactor = 3;
 
 /// Estimated number of steps that remain on the critical path. Counts done
 /// steps of the first occurrence, on and off the critical path.
@@ -45,12 +42,6 @@
   return false;
 }
 
-bool IsLongRunning(const Job& job) {
-  const std::vector<StepPlan>& steps = job.m_submission.m_plan.m_steps;
-  return std::any_of(steps.begin(), steps.end(),
-                     [](const StepPlan& step) { return step.m_long_running; });
-}
-
 /// Time of the job's remaining steps when none of them has to wait.
 Duration RemainingRunTime(const Job& job, const RunTimeEstimates& run_times) {
   const std::string& queue = job.m_submission.m_queue.m_name;
@@ -98,25 +89,37 @@
                                                     kSlowestTaskFactor);
 }
 
+bool IsLongRunning(const JobPlan& plan) {
+  return std::any_of(plan.m_steps.begin(), plan.m_steps.end(),
+                     [](const StepPlan& step) { return step.m_long_running; });
+}
+
+milliseconds ObjectiveOf(const QueuePolicy& queue,
+                         std::uint32_t critical_path_steps,
+                         milliseconds step_time) {
+  return milliseconds(static_cast<std::int64_t>(
+             queue.m_stretch *
+             static_cast<double>(critical_path_steps * step_time.count()))) +
+         queue.m_latency_target;
+}
+
 Urgency UrgencyOf(const Job& job,
                   const RunTimeEstimates& run_times,
                   std::int64_t unix_now) {
   const Submission& submission = job.m_submission;
   const std::int64_t accepted = submission.m_accepted_unix_ms;
-  const bool long_running = IsLongRunning(job);
+  const bool long_running = IsLongRunning(submission.m_plan);
   if (long_running || submission.m_plan.m_occurrences > 0) {
     const DeadlineStatus status = long_running && !job.m_has_started_task
                                       ? DeadlineStatus::kNoDeadline
                                       : DeadlineStatus::kMeetsObjective;
     return {submission.m_queue.m_priority, status, accepted, job.m_number};
   }
-  const std::int64_t step_time =
-      ToMillis(run_times.EstimateStepTime(submission.m_queue.m_name));
   const std::int64_t objective =
-      static_cast<std::int64_t>(
-          submission.m_queue.m_stretch *
-          static_cast<double>(job.m_critical_path_steps * step_time)) +
-      submission.m_queue.m_latency_target.count();
+      ObjectiveOf(submission.m_queue, job.m_critical_path_steps,
+                  milliseconds(ToMillis(
+                      run_times.EstimateStepTime(submission.m_queue.m_name))))
+          .count();
   const std::int64_t earliest_end =
       unix_now + ToMillis(RemainingRunTime(job, run_times));
   DeadlineStatus status = DeadlineStatus::kMeetsObjective;
