--- a/src/include/hyssopspar/jobs/records.h
+++ b/src/include/hyssopspar/jobs/records.h
@@ -4,9 +4,11 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "hyssopspar/error.h"
+#include "hyssopspar/jobs/admission/load_summary.h"
 #include "hyssopspar/jobs/interference.h"
 #include "hyssopspar/jobs/job_plan.h"
 #include "hyssopspar/jobs/job_progress.h"
@@ -47,8 +49,18 @@
   /// CPU capacity, in processors, of the largest node that has owned the cell
   /// or offered to take it over.
   double m_max_cpu_capacity = 0;
+  /// Absent unless the owner measures the load. Builds without it can't decode
+  /// a record that contains it.
+  std::optional<LoadSummary> m_load;
 };
 
+/// Size limit of a renewal with a load summary. All nodes read each of them.
+inline constexpr std::size_t kMaxRenewalBytes = 300;
+
+/// Adds \p load to \p owner without what does not fit into kMaxRenewalBytes:
+/// tenants first, then the queues with the shortest wait.
+void AttachLoad(LoadSummary load, OwnerRecord* owner);
+
 std::string EncodeSubmission(const Submission& job);
 /// Same, if the store can take the job and, at any later time, its progress.
 /// Fails with kTooLarge otherwise.
--- a/src/libhyssopspar/jobs/records.cpp
+++ b/src/libhyssopspar/jobs/records.cpp
@@ -1,5 +1,8 @@
 #include "hyssopspar/jobs/records.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "pvt/archive.h"
 
 namespace hyssopspar::jobs {
@@ -87,6 +90,17 @@
           owner.m_max_cpu_capacity);
 }
 
+/// An owner record with a load summary, as it is stored.
+struct OwnerWithLoad {
+  OwnerRecord m_owner;
+  LoadSummary m_load;
+};
+
+template <class Archive, class T>
+void VisitFields(Archive& archive, T& owner, const OwnerWithLoad* /*tag*/) {
+  archive(owner.m_owner, owner.m_load);
+}
+
 std::string CancelKey(const std::string& job_id) {
   return job_id + kCancelSuffix;
 }
@@ -181,11 +195,39 @@
 }
 
 std::string EncodeOwner(const OwnerRecord& owner) {
-  return pvt::Encode(owner);
+  return owner.m_load ? pvt::Encode(OwnerWithLoad{owner, *owner.m_load})
+                      : pvt::Encode(owner);
+}
+
+void AttachLoad(LoadSummary load, OwnerRecord* owner) {
+  std::sort(load.m_queues.begin(), load.m_queues.end(),
+            [](const QueueLoad& a, const QueueLoad& b) {
+              return ExpectedWait(a, true) > ExpectedWait(b, true);
+            });
+  owner->m_load = std::move(load);
+  while (EncodeOwner(*owner).size() >= kMaxRenewalBytes) {
+    if (!owner->m_load->m_tenants_over_share.empty()) {
+      owner->m_load->m_tenants_over_share.pop_back();
+    } else if (!owner->m_load->m_queues.empty()) {
+      owner->m_load->m_queues.pop_back();
+    } else {
+      owner->m_load.reset();
+      return;
+    }
+  }
 }
 
 Result<OwnerRecord> DecodeOwner(const std::string& bytes) {
-  return pvt::Decode<OwnerRecord>(bytes);
+  Result<OwnerRecord> owner = pvt::Decode<OwnerRecord>(bytes);
+  if (owner) {
+    return owner;
+  }
+  Result<OwnerWithLoad> with_load = pvt::Decode<OwnerWithLoad>(bytes);
+  if (!with_load) {
+    return owner;
+  }
+  with_load.value().m_owner.m_load = std::move(with_load.value().m_load);
+  return with_load.value().m_owner;
 }
 
 }  // namespace hyssopspar::jobs
