Refuse jobs that can't end in time at the front

Change: with admission.enabled (default false) the owner measures its queues at each renewal and publishes the load; a node that would refuse a job asks the owner, which knows stored jobs, reads the job stream to its end before a refusal, and keeps the promised times. 429 with Retry-After, a log line, and hyssopspar_admission_total by reason.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -16,6 +16,8 @@
 
 #include "hyssopspar/error.h"
 #include "hyssopspar/jobs/action.h"
+#include "hyssopspar/jobs/admission/drain_meter.h"
+#include "hyssopspar/jobs/admission/load_summary.h"
 #include "hyssopspar/jobs/cell_settings.h"
 #include "hyssopspar/jobs/cell_work.h"
 #include "hyssopspar/jobs/crash_blame.h"
@@ -132,6 +134,9 @@
   StageTimes TakeStageTimes();
   const CellWork& Work() const { return m_work; }
 
+  /// Returns the load of the queues, and ends a sample of their drain rates.
+  LoadSummary SummarizeLoad(TimePoint now);
+
   /// State of a job, or nullopt for an unknown job. A job that has completed or
   /// failed is reported as running until its final state is stored.
   std::optional<JobState> StateOf(const std::string& job_id) const;
@@ -194,6 +199,10 @@
   // cell_report.cpp
   void ReportLoad(TimePoint now);
 
+  // cell_admission.cpp
+  /// Adds a successful run to the estimates of run times and drain rates.
+  void RecordRunTime(const TaskRef& ref, TimePoint now);
+
   // cell_tasks.cpp
   /// Reserves the task's resources on the worker.
   void AssignWorker(const TaskRef& ref, int worker_index);
@@ -210,8 +219,6 @@
   /// Handles the first confirmation that the task's current run has started.
   void ConfirmStart(const TaskRef& ref, TimePoint now);
   void CompleteGang(const TaskRef& ref);
-  /// Adds a successful run to the estimates of run times.
-  void RecordRunTime(const TaskRef& ref, TimePoint now);
   void SendStart(const TaskRef& ref, TimePoint now, std::uint32_t resends = 0);
   void SendStop(const TaskRef& ref, const char* reason, TimePoint now);
   /// True while the ownership lease is valid and the views are recent enough to
@@ -506,6 +513,7 @@
   std::set<std::string> m_excluded_domains;  ///< Excluded from new placements.
   InterferenceModel m_interference;
   RunTimeEstimates m_run_times;
+  DrainMeters m_drain_meters;
   ShortJobDemand m_short_job_demand;
   /// By queue, in thousandths of a processor; valid in the current pass.
   std::map<std::string, std::int64_t> m_growth_budgets;
--- a/src/include/hyssopspar/jobs/cell_settings.h
+++ b/src/include/hyssopspar/jobs/cell_settings.h
@@ -48,6 +48,8 @@
   /// A worker on which tasks of several jobs failed in a row gets no new task
   /// for this long.
   milliseconds m_quarantine_period{5000};
+  /// Admission control is enabled, which needs Cell::SummarizeLoad().
+  bool m_measures_load = false;
 };
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_fixture.h
+++ b/src/libhyssopspar/jobs/cell_fixture.h
@@ -30,6 +30,7 @@
   static CellSettings Settings(TimePoint now) {
     CellSettings settings;
     settings.m_inherited_lease_deadline = now + std::chrono::seconds(10);
+    settings.m_measures_load = true;
     return settings;
   }
 
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -169,22 +169,6 @@
   UpdateJobState(ref.m_job, now);
 }
 
-void Cell::RecordRunTime(const TaskRef& ref, TimePoint now) {
-  Job* const job = ref.m_job;
-  const std::string& queue = job->m_submission.m_queue.m_name;
-  const Duration run_time = now - job->m_tasks[ref.m_index].m_confirmed_at;
-  const StepPlan& step = StepOf(*job, ref.m_index);
-  m_run_times.Add(queue, run_time);
-  const TaskName name = NameOfTask(*job, ref.m_index);
-  const std::size_t step_index =
-      name.m_occurrence * job->m_submission.m_plan.m_steps.size() + name.m_step;
-  Duration& slowest = job->m_slowest_run_of_step[step_index];
-  slowest = std::max(slowest, run_time);
-  if (job->m_done_tasks_of_step[step_index] + 1 == step.m_tasks) {
-    m_run_times.AddSlowestOfStep(queue, slowest);
-  }
-}
-
 void Cell::CountFailure(const TaskRef& ref, TimePoint now) {
   Job* const job = ref.m_job;
   Task& task = job->m_tasks[ref.m_index];
--- a/src/node/cell_host.cpp
+++ b/src/node/cell_host.cpp
@@ -242,6 +242,7 @@
   jobs::OwnerRecord renewed = m_claim;
   renewed.m_renewals = m_owner.m_record->m_renewals + 1;
   const TimePoint sent = Clock::now();
+  PublishLoad(&renewed, sent);
   m_renew_at = sent + m_settings.m_ownership.m_renewal_interval;
   AppendOwner(renewed, [this, sent, renewed](const Result<Offset>& end) {
     m_renewing = false;
--- a/src/node/cell_host.h
+++ b/src/node/cell_host.h
@@ -13,6 +13,8 @@
 #include <vector>
 
 #include "hyssopspar/decision_loop.h"
+#include "hyssopspar/jobs/admission/admission.h"
+#include "hyssopspar/jobs/admission/refusal_book.h"
 #include "hyssopspar/jobs/cell.h"
 #include "hyssopspar/jobs/cell_loader.h"
 #include "hyssopspar/jobs/ownership.h"
@@ -67,6 +69,12 @@
   void StoreReleaseForPeer(const jobs::OwnerRecord& release,
                            std::function<void(Result<Offset>)> done);
 
+  /// Answers whether a node may refuse a job. Yields a refusal only while this
+  /// node owns the cell, and for a job that is not stored at a time after this
+  /// call.
+  void AnswerAdmission(const jobs::AdmissionQuery& query,
+                       std::function<void(jobs::AdmissionAnswer)> done);
+
   /// Applies the current operator view to the cell.
   void OnOperatorChange();
 
@@ -116,6 +124,17 @@
   /// Starts to decide for the loaded cell.
   void BecomeOwner();
   void RenewOwnership();
+  struct AdmissionRequest {
+    jobs::AdmissionQuery m_query;
+    std::function<void(jobs::AdmissionAnswer)> m_done;
+  };
+  /// Measures the cell's load and adds it to \p renewal, if that is enabled.
+  void PublishLoad(jobs::OwnerRecord* renewal, TimePoint now);
+  /// Reads which jobs were stored since the last read of the job stream, for
+  /// all queries that wait.
+  void ReadForAdmission();
+  void OnAdmissionRead(const std::vector<AdmissionRequest>& queries,
+                       const Result<KeyedSlice>& slice);
   /// Steps down and stores that the cell is free.
   void ReleaseOwnership(const char* reason);
   /// Records the outcome of a call to the store that was sent at \p sent.
@@ -211,6 +230,11 @@
   std::set<std::string> m_applied_excluded_domains;
   jobs::CellLoader m_loader;
   OwnerWorkReport m_work_report;
+  jobs::LoadSummary m_load;  ///< Without promised work.
+  TimePoint m_load_at;       ///< When it was measured.
+  jobs::RefusalBook m_refusal_book;
+  std::vector<AdmissionRequest> m_admission_queries;  ///< For the next read.
+  bool m_reading_for_admission = false;
 };
 
 template <class T, class Handler>
--- a/src/node/cell_host_release.cpp
+++ b/src/node/cell_host_release.cpp
@@ -170,6 +170,8 @@
   m_phase = Phase::kNotOwner;
   m_renewing = false;
   m_offered_cpu_capacity = 0;
+  m_load = jobs::LoadSummary();
+  m_refusal_book = jobs::RefusalBook();
   if (m_job_stream != nullptr) {
     m_job_stream->Stop();
   }
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -37,6 +37,7 @@
 Front::Front(jobs::PlatformAdapter* platform,
              const OperatorView* operator_view,
              OwnerClient* owner_client,
+             AdmissionGate* admission,
              JobAppender* appender,
              const StoreLimits& limits,
              const jobs::KeyViewSettings& key_view,
@@ -44,6 +45,7 @@
     : m_platform(platform),
       m_operator_view(operator_view),
       m_owner_client(owner_client),
+      m_admission(admission),
       m_appender(appender),
       m_limits(limits),
       m_key_view(key_view),
@@ -158,7 +160,10 @@
                         record.error().m_detail));
     return;
   }
-  Store({job_id, record.value()}, deadline, reply);
+  m_admission->Check(submission, deadline, reply,
+                     [this, job_id, record = record.value(), deadline, reply] {
+                       Store({job_id, record}, deadline, reply);
+                     });
 }
 
 void Front::Cancel(const std::string& job_id,
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -13,6 +13,7 @@
 #include "hyssopspar/jobs/tenants/caller_auth.h"
 #include "hyssopspar/metrics.h"
 #include "hyssopspar/store/store_limits.h"
+#include "node/admission_gate.h"
 #include "node/job_appender.h"
 #include "node/operator_view.h"
 #include "node/owner_client.h"
@@ -25,6 +26,7 @@
   Front(jobs::PlatformAdapter* platform,
         const OperatorView* operator_view,
         OwnerClient* owner_client,
+        AdmissionGate* admission,
         JobAppender* appender,
         const StoreLimits& limits,
         const jobs::KeyViewSettings& key_view,
@@ -63,6 +65,7 @@
   jobs::PlatformAdapter* m_platform;
   const OperatorView* m_operator_view;
   OwnerClient* m_owner_client;
+  AdmissionGate* m_admission;
   JobAppender* m_appender;
   StoreLimits m_limits;
   jobs::KeyViewSettings m_key_view;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -75,9 +75,14 @@
                  &m_peer_store,
                  settings.m_cell.m_store_limits,
                  [this] { return OwnerAddress(); }),
+      m_admission(settings.m_cell.m_measures_load,
+                  &m_cell_host,
+                  &m_owner_client,
+                  &m_metrics),
       m_front(m_platform.get(),
               &m_operator_view,
               &m_owner_client,
+              &m_admission,
               &m_appender,
               settings.m_cell.m_store_limits,
               settings.m_key_view,
@@ -158,6 +163,10 @@
     HandleHandover(request, reply);
     return;
   }
+  if (StartsWith(request.m_target, kAdmissionPath)) {
+    m_owner_client.HandleAdmissionQuery(request, reply);
+    return;
+  }
   if (request.m_target != kRecordsPath) {
     reply(m_owner_client.HandleOwnerQuery(request));
     return;
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -11,6 +11,7 @@
 #include "hyssopspar/http_server.h"
 #include "hyssopspar/jobs/platform_adapter.h"
 #include "hyssopspar/metrics.h"
+#include "node/admission_gate.h"
 #include "node/cell_host.h"
 #include "node/front.h"
 #include "node/job_appender.h"
@@ -66,6 +67,7 @@
   OwnerClient m_owner_client;
   PeerStore m_peer_store;
   JobAppender m_appender;
+  AdmissionGate m_admission;
   Front m_front;
   HttpServer m_front_server;
   HttpServer m_ready_server;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -118,6 +118,9 @@
       std::chrono::duration_cast<milliseconds>(settings.m_cell.m_lease /
                                                jobs::kMinWorkerClockRate);
   settings.m_key_view = ReadKeyViewSettings(reader);
+  settings.m_cell.m_measures_load =
+      reader->Has("admission") &&
+      reader->Table("admission").Bool("enabled", false);
   SettingsReader machine = reader->Table("machine");
   settings.m_ownership.m_cpu_capacity =
       machine.Number("cpu_share", 1, 0, 1) *
--- a/src/node/owner_client.cpp
+++ b/src/node/owner_client.cpp
@@ -104,6 +104,51 @@
              });
 }
 
+void OwnerClient::GetAdmission(
+    const jobs::AdmissionQuery& query,
+    TimePoint deadline,
+    std::function<void(Result<jobs::AdmissionAnswer>)> done) {
+  if (m_cell_host->OwnedCell() != nullptr) {
+    m_cell_host->AnswerAdmission(query, std::move(done));
+    return;
+  }
+  const std::string target =
+      kAdmissionPath + query.m_job + "?queue=" + std::to_string(query.m_queue) +
+      "&tenant=" + std::to_string(query.m_tenant) +
+      "&cpu_milli=" + std::to_string(query.m_cpu_demand) +
+      "&wait_ms=" + std::to_string(query.m_longest_wait.count());
+  QueryOwner(
+      target, deadline,
+      [done = std::move(done)](const Result<std::string>& text) {
+        if (!text) {
+          done(text.error());
+          return;
+        }
+        const std::chrono::seconds retry_after(
+            std::strtoll(text.value().c_str(), nullptr, 10));
+        done(jobs::AdmissionAnswer{retry_after.count() > 0, retry_after});
+      });
+}
+
+void OwnerClient::HandleAdmissionQuery(const HttpRequest& request,
+                                       const HttpReply& reply) {
+  const auto number = [&request](const char* name) {
+    return std::strtoll(QueryParameterOr(request.m_target, name).c_str(),
+                        nullptr, 10);
+  };
+  jobs::AdmissionQuery query;
+  ConsumePrefix(PathOf(request.m_target), kAdmissionPath, &query.m_job);
+  query.m_queue = static_cast<std::uint32_t>(number("queue"));
+  query.m_tenant = static_cast<std::uint32_t>(number("tenant"));
+  query.m_cpu_demand = number("cpu_milli");
+  query.m_longest_wait = milliseconds(number("wait_ms"));
+  m_cell_host->AnswerAdmission(
+      query, [reply](const jobs::AdmissionAnswer& answer) {
+        reply(TextResponse(std::to_string(
+            answer.m_is_refused ? answer.m_retry_after.count() : 0)));
+      });
+}
+
 void OwnerClient::QueryOwner(const std::string& target,
                              TimePoint deadline,
                              std::function<void(Result<std::string>)> done) {
--- a/src/node/owner_client.h
+++ b/src/node/owner_client.h
@@ -10,12 +10,16 @@
 #include "hyssopspar/decision_loop.h"
 #include "hyssopspar/error.h"
 #include "hyssopspar/http_message.h"
+#include "hyssopspar/http_server.h"
 #include "hyssopspar/jobs/job_progress.h"
 #include "hyssopspar/upstream_pool.h"
 #include "node/cell_host.h"
 
 namespace hyssopspar::node {
 
+/// Path of the internal interface for questions whether a job may be refused.
+inline constexpr const char* kAdmissionPath = "/v1/admission/";
+
 /// Answers queries from this node's jobs::Cell when this node owns the cell,
 /// else forwards them to the owner's internal interface. Also answers the
 /// queries that other nodes forward to this one. All calls and callbacks on the
@@ -36,6 +40,13 @@
                   TimePoint deadline,
                   std::function<void(Result<std::size_t>)> done);
 
+  /// Yields whether a job may be refused, and when its caller may return.
+  void GetAdmission(const jobs::AdmissionQuery& query,
+                    TimePoint deadline,
+                    std::function<void(Result<jobs::AdmissionAnswer>)> done);
+  /// Answers such a question of another node.
+  void HandleAdmissionQuery(const HttpRequest& request, const HttpReply& reply);
+
   /// Sends the owner this node's offer to take the cell over. \p cpu_capacity
   /// is the CPU capacity of this node, in processors. A failure is logged.
   void OfferTakeover(double cpu_capacity);
