--- a/src/include/hyssopspar/jobs/cell_settings.h
+++ b/src/include/hyssopspar/jobs/cell_settings.h
@@ -50,6 +50,8 @@
   milliseconds m_quarantine_period{5000};
   /// Forecasts the load of serving jobs; see forecast/load_cycle.h.
   bool m_forecasts_load = false;
+  /// Admission control is enabled, which needs Cell::SummarizeLoad().
+  bool m_measures_load = false;
 };
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -12,8 +12,6 @@
 constexpr double kPreferredRackBonus = 1e6;
 /// Fraction of their reserved CPU that serving tasks are assumed to use.
 constexpr double kServingCpuUtilization = 0.45;
-/// Fraction of its demand that a best-effort task must find as unused CPU.
-constexpr double kMinUnusedCpuFraction = 0.6;
 /// Score of a worker whose serving tasks all have the same image as the task. A
 /// worker whose serving images share none of the task's interference
 /// sensitivity gets the same amount as a penalty. Outweighs any difference in
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
 #include <utility>
 
 #include "hyssopspar/jobs/records.h"
 #include "hyssopspar/logging.h"
+#include "node/request_deadline.h"
 #include "node/retry_after.h"
 #include "node/store_answer.h"
 
@@ -17,12 +17,6 @@
 constexpr const char* kLogComponent = "front";
 constexpr const char* kApiKeyHeader = "api-key";
 constexpr std::size_t kJobIdDigits = 16;
-/// Time within which a request is answered: the default for requests without a
-/// deadline, and the limit for longer deadlines.
-constexpr milliseconds kMaxRequestTimeout{3000};
-/// Part of the caller's timeout kept for sending the answer, and the least time
-/// for handling a request.
-constexpr milliseconds kAnswerMargin{300};
 /// Time limit of a query to the cell's owner.
 constexpr milliseconds kOwnerQueryTimeout{1000};
 /// Time limit of the query that precedes a cancellation. Most of the caller's
@@ -41,20 +35,6 @@
   return host.substr(0, host.find(':'));
 }
 
-/// Time by which the request has to be handled, from its timeout in
-/// milliseconds or the default timeout.
-TimePoint DeadlineOf(const HttpRequest& request, TimePoint now) {
-  const std::string text = HeaderOr(request.m_headers, "x-deadline-ms");
-  std::int64_t millis = 0;
-  const std::from_chars_result parsed =
-      std::from_chars(text.data(), text.data() + text.size(), millis);
-  const bool given = parsed.ec == std::errc() && millis > 0;
-  const milliseconds timeout =
-      given ? std::min(milliseconds(millis), kMaxRequestTimeout)
-            : kMaxRequestTimeout;
-  return now + std::max(timeout - kAnswerMargin, kAnswerMargin);
-}
-
 jobs::CallKey KeyOf(const HttpRequest& request) {
   jobs::CallKey key;
   const auto header = request.m_headers.find(kApiKeyHeader);
@@ -74,6 +54,7 @@
 Front::Front(jobs::PlatformAdapter* platform,
              const OperatorView* operator_view,
              OwnerClient* owner_client,
+             AdmissionGate* admission,
              JobAppender* appender,
              const StoreLimits& limits,
              const jobs::KeyViewSettings& key_view,
@@ -81,6 +62,7 @@
     : m_platform(platform),
       m_operator_view(operator_view),
       m_owner_client(owner_client),
+      m_admission(admission),
       m_appender(appender),
       m_limits(limits),
       m_key_view(key_view),
@@ -124,7 +106,9 @@
   return std::nullopt;
 }
 
-void Front::Handle(const HttpRequest& request, const HttpReply& reply) {
+void Front::Handle(const HttpRequest& request,
+                   TimePoint received,
+                   const HttpReply& reply) {
   if (!m_operator_view->HasConfig()) {
     reply(Unavailable("no configuration yet"));
     return;
@@ -145,17 +129,18 @@
     return;
   }
   const std::string job_id = path.substr(queue->m_path_prefix.size());
+  const TimePoint deadline = DeadlineOf(request, received);
   if (request.m_method == "GET" && job_id.empty()) {
-    AnswerPending(*caller, queue->m_policy.m_name, request, reply);
+    AnswerPending(*caller, queue->m_policy.m_name, deadline, reply);
   } else if (!IsJobId(job_id)) {
     reply(ErrorResponse(400, "invalid-argument",
                         "a job's id has 16 hexadecimal digits"));
   } else if (request.m_method == "POST") {
-    Submit(*queue, *caller, job_id, request, reply);
+    Submit(*queue, *caller, job_id, request, deadline, reply);
   } else if (request.m_method == "GET") {
-    AnswerState(*caller, job_id, request, reply);
+    AnswerState(*caller, job_id, deadline, reply);
   } else if (request.m_method == "DELETE") {
-    Cancel(*caller, job_id, request, reply);
+    Cancel(*caller, job_id, deadline, reply);
   } else {
     reply(ErrorResponse(405, "invalid-argument", "unknown method"));
   }
@@ -165,6 +150,7 @@
                    const jobs::CallerIdentity& caller,
                    const std::string& job_id,
                    const HttpRequest& request,
+                   TimePoint deadline,
                    const HttpReply& reply) {
   if (request.m_body.size() > m_operator_view->Config().m_max_body_bytes) {
     reply(ErrorResponse(413, "too-large", "job too large"));
@@ -195,15 +181,17 @@
                         record.error().m_detail));
     return;
   }
-  Store({job_id, record.value()}, DeadlineOf(request, Clock::now()), reply);
+  m_admission->Check(submission, deadline, reply,
+                     [this, job_id, record = record.value(), deadline, reply] {
+                       Store({job_id, record}, deadline, reply);
+                     });
 }
 
 void Front::Cancel(const jobs::CallerIdentity& caller,
                    const std::string& job_id,
-                   const HttpRequest& request,
+                   TimePoint deadline,
                    const HttpReply& reply) {
   const TimePoint now = Clock::now();
-  const TimePoint deadline = DeadlineOf(request, now);
   const KeyedRecord record{
       jobs::CancelKey(job_id, caller.m_tenant.value_or("")),
       jobs::EncodeCancellation(caller)};
@@ -239,12 +227,12 @@
 
 void Front::AnswerState(const jobs::CallerIdentity& caller,
                         const std::string& job_id,
-                        const HttpRequest& request,
+                        TimePoint deadline,
                         const HttpReply& reply) {
   const TimePoint now = Clock::now();
   m_owner_client->GetState(
       job_id, caller,
-      std::min(DeadlineOf(request, now), now + kOwnerQueryTimeout),
+      std::min(deadline, now + kOwnerQueryTimeout),
       [this, job_id, reply](const Result<jobs::JobState>& state) {
         if (state) {
           reply(JsonResponse(200, m_platform->EncodeState(state.value())));
@@ -262,12 +250,12 @@
 
 void Front::AnswerPending(const jobs::CallerIdentity& caller,
                           const std::string& queue,
-                          const HttpRequest& request,
+                          TimePoint deadline,
                           const HttpReply& reply) {
   const TimePoint now = Clock::now();
   m_owner_client->GetPending(
       queue, caller,
-      std::min(DeadlineOf(request, now), now + kOwnerQueryTimeout),
+      std::min(deadline, now + kOwnerQueryTimeout),
       [this, reply](const Result<std::size_t>& pending) {
         if (pending) {
           reply(JsonResponse(200, m_platform->EncodePending(pending.value())));
--- a/src/node/front.h
+++ b/src/node/front.h
@@ -13,6 +13,7 @@
 #include "hyssopspar/jobs/tenants/caller_auth.h"
 #include "hyssopspar/metrics.h"
 #include "hyssopspar/store/store_limits.h"
+#include "node/admission_gate.h"
 #include "node/job_appender.h"
 #include "node/operator_view.h"
 #include "node/owner_client.h"
@@ -26,13 +27,17 @@
   Front(jobs::PlatformAdapter* platform,
         const OperatorView* operator_view,
         OwnerClient* owner_client,
+        AdmissionGate* admission,
         JobAppender* appender,
         const StoreLimits& limits,
         const jobs::KeyViewSettings& key_view,
         Metrics* metrics);
 
-  /// Answers \p request through \p reply, at once or later.
-  void Handle(const HttpRequest& request, const HttpReply& reply);
+  /// Answers \p request, which was received at \p received, through \p reply,
+  /// at once or later.
+  void Handle(const HttpRequest& request,
+              TimePoint received,
+              const HttpReply& reply);
 
  private:
   /// Identifies the caller, or answers the call and returns nothing.
@@ -44,18 +49,19 @@
               const jobs::CallerIdentity& caller,
               const std::string& job_id,
               const HttpRequest& request,
+              TimePoint deadline,
               const HttpReply& reply);
   void Cancel(const jobs::CallerIdentity& caller,
               const std::string& job_id,
-              const HttpRequest& request,
+              TimePoint deadline,
               const HttpReply& reply);
   void AnswerState(const jobs::CallerIdentity& caller,
                    const std::string& job_id,
-                   const HttpRequest& request,
+                   TimePoint deadline,
                    const HttpReply& reply);
   void AnswerPending(const jobs::CallerIdentity& caller,
                      const std::string& queue,
-                     const HttpRequest& request,
+                     TimePoint deadline,
                      const HttpReply& reply);
   /// Stores \p record and answers with the outcome.
   void Store(KeyedRecord record, TimePoint deadline, const HttpReply& reply);
@@ -63,6 +69,7 @@
   jobs::PlatformAdapter* m_platform;
   const OperatorView* m_operator_view;
   OwnerClient* m_owner_client;
+  AdmissionGate* m_admission;
   JobAppender* m_appender;
   StoreLimits m_limits;
   jobs::KeyViewSettings m_key_view;
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -11,6 +11,7 @@
 #include "hyssopspar/http_server.h"
 #include "hyssopspar/jobs/platform_adapter.h"
 #include "hyssopspar/metrics.h"
+#include "node/admission_gate.h"
 #include "node/cell_host.h"
 #include "node/front.h"
 #include "node/job_appender.h"
@@ -44,7 +45,11 @@
   void HandleReadinessCheck(const HttpRequest& request, const HttpReply& reply);
   void HandleInternalRequest(HttpRequest request, HttpReply reply);
   void HandleHandover(const HttpRequest& request, const HttpReply& reply);
-  void HandlePeerRequest(const HttpRequest& request, const HttpReply& reply);
+  void HandlePeerRequest(const HttpRequest& request,
+                         TimePoint received,
+                         const HttpReply& reply);
+  /// Waits until no caller's request is unanswered, until \p deadline.
+  void AwaitAnswers(TimePoint deadline);
   /// Internal address of the cell's owner if that is another node, else "".
   std::string OwnerAddress() const;
   /// Wraps \p reply so that it adds the request's time to the metrics.
@@ -62,6 +67,7 @@
   OwnerClient m_owner_client;
   PeerStore m_peer_store;
   JobAppender m_appender;
+  AdmissionGate m_admission;
   Front m_front;
   HttpServer m_front_server;
   HttpServer m_ready_server;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -126,6 +126,9 @@
     settings.m_cell.m_forecasts_load = placement.Bool("load_forecast", false);
   }
   settings.m_limits = ReadResourceLimits(reader);
+  settings.m_cell.m_measures_load =
+      reader->Has("admission") &&
+      reader->Table("admission").Bool("enabled", false);
   SettingsReader machine = reader->Table("machine");
   settings.m_ownership.m_cpu_capacity =
       machine.Number("cpu_share", 1, 0, 1) *
