Place tasks by waiting large tasks and expected completions, behind a setting

Cause: a large task found no worker while more urgent small tasks took each gap.

A large step that the cache of unschedulable steps covers through a smaller one is tried once, or it would never count as waiting; tentative members of a gang don't count against its limit per worker. Both faults were found by tests of the cell. The load line has the waits of the largest tasks and the stranded CPU, with and without look-ahead; a line and metrics show the reservations.

Process tests not run.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -24,6 +24,7 @@
 #include "hyssopspar/jobs/long_running_growth.h"
 #include "hyssopspar/jobs/placement.h"
 #include "hyssopspar/jobs/refusals.h"
+#include "hyssopspar/jobs/reservation/look_ahead.h"
 #include "hyssopspar/jobs/stage_times.h"
 #include "hyssopspar/jobs/start_window.h"
 #include "hyssopspar/jobs/tail_forecast.h"
@@ -131,6 +132,9 @@
   /// Returns the stage times recorded since the last call.
   StageTimes TakeStageTimes();
   const CellWork& Work() const { return m_work; }
+  const ReservationState& Reservations() const {
+    return m_look_ahead.m_reservations;
+  }
 
   /// State of a job, or nullopt for an unknown job. A job that has completed or
   /// failed is reported as running until its final state is stored.
@@ -439,6 +443,34 @@
                       TimePoint now,
                       std::vector<std::size_t>* pending);
 
+  // cell_look_ahead.cpp
+  void PlanAhead(TimePoint now);
+  /// True for steps that may get gaps and reservations.
+  bool IsLarge(const StepPlan& plan) const;
+  /// Workers on which the step has reservations.
+  std::vector<int> ReservedWorkers(const StepKey& step) const;
+  /// ReservedWorkers() and those of the pool that have changed since \p change.
+  std::vector<int> CandidatesSince(const std::string& service,
+                                   std::uint64_t change,
+                                   const StepKey& step);
+  /// Adds to \p query what is held for other tasks.
+  void LookAheadFor(const Job& job,
+                    const StepKey& step,
+                    PlacementQuery* query) const;
+  /// True if the step has to be tried although no worker has changed: it has
+  /// reservations, or is not yet known to wait.
+  bool MustBeTried(const Job& job,
+                   const StepKey& step,
+                   const StepPlan& plan) const;
+  void MarkStillWaiting(const StepKey& step, TimePoint now);
+  /// Records which of the tasks \p pending of a step, of which \p placed are
+  /// placed, still wait.
+  void UpdateWaiting(const Job& job,
+                     const PlacementQuery& query,
+                     const std::vector<std::size_t>& pending,
+                     const std::vector<std::size_t>& placed);
+  void ReportReservations(TimePoint now) const;
+
   // cell_tenants.cpp
   /// The account of the job's tenant, or null for a job without a tenant.
   TenantAccount* AccountOf(const Job& job);
@@ -506,6 +538,7 @@
   std::set<std::string> m_excluded_domains;  ///< Excluded from new placements.
   InterferenceModel m_interference;
   RunTimeEstimates m_run_times;
+  LookAhead m_look_ahead;
   ShortJobDemand m_short_job_demand;
   /// By queue, in thousandths of a processor; valid in the current pass.
   std::map<std::string, std::int64_t> m_growth_budgets;
--- a/src/include/hyssopspar/jobs/cell_settings.h
+++ b/src/include/hyssopspar/jobs/cell_settings.h
@@ -48,6 +48,9 @@
   /// A worker on which tasks of several jobs failed in a row gets no new task
   /// for this long.
   milliseconds m_quarantine_period{5000};
+  /// Placement considers the large tasks that wait and the expected ends of
+  /// running ones; see jobs/reservation/.
+  bool m_look_ahead = false;
 };
 
 }  // namespace hyssopspar::jobs
--- a/src/include/hyssopspar/jobs/placement.h
+++ b/src/include/hyssopspar/jobs/placement.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "hyssopspar/jobs/job_plan.h"
+#include "hyssopspar/jobs/reservation/hold.h"
 #include "hyssopspar/jobs/tail_forecast.h"
 #include "hyssopspar/jobs/worker.h"
 #include "hyssopspar/time.h"
@@ -39,6 +40,8 @@
   const StepAdvice* m_advice = nullptr;  ///< Null: no ticket required.
   std::string m_rack;  ///< Preferred rack of a gang; "": none.
   TimePoint m_now;
+  const Holds* m_holds = nullptr;  ///< Null: nothing is held for other tasks.
+  PlannedTask m_planned;           ///< The task, as m_holds judge it.
 };
 
 /// True if the worker with the index \p index meets all requirements of the
--- a/src/libhyssopspar/jobs/cell_placement.cpp
+++ b/src/libhyssopspar/jobs/cell_placement.cpp
@@ -81,6 +81,8 @@
   query.m_step_tasks_by_worker = &placement->m_tasks_on_worker;
   query.m_now = now;
   query.m_advice = advice;
+  const StepKey key{job->m_number, at.m_occurrence, at.m_step};
+  LookAheadFor(*job, key, &query);
   std::vector<std::size_t> suspects;
   std::vector<std::size_t> repeated_suspects;
   std::vector<std::size_t> delayed;
@@ -98,12 +100,13 @@
   std::vector<std::size_t> placed = PlaceTasks(
       job, pending,
       unschedulable_at == 0 ? UsablePool(service)
-                            : ChangedSince(service, unschedulable_at),
+                            : CandidatesSince(service, unschedulable_at, key),
       query, placement);
   const bool complete = placed.size() == pending.size();
   if (!complete && advice == nullptr) {
     m_unschedulable_steps.Add(service, plan, m_last_worker_change);
   }
+  UpdateWaiting(*job, query, pending, placed);
   if (!suspects.empty()) {
     const std::vector<std::size_t> placed_suspects =
         PlaceSuspects(job, suspects, query, placement);
@@ -157,6 +160,8 @@
     }
     const std::size_t worker_index = static_cast<std::size_t>(worker);
     AssignWorker({job, i}, worker);
+    SubtractPlaced(worker, query.m_planned,
+                   &m_look_ahead.m_reservations.m_holds);
     if (forecast != nullptr) {
       forecast->Apply(CpuShareOf(plan, m_workers[worker_index]),
                       &m_workers[worker_index].m_expected_tails);
@@ -266,6 +271,10 @@
     SetTaskState(job, i, TaskState::kRecording);
     ++m_work.m_tasks_placed;
     ++m_starts_in_progress;
+    if (m_look_ahead.m_waits.size() < kMaxPlacementWaits) {
+      m_look_ahead.m_waits.push_back(
+          {ReservedResourcesOf(plan).m_cpu_milli, now - task.m_stage_since});
+    }
     EndStage({job, i}, Stage::kPlace, now);
     MarkDirty(job);
   }
--- a/src/libhyssopspar/jobs/cell_report.cpp
+++ b/src/libhyssopspar/jobs/cell_report.cpp
@@ -2,6 +2,7 @@
 // of tasks as placed+ready. The key `filling` stands for best-effort tasks.
 
 #include <array>
+#include <utility>
 
 #include "hyssopspar/jobs/cell.h"
 #include "hyssopspar/jobs/placement.h"
@@ -68,16 +69,22 @@
       best_effort += worker.m_best_effort_cpu_milli;
     }
   }
+  const WaitQuantiles largest =
+      LargestTenth(std::exchange(m_look_ahead.m_waits, {}));
   CellLog()->info(
       "load workers={} cpu={} reserved={} filling={} jobs={} serving={}+{} "
       "filling={}+{} paused={} other={}+{} headroom={} held_back={} "
-      "start_window={} starts_in_progress={}",
+      "start_window={} starts_in_progress={} largest_placed={} "
+      "largest_wait_p50_ms={} largest_wait_p95_ms={} stranded_cpu={}",
       reachable, capacity / 1000, reserved / 1000, best_effort / 1000,
       m_open_jobs.size(), load[kServing].m_placed, load[kServing].m_ready,
       load[kBestEffort].m_placed, load[kBestEffort].m_ready,
       load[kBestEffort].m_paused, load[kOther].m_placed, load[kOther].m_ready,
       m_headroom_cpu_milli / 1000, m_held_back_tasks, m_start_window.m_limit,
-      m_starts_in_progress);
+      m_starts_in_progress, largest.m_tasks, ToMillis(largest.m_median),
+      ToMillis(largest.m_p95),
+      StrandedCpuMilli(m_workers, LargeTaskCpuMilli(m_workers)) / 1000);
+  ReportReservations(now);
 }
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -48,6 +48,7 @@
   }
   ++m_work.m_passes;
   ApplyTimedChanges(now);
+  PlanAhead(now);
   UpdateExpectedTails(now);
   const std::vector<Job*> jobs = PendingJobsByUrgency(now);
   m_work.m_jobs_ordered += jobs.size();
@@ -93,11 +94,10 @@
     m_highest_priority =
         std::min(m_highest_priority, job->m_submission.m_queue.m_priority);
     if (job->m_pending > 0 && !IsSetAside(*job)) {
-      order.emplace_back(
-          Order{job->m_submission.m_queue.m_priority,
-                job->m_account && over_share[*job->m_account],
-                UrgencyOf(*job, m_run_times, unix_now)},
-          job);
+      order.emplace_back(Order{job->m_submission.m_queue.m_priority,
+                               job->m_account && over_share[*job->m_account],
+                               UrgencyOf(*job, m_run_times, unix_now)},
+                         job);
     }
   }
   std::sort(order.begin(), order.end());
@@ -284,7 +284,10 @@
   }
   const std::uint64_t unschedulable_at =
       m_unschedulable_steps.UnschedulableAt(service, plan);
-  if (unschedulable_at == m_last_worker_change && unschedulable_at > 0) {
+  const StepKey key{job->m_number, occurrence, step};
+  if (unschedulable_at == m_last_worker_change && unschedulable_at > 0 &&
+      !MustBeTried(*job, key, plan)) {
+    MarkStillWaiting(key, now);
     m_next_schedule = std::min(m_next_schedule, now + kPlacementRetryDelay);
     return;
   }
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -175,6 +175,9 @@
   const Duration run_time = now - job->m_tasks[ref.m_index].m_confirmed_at;
   const StepPlan& step = StepOf(*job, ref.m_index);
   m_run_times.Add(queue, run_time);
+  if (m_settings.m_look_ahead) {
+    AddRunTime(&m_look_ahead.m_run_times[queue], run_time);
+  }
   const TaskName name = NameOfTask(*job, ref.m_index);
   const std::size_t step_index =
       name.m_occurrence * job->m_submission.m_plan.m_steps.size() + name.m_step;
--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -32,6 +32,10 @@
 /// log(kMaxPredictedTailRatio / typical tail ratio).
 constexpr double kLogTailIncreaseWeight = 90000;
 
+/// Penalty for taking one of the last gaps of a waiting large task. Outweighs
+/// the terms for images, but not the preferred rack.
+constexpr double kLastGapPenalty = 5e5;
+
 bool HasLabel(const WorkerEntry& entry, const std::string& label) {
   return label.empty() ||
          std::find(entry.m_labels.begin(), entry.m_labels.end(), label) !=
@@ -141,12 +145,21 @@
       !HasTicket(worker, index, query)) {
     return std::nullopt;
   }
+  const HoldVerdict hold =
+      query.m_holds == nullptr
+          ? HoldVerdict::kFree
+          : JudgePlacement(*query.m_holds, static_cast<int>(index),
+                           query.m_planned);
+  if (hold == HoldVerdict::kReserved) {
+    return std::nullopt;
+  }
   const TailEffect effect =
       best_effort ? query.m_predict_tail_effect(index) : TailEffect();
   if (effect.m_max_ratio > kMaxPredictedTailRatio) {
     return std::nullopt;
   }
-  return Score(worker, index, effect, query);
+  return Score(worker, index, effect, query) -
+         (hold == HoldVerdict::kLastGap ? kLastGapPenalty : 0);
 }
 
 }  // namespace hyssopspar::jobs
--- a/src/node/cell_host_acting.cpp
+++ b/src/node/cell_host_acting.cpp
@@ -104,7 +104,10 @@
 
 void CellHost::ReportWork(TimePoint now) {
   m_work_report.AddStages(m_cell->TakeStageTimes(), m_metrics);
-  m_work_report.LogWhenDue(m_cell->Work(), now);
+  if (m_work_report.LogWhenDue(m_cell->Work(), now) &&
+      m_settings.m_cell.m_look_ahead) {
+    m_work_report.SetReservations(m_cell->Reservations(), m_metrics);
+  }
 }
 
 bool CellHost::IsExpired(TimePoint send_before) {
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -118,6 +118,10 @@
       std::chrono::duration_cast<milliseconds>(settings.m_cell.m_lease /
                                                jobs::kMinWorkerClockRate);
   settings.m_key_view = ReadKeyViewSettings(reader);
+  if (reader->Has("placement")) {
+    settings.m_cell.m_look_ahead =
+        reader->Table("placement").Bool("look_ahead", false);
+  }
   SettingsReader machine = reader->Table("machine");
   settings.m_ownership.m_cpu_capacity =
       machine.Number("cpu_share", 1, 0, 1) *
--- a/src/node/owner_work_report.cpp
+++ b/src/node/owner_work_report.cpp
@@ -57,9 +57,32 @@
   }
 }
 
-void OwnerWorkReport::LogWhenDue(const jobs::CellWork& total, TimePoint now) {
+void OwnerWorkReport::SetReservations(const jobs::ReservationState& state,
+                                      Metrics* metrics) {
+  const jobs::ReservationSummary summary = jobs::Summarize(state.m_holds);
+  metrics->Value("hyssopspar_reservations") =
+      static_cast<std::int64_t>(summary.m_count);
+  metrics->Value("hyssopspar_reserved_cpu_milli") =
+      summary.m_reserved_cpu_milli;
+  metrics->Value("hyssopspar_reservation_idle_core_ms_total") =
+      static_cast<std::int64_t>(state.m_idle_core_ms);
+  const jobs::ReservationCounts& counts = state.m_counts;
+  for (const std::pair<const char*, std::uint64_t>& outcome :
+       {std::pair<const char*, std::uint64_t>{"granted", counts.m_granted},
+        {"used", counts.m_used},
+        {"expired", counts.m_expired},
+        {"lost", counts.m_lost},
+        {"uneconomic", counts.m_uneconomic},
+        {"superseded", counts.m_superseded}}) {
+    metrics->Value("hyssopspar_reservation_changes_total",
+                   FormatMetricLabel("change", outcome.first)) =
+        static_cast<std::int64_t>(outcome.second);
+  }
+}
+
+bool OwnerWorkReport::LogWhenDue(const jobs::CellWork& total, TimePoint now) {
   if (now < m_logged_at + kLogInterval) {
-    return;
+    return false;
   }
   Log(kLogComponent)
       ->info(
@@ -82,6 +105,7 @@
   m_logged_work = total;
   m_logged_at = now;
   m_interval = Interval();
+  return true;
 }
 
 void OwnerWorkReport::LogStages() const {
--- a/src/node/owner_work_report.h
+++ b/src/node/owner_work_report.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 
 #include "hyssopspar/jobs/cell_work.h"
+#include "hyssopspar/jobs/reservation/reservation_plan.h"
 #include "hyssopspar/jobs/stage_times.h"
 #include "hyssopspar/metrics.h"
 #include "hyssopspar/time.h"
@@ -24,9 +25,11 @@
   void AddRound(Duration decide_cpu, Duration dispatch_cpu);
   /// Adds \p stages to the metrics.
   void AddStages(const jobs::StageTimes& stages, Metrics* metrics);
+  /// Sets the metrics of reservations for large tasks.
+  void SetReservations(const jobs::ReservationState& state, Metrics* metrics);
   /// Logs the measurements since the last line, at most once a second.
-  /// \p total is the work of the cell since it was created.
-  void LogWhenDue(const jobs::CellWork& total, TimePoint now);
+  /// \p total is the work of the cell since it was created. True if it did.
+  bool LogWhenDue(const jobs::CellWork& total, TimePoint now);
 
  private:
   /// Measurements since the last line.
