Run the simulation of owners and workers with look-ahead

Cause: the cell's invariants were only tested with look-ahead off.

Change: KeepsInvariantsWithLookAhead runs each seed twice on five workers: with faults (crashes, partitions, changes of the owner), and with gangs and without faults, as gangs are simulated elsewhere.

--- a/testsuite/job_state/job_state_test.cpp
+++ b/testsuite/job_state/job_state_test.cpp
@@ -47,6 +47,23 @@
   EXPECT_GT(simulation.Starts(), 100U);
 }
 
+// Same with reservations, which the next owner does not know, on so few workers
+// that large tasks wait.
+TEST_P(JobSimulationSeedTest, KeepsInvariantsWithLookAhead) {
+  for (const bool gangs : {false, true}) {
+    JobSimulationOptions options;
+    options.m_seed = static_cast<std::uint64_t>(GetParam());
+    options.m_workers = 5;
+    options.m_gangs = gangs;
+    options.m_faults = !gangs;
+    options.m_look_ahead = true;
+    JobSimulation simulation(options);
+    simulation.Run();
+    EXPECT_EQ(Join(simulation.Violations()), "") << "seed " << GetParam();
+    EXPECT_GT(simulation.Starts(), 100U);
+  }
+}
+
 class CrashingTaskTest : public JobSimulationTest,
                          public testing::WithParamInterface<int> {};
 
--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -187,6 +187,7 @@
   owner->m_epoch = m_owners.size();
   CellSettings settings;
   settings.m_epoch = owner->m_epoch;
+  settings.m_look_ahead = m_options.m_look_ahead;
   // 98 percent of real time is the lowest rate of a worker's clock.
   settings.m_inherited_lease_deadline =
       m_now + kOwnershipLease + settings.m_lease * 100 / 98;
--- a/testsuite/job_state/job_world.h
+++ b/testsuite/job_state/job_world.h
@@ -52,6 +52,7 @@
   /// any time in the fault period.
   double m_long_running_share = 0;
   MisobservedFaults m_misobserved;
+  bool m_look_ahead = false;  ///< CellSettings::m_look_ahead.
 };
 
 /// What the network and the store show of a worker.
