--- a/testsuite/job_state/fleet_load.cpp
+++ b/testsuite/job_state/fleet_load.cpp
@@ -115,6 +115,16 @@
   return job;
 }
 
+Submission FleetLoad::LargeJob() {
+  Submission job = MakeSubmission(kLargeQueue, 1);
+  StepPlan step;
+  step.m_size = {32000, 48000, 0};
+  step.m_estimate = milliseconds(1600);  // Twice the mean run time.
+  step.m_image = "large";
+  job.m_plan.m_steps.push_back(step);
+  return job;
+}
+
 void FleetLoad::ScheduleArrivals(double jobs_per_second,
                                  const std::function<Submission()>& make) {
   const double seconds =
@@ -276,6 +286,7 @@
   m_on_round = on_round;
   CellSettings settings;
   settings.m_inherited_lease_deadline = m_now;
+  settings.m_look_ahead = m_options.m_look_ahead;
   m_cell = std::make_unique<Cell>(settings, m_now);
   m_cell->SetUnixTime(
       std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()),
@@ -307,6 +318,10 @@
                    [this] { return BestEffortJob(); });
   ScheduleArrivals(m_options.m_long_running_jobs_per_worker * workers,
                    [this] { return LongRunningJob(); });
+  if (m_options.m_large_jobs_per_worker > 0) {
+    ScheduleArrivals(m_options.m_large_jobs_per_worker * workers,
+                     [this] { return LargeJob(); });
+  }
   std::function<void()> tick = [this, &tick] {
     Decide();
     ScheduleAfter(kTickInterval, tick);
--- a/testsuite/job_state/fleet_load.h
+++ b/testsuite/job_state/fleet_load.h
@@ -22,6 +22,7 @@
 inline constexpr const char* kShortQueue = "short";
 inline constexpr const char* kBestEffortQueue = "best-effort";
 inline constexpr const char* kLongRunningQueue = "long-running";
+inline constexpr const char* kLargeQueue = "large";
 
 struct FleetLoadOptions {
   std::uint64_t m_seed = 1;
@@ -33,6 +34,9 @@
   double m_long_running_jobs_per_worker = 0.583 / 540;
   /// Long-running jobs that exist from the start.
   double m_initial_long_running_jobs_per_worker = 105.0 / 540;
+  /// Jobs per second with one task that needs a third of a large worker.
+  double m_large_jobs_per_worker = 0;
+  bool m_look_ahead = false;  ///< CellSettings::m_look_ahead.
   /// Processor time of the owner for each worker that it examines. While the
   /// owner is busy, events wait.
   Duration m_cost_per_worker_visit{0};
@@ -68,6 +72,7 @@
   Submission ShortJob();
   Submission BestEffortJob();
   Submission LongRunningJob();
+  Submission LargeJob();
   std::uint32_t RandomWidth(double mean);
   void Decide();
   void Execute(const StartAction& action);
