--- a/src/include/hyssopspar/jobs/cell_settings.h
+++ b/src/include/hyssopspar/jobs/cell_settings.h
@@ -52,6 +52,9 @@
   bool m_forecasts_load = false;
   /// Admission control is enabled, which needs Cell::SummarizeLoad().
   bool m_measures_load = false;
+  /// Placement considers the large tasks that wait and the expected ends of
+  /// running ones; see jobs/reservation/.
+  bool m_look_ahead = false;
 };
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_admission.cpp
+++ b/src/libhyssopspar/jobs/cell_admission.cpp
@@ -105,6 +105,9 @@
   if (m_settings.m_measures_load) {
     AddEndedTask(&m_drain_meters[queue], step.m_size.m_cpu_milli, run_time);
   }
+  if (m_settings.m_look_ahead) {
+    AddRunTime(&m_look_ahead.m_run_times[queue], run_time);
+  }
   const TaskName name = NameOfTask(*job, ref.m_index);
   const std::size_t step_index =
       name.m_occurrence * job->m_submission.m_plan.m_steps.size() + name.m_step;
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -49,6 +49,7 @@
   }
   ++m_work.m_passes;
   ApplyTimedChanges(now);
+  PlanAhead(now);
   UpdateExpectedTails(now);
   const std::vector<Job*> jobs = PendingJobsByUrgency(now);
   m_work.m_jobs_ordered += jobs.size();
@@ -284,7 +285,10 @@
   }
   const std::uint64_t unschedulable_at =
       m_unschedulable_steps.UnschedulableAt(service, plan);
-  if (unschedulable_at == m_last_worker_change && unschedulable_at > 0) {
+  const StepKey key{job->m_number, occurrence, step};
+  if (unschedulable_at == m_last_worker_change && unschedulable_at > 0 &&
+      !MustBeTried(*job, key, plan)) {
+    MarkStillWaiting(key, now);
     m_next_schedule = std::min(m_next_schedule, now + kPlacementRetryDelay);
     return;
   }
--- a/src/node/cell_host_acting.cpp
+++ b/src/node/cell_host_acting.cpp
@@ -107,7 +107,10 @@
 
 void CellHost::ReportWork(TimePoint now) {
   m_work_report.AddStages(m_cell->TakeStageTimes(), m_metrics);
-  m_work_report.LogWhenDue(m_cell->Work(), now);
+  if (m_work_report.LogWhenDue(m_cell->Work(), now) &&
+      m_settings.m_cell.m_look_ahead) {
+    m_work_report.SetReservations(m_cell->Reservations(), m_metrics);
+  }
   if (now >= m_next_tenant_metrics) {
     m_next_tenant_metrics = now + kTenantMetricsInterval;
     WriteTenantMetrics(m_cell->Tenants(), m_metrics);
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -124,6 +124,7 @@
   if (reader->Has("placement")) {
     SettingsReader placement = reader->Table("placement");
     settings.m_cell.m_forecasts_load = placement.Bool("load_forecast", false);
+    settings.m_cell.m_look_ahead = placement.Bool("look_ahead", false);
   }
   settings.m_limits = ReadResourceLimits(reader);
   settings.m_cell.m_measures_load =
--- a/testsuite/job_state/job_world.h
+++ b/testsuite/job_state/job_world.h
@@ -56,7 +56,8 @@
   /// Number of tenants with quotas, the first of which sends half of the jobs;
   /// 0: jobs have no tenants.
   int m_tenants = 0;
-  int m_quota_changes = 0;  ///< Of each tenant, in the fault period.
+  int m_quota_changes = 0;    ///< Of each tenant, in the fault period.
+  bool m_look_ahead = false;  ///< CellSettings::m_look_ahead.
 };
 
 /// A tenant and its quotas, with the times at which they were stored.
