--- a/src/libhyssopspar/jobs/cell_look_ahead_test.cpp
+++ b/src/libhyssopspar/jobs/cell_look_ahead_test.cpp
@@ -126,7 +126,7 @@
   RunBurst(3);
   AddLargeJob();
   RunUntilReserved();
-  m_cell.OnCancel("large", m_now);
+  m_cell.OnCancel("large", {}, m_now);
   RunBurst(2);
   EXPECT_TRUE(m_cell.Reservations().m_holds.empty());
 }
--- a/src/node/owner_client.cpp
+++ b/src/node/owner_client.cpp
@@ -150,7 +150,7 @@
       "&on_time_ms=" + std::to_string(query.m_on_time_wait.count()) +
       "&wait_ms=" + std::to_string(query.m_longest_wait.count());
   QueryOwner(
-      target, deadline,
+      target, jobs::CallerIdentity(), deadline,
       [done = std::move(done)](const Result<std::string>& text) {
         if (!text) {
           done(text.error());
