--- a/src/libhyssopspar/jobs/interference.cpp
+++ b/src/libhyssopspar/jobs/interference.cpp
@@ -33,18 +33,17 @@
 
 }  // namespace
 
-void InterferenceModel::Observe(
-    const std::string& serving,
-    double tail_ratio,
-    const std::vector<InterferenceSource>& sources,
-    std::optional<double> baseline) {
+void InterferenceModel::Observe(const std::string& serving,
+                                double tail_ratio,
+                                const std::vector<InterferenceSource>& sources,
+                                std::optional<double> baseline) {
   ServingImageModel& image =
       m_images
           .emplace(serving,
                    ServingImageModel{std::log(kDefaultBaselineRatio), {}})
           .first->second;
-  double expected = sources.empty() ? image.m_baseline
-                                    : baseline.value_or(image.m_baseline);
+  double expected =
+      sources.empty() ? image.m_baseline : baseline.value_or(image.m_baseline);
   double norm = kNormRegularization;
   for (const InterferenceSource& source : sources) {
     expected += Slope(serving, source.m_image) * source.m_cpu_share;
--- a/src/node/front.cpp
+++ b/src/node/front.cpp
@@ -231,8 +231,7 @@
                         const HttpReply& reply) {
   const TimePoint now = Clock::now();
   m_owner_client->GetState(
-      job_id, caller,
-      std::min(deadline, now + kOwnerQueryTimeout),
+      job_id, caller, std::min(deadline, now + kOwnerQueryTimeout),
       [this, job_id, reply](const Result<jobs::JobState>& state) {
         if (state) {
           reply(JsonResponse(200, m_platform->EncodeState(state.value())));
@@ -254,8 +253,7 @@
                           const HttpReply& reply) {
   const TimePoint now = Clock::now();
   m_owner_client->GetPending(
-      queue, caller,
-      std::min(deadline, now + kOwnerQueryTimeout),
+      queue, caller, std::min(deadline, now + kOwnerQueryTimeout),
       [this, reply](const Result<std::size_t>& pending) {
         if (pending) {
           reply(JsonResponse(200, m_platform->EncodePending(pending.value())));
