Keep the platform's field names of the hostile tests in testsuite/platform

Cause: names of the platform on the wire stood in testsuite/hostile. Change: the bodies move to testsuite/platform/standin/sample_messages.h; crowds, bounds and checks are unchanged.

--- a/testsuite/hostile/hostile_fuzz_test.cpp
+++ b/testsuite/hostile/hostile_fuzz_test.cpp
@@ -14,6 +14,7 @@
 #include "hyssopspar/store/record_batch.h"
 #include "platform/wire.h"
 #include "pvt/message_reader.h"
+#include "testsuite/platform/standin/sample_messages.h"
 
 namespace hyssopspar {
 namespace {
@@ -142,12 +143,8 @@
 RC_GTEST_PROP(HostileFuzz,
               JobsAreDecodedOrRejected,
               (const std::vector<Change>& changes)) {
-  Accept(platform::DecodeJobBody(
-      Apply(R"({"spec":"work=10","steps":[{"count":2,"cpu":1000,"memMb":100,)"
-            R"("estimateMs":10,"requirements":"a=b","longRunning":true}]})",
-            changes)));
-  Accept(platform::DecodeHoldAnswer(
-      Apply(R"({"clockMs":1,"running":[{"task":"a"}],"ended":[]})", changes)));
+  Accept(platform::DecodeJobBody(Apply(review::kLastingJob, changes)));
+  Accept(platform::DecodeHoldAnswer(Apply(review::kRunLists, changes)));
 }
 
 RC_GTEST_PROP(HostileFuzz,
--- a/testsuite/hostile/hostile_node.cpp
+++ b/testsuite/hostile/hostile_node.cpp
@@ -9,6 +9,7 @@
 
 #include "hostile/crowd.h"
 #include "hostile/relay.h"
+#include "platform/standin/sample_messages.h"
 #include "platform/standin/site.h"
 
 namespace {
@@ -19,8 +20,7 @@
   target.m_address = site.FrontAddress(0);
   target.m_line = "POST /q/00000000000000aa";
   target.m_headers = "Host: q.example\r\nContent-Type: application/json\r\n";
-  target.m_body =
-      R"({"spec":"work=10","steps":[{"count":1,"cpu":1000,"memMb":100,"estimateMs":10}]})";
+  target.m_body = review::kSmallJob;
   return target;
 }
 
