Mend what the review of the limits on clients found

Cause, by review: connections with a complete header and no body could not be closed at a server's limit and kept callers out for 30 s; a transfer coding other than chunked was ignored, so that a forwarder could see another end of the body; without limits.max_fds, servers got limits that they did not have before; an eighth of the descriptors for peers is few in large fleets; a relayed time-out was not bounded. Change: a connection can be closed until a handler has its request; such codings are refused with 400; no limit without the setting; a quarter for peers; at most 3 s. Not mended (docs/design/hostile-clients.md): order of destruction of the node's servers, precedence of metrics over callers just below the budget.

--- a/src/include/hyssopspar/resource_limits.h
+++ b/src/include/hyssopspar/resource_limits.h
@@ -25,7 +25,8 @@
 std::size_t EffectiveDescriptors(const ResourceLimits& limits);
 
 /// The share of the descriptors that the connections of one server may take:
-/// one of \p divisor parts, and at least 16.
+/// one of \p divisor parts, and at least 16. 0, which means no limit, unless
+/// the settings name the number of descriptors.
 std::size_t MaxServerConnections(const ResourceLimits& limits,
                                  std::size_t divisor);
 
--- a/src/libhyssopspar/hostile_messages_test.cpp
+++ b/src/libhyssopspar/hostile_messages_test.cpp
@@ -71,6 +71,10 @@
        {std::string("content-length: 2\r\ncontent-length: 3\r\n"),
         std::string("content-length: 2\r\ntransfer-encoding: chunked\r\n"),
         std::string("transfer-encoding: chunked\r\ncontent-length: 2\r\n"),
+        std::string("transfer-encoding: gzip\r\n"),
+        std::string("transfer-encoding: xchunked\r\ncontent-length: 2\r\n"),
+        std::string("transfer-encoding: chunked, identity\r\n"
+                    "content-length: 2\r\n"),
         std::string("content-length: +2\r\n"),
         std::string("content-length: 99999999999999999999\r\n"),
         std::string("x: 1\ncontent-length: 2\r\n"),
--- a/src/libhyssopspar/http_session.cpp
+++ b/src/libhyssopspar/http_session.cpp
@@ -90,7 +90,6 @@
     beast::error_code ec;
     ParseStep step = ParseBuffered(&*m_parser, &m_buffer, &ec);
     if (step == ParseStep::kHeader) {
-      m_charge.m_waiting_since.store(0);
       step = ParseBuffered(&*m_parser, &m_buffer, &ec);
     }
     if (step == ParseStep::kFailed) {
@@ -144,7 +143,6 @@
   /// received, and closes the connection.
   void Reject(ConnectionRefusal reason, HttpResponse response) {
     ConnectionBudget::Process().Count(reason);
-    m_charge.m_waiting_since.store(0);
     m_parser.reset();
     m_buffer.clear();
     m_buffer.shrink_to_fit();
@@ -160,6 +158,9 @@
       RejectForMemory();
       return;
     }
+    // Until here the connection may be closed in favour of another one: no
+    // handler has its request.
+    m_charge.m_waiting_since.store(0);
     m_charge.m_is_closable.store(false);
     m_stream.expires_never();
     http::request<http::string_body> message = m_parser->release();
--- a/src/libhyssopspar/pvt/message_reader.h
+++ b/src/libhyssopspar/pvt/message_reader.h
@@ -51,6 +51,13 @@
       return ParseStep::kFailed;
     }
     if (!had_header && parser->is_header_done()) {
+      // The parser ignores a coding other than "chunked". Whoever forwards the
+      // message may see another end of its body.
+      if (parser->get().count(http::field::transfer_encoding) > 0 &&
+          !parser->chunked()) {
+        *ec = http::error::bad_transfer_encoding;
+        return ParseStep::kFailed;
+      }
       return ParseStep::kHeader;
     }
   }
--- a/src/libhyssopspar/resource_limits.cpp
+++ b/src/libhyssopspar/resource_limits.cpp
@@ -44,6 +44,9 @@
 
 std::size_t MaxServerConnections(const ResourceLimits& limits,
                                  std::size_t divisor) {
+  if (limits.m_max_descriptors == 0) {
+    return 0;
+  }
   return std::max(EffectiveDescriptors(limits) / divisor,
                   kMinServerConnections);
 }
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -47,14 +47,15 @@
 constexpr std::size_t kMaxFrontConnections = 2000;
 /// Shares of the descriptors. The rest is for the store, workers and peers.
 constexpr std::size_t kFrontShare = 2;
-constexpr std::size_t kInternalShare = 8;
+constexpr std::size_t kInternalShare = 4;
 constexpr std::size_t kReadyShare = 16;
 
 HttpServerLimits FrontLimits(const ResourceLimits& resources) {
   HttpServerLimits limits;
   limits.m_max_request_body_bytes = 1 << 20;
-  limits.m_max_connections = std::min(
-      kMaxFrontConnections, MaxServerConnections(resources, kFrontShare));
+  const std::size_t share = MaxServerConnections(resources, kFrontShare);
+  limits.m_max_connections =
+      share == 0 ? kMaxFrontConnections : std::min(kMaxFrontConnections, share);
   limits.m_idle_timeout = std::chrono::seconds(60);
   return limits;
 }
@@ -202,7 +203,8 @@
   }
   m_appender.StoreForPeer(
       records.value(),
-      received + TimeoutOf(request).value_or(kDefaultRelayTimeout),
+      received + std::min(kDefaultRelayTimeout,
+                          TimeoutOf(request).value_or(kDefaultRelayTimeout)),
       [reply](const Result<Offset>& end) { reply(RelayAnswer(end)); });
 }
 
