--- a/src/libhyssopspar/jobs/cell_tenants.cpp
+++ b/src/libhyssopspar/jobs/cell_tenants.cpp
@@ -19,7 +19,7 @@
 /// Time after which a job that waits for its tenant's quota holds that tenant's
 /// less urgent jobs back. Otherwise smaller tasks could take all that becomes
 /// free, for ever.
-constexpr milliseconds kQuotaPatience{3000};
+constexpr milliseconds kQuotaWaitLimit{3000};
 
 }  // namespace
 
@@ -107,7 +107,7 @@
   if (allowed > 0) {
     job->m_quota_turn_at = TimePoint::max();
   } else if (job->m_quota_turn_at == TimePoint::max()) {
-    job->m_quota_turn_at = now + kQuotaPatience;
+    job->m_quota_turn_at = now + kQuotaWaitLimit;
   } else if (now >= job->m_quota_turn_at &&
              FitsQuotaEventually(*account, plan, pending->size())) {
     account->m_is_kept_for_task = true;
