Review case 10: one hopeless job holds back all tasks that last

A job whose declared size fits no worker makes the owner hold back the first runs of all tasks that last for 20 s, with all workers idle.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+exec "$(dirname "$0")/../run-case-2.sh" 10
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -299,7 +299,10 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const review::CaseArguments arguments = review::ParseArguments(argc, argv);
+  review::CaseArguments arguments = review::ParseArguments(argc, argv);
+  arguments.m_more_settings =
+      "[placement]\nload_forecast = true\n"
+      "[limits]\nmemory_mb = 260\nmax_fds = 4100\n";
   review::Site site(arguments);
   review::GangBoard gangs;
   review::MinionSettings settings;
