--- a/review/run-case-2.sh
+++ b/review/run-case-2.sh
@@ -10,9 +10,13 @@
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
 rm -f "review/$1/record.txt"
-# The nodes end with the case: it kills them, and the kernel does if it dies.
+# The case ends its nodes; if it is ended itself, the kernel does. timeout passes
+# a signal on to it.
 timeout -k 2 115 "$case_program" "$program" "review/$1/record.txt" "$folder" \
-  "${TROUBLE:-1}"
+  "${TROUBLE:-1}" &
+child=$!
+trap 'kill "$child" 2>/dev/null; wait "$child"; exit 2' HUP INT TERM
+wait "$child"
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
