Fence orders to a worker's earlier incarnation

Cause: a start or a hold names the end of the lease on the worker's clock. An order that is sent before the owner knows of a restart names a time of the earlier clock; the next incarnation shortens it to the longest lease (10 s) and applies it to all its runs, also to those that are started later with the right clock.

Change: the token of an order holds the number of restarts that the owner has seen of the worker, so that a worker that has received one order since ignores those of before. Until it has answered a hold with it, it gets no starts and no lease; from then on the longest lease counts. A restart also shows in the clock of the answer to a start. A run whose start may reach a restarted worker out of reach is kept for the longest delay of orders and the longest lease. New owners count with the longest lease for workers that started shortly before.

--- a/src/include/hyssopspar/jobs/action.h
+++ b/src/include/hyssopspar/jobs/action.h
@@ -11,6 +11,7 @@
 #include "hyssopspar/jobs/advice_port.h"
 #include "hyssopspar/jobs/worker.h"
 #include "hyssopspar/jobs/worker_port.h"
+#include "hyssopspar/jobs/worker_restart.h"
 #include "hyssopspar/store/keyed_log.h"
 
 namespace hyssopspar::jobs {
@@ -20,6 +21,10 @@
   TaskRef m_task;
   WorkerTarget m_target;
   StartOrder m_order;
+  TimePoint m_sent;
+  /// Clock of the incarnation for which the order is meant, if that answers at
+  /// once; see ClockRangeOf().
+  ClockRange m_clock;
   /// The views and the ownership lease permit the start until then. A process
   /// may be paused between the decision and the sending.
   TimePoint m_send_before;
--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -118,7 +118,7 @@
                 const Result<Offset>& result,
                 TimePoint now);
   void OnStartAnswer(const StartAction& action,
-                     const Result<StartAnswer>& answer,
+                     const Result<StartReply>& answer,
                      TimePoint now);
   void OnStopAnswer(const StopAction& action,
                     const Result<void>& answer,
@@ -280,6 +280,26 @@
   TaskMix TaskMixOf(const Worker& worker) const;
   void ExtendLeaseDeadline(Worker* worker, WorkerTime until);
 
+  // cell_restarts.cpp
+  /// Allows for the lease that a worker has granted by a start that was meant
+  /// for its earlier incarnation.
+  void CheckStartedIncarnation(const StartAction& action,
+                               const StartReply& reply,
+                               TimePoint now);
+  /// Latest time at which an incarnation can have started by its own time of
+  /// day.
+  TimePoint LatestStartOf(std::int64_t incarnation_unix_ms,
+                          TimePoint now) const;
+  /// Allows for the leases that earlier owners have granted to a worker that
+  /// this one has not reached yet, if it started not long before.
+  void ExpectInheritedLease(Worker* worker, TimePoint now);
+  /// True if a worker refused an order because it had received one with a
+  /// higher fence of this owner.
+  bool IsOverridden(int worker_index, std::uint64_t order_epoch) const;
+  /// Time by which the run has ended if its worker doesn't answer any more: a
+  /// start that wasn't answered may reach a later incarnation.
+  TimePoint LatestEndOf(const Worker& worker, const Task& task) const;
+
   // cell_crashes.cpp
   /// Ends the runs of the worker's earlier incarnations, which ended with them.
   /// \p alive_at is the time of the last report of the earlier incarnation,
@@ -314,7 +334,11 @@
   /// That it crashed is not known: it may be cut off, and its entry may have
   /// expired during an outage of the store.
   void EndRunsOfSilentWorker(int worker_index, TimePoint now);
-  void EndAllRuns(int worker_index, EndCause cause, TimePoint now);
+  /// Ends the runs of \p tasks, all placed on the worker.
+  void EndRuns(int worker_index,
+               const std::vector<TaskRef>& tasks,
+               EndCause cause,
+               TimePoint now);
 
   // cell_pacing.cpp
   void RecordTailLatencies(int worker_index,
--- a/src/include/hyssopspar/jobs/cell_settings.h
+++ b/src/include/hyssopspar/jobs/cell_settings.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 
+#include "hyssopspar/jobs/worker_restart.h"
 #include "hyssopspar/store/store_limits.h"
 #include "hyssopspar/time.h"
 
@@ -17,8 +18,12 @@
   /// Lease that each heartbeat grants to a worker; at most the platform's
   /// limit.
   milliseconds m_lease{5000};
-  /// All leases that earlier owners granted have expired by then.
+  OrderLimits m_order_limits;
+  /// All leases that earlier owners granted have expired by then, but for those
+  /// of workers that had just restarted.
   TimePoint m_inherited_lease_deadline;
+  /// Earlier owners have sent no order after this.
+  TimePoint m_inherited_orders_until;
   StoreLimits m_store_limits;
   /// Minimum time from a stored batch to the next one, so that one append
   /// carries many changes.
--- a/src/include/hyssopspar/jobs/worker.h
+++ b/src/include/hyssopspar/jobs/worker.h
@@ -98,9 +98,13 @@
   /// resources are therefore unknown.
   bool m_has_unknown_runs = false;
 
-  /// True once the worker has answered a heartbeat of this owner's epoch; it
-  /// then ignores orders of earlier owners.
+  /// True once the worker has answered a heartbeat with the epoch that its
+  /// orders now bear; it then ignores those of earlier owners, and those meant
+  /// for its earlier incarnations.
   bool m_epoch_acknowledged = false;
+  /// Part of the epoch of its orders; see OrderEpoch().
+  std::uint32_t m_fence = 0;
+  TimePoint m_fence_raised_at;
   bool m_reachable = false;  ///< The last heartbeat was answered.
   /// Incarnation of the last report; 0 before the first.
   std::int64_t m_incarnation_unix_ms = 0;
@@ -111,6 +115,9 @@
   TimePoint m_alive_at;  ///< When the request of the last report was sent.
   /// All leases granted by this owner and earlier ones have expired by then.
   TimePoint m_lease_deadline;
+  /// Runs whose start may be carried out late are kept until then, after the
+  /// lease deadline.
+  TimePoint m_late_starts_until;
 
   bool m_heartbeat_in_flight = false;
   TimePoint m_next_heartbeat;
--- a/src/include/hyssopspar/jobs/worker_port.h
+++ b/src/include/hyssopspar/jobs/worker_port.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,7 +56,7 @@
   std::string m_checkpoint;   ///< Empty: start from the beginning.
   std::string m_ticket;       ///< Empty when the queue requires no ticket.
   WorkerTime m_not_after;     ///< The worker refuses the order after this.
-  std::uint64_t m_epoch = 0;  ///< The sending owner's epoch.
+  std::uint64_t m_epoch = 0;  ///< See OrderEpoch().
 };
 
 /// A worker's answer to a StartOrder.
@@ -71,6 +72,13 @@
   kWrongWorker,  ///< The address now belongs to another worker.
 };
 
+/// A worker's answer to a StartOrder and its clock at that time.
+struct StartReply {
+  StartAnswer m_answer = StartAnswer::kStarted;
+  /// nullopt if the answer has no clock.
+  std::optional<WorkerTime> m_now;
+};
+
 /// Order to stop one run of a task, or to prevent its start.
 struct StopOrder {
   TaskName m_task;
@@ -151,7 +159,7 @@
   virtual void Start(const WorkerTarget& worker,
                      const StartOrder& order,
                      TimePoint deadline,
-                     std::function<void(Result<StartAnswer>)> done) = 0;
+                     std::function<void(Result<StartReply>)> done) = 0;
 
   /// Success means that the run is stopping or will never start on this worker.
   virtual void Stop(const WorkerTarget& worker,
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -8,6 +8,7 @@
 
 #include "hyssopspar/jobs/crash_blame.h"
 #include "hyssopspar/jobs/records.h"
+#include "hyssopspar/jobs/worker_restart.h"
 #include "hyssopspar/logging.h"
 #include "jobs/cell_log.h"
 
@@ -183,9 +184,12 @@
   const bool address_changed = worker.m_entry.m_address != entry.m_address;
   worker.m_entry = entry;
   worker.m_listed = true;
+  if (worker.m_incarnation_unix_ms == 0) {
+    ExpectInheritedLease(&worker, now);
+  }
   // Nothing is started on a new incarnation before it has answered a heartbeat.
-  if (!HasCurrentEntry(worker)) {
-    worker.m_epoch_acknowledged = false;
+  if (!HasCurrentEntry(worker) && worker.m_epoch_acknowledged) {
+    RaiseFence(&worker, now);
   }
   if (status_changed) {
     CellLog()->info("worker-listed id={} address={} leaving={} incarnation={}",
@@ -206,6 +210,7 @@
   Worker& worker = TouchWorker(it->second);
   if (worker.m_listed) {
     worker.m_listed = false;
+    worker.m_late_starts_until = TimePoint();
     CellLog()->info("worker-unlisted id={} tasks={}", id,
                     worker.m_tasks.size());
   }
--- a/src/libhyssopspar/jobs/cell_crashes.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes.cpp
@@ -190,14 +190,27 @@
   const std::vector<TaskRef> given_up =
       CountCrash(worker_index, StartedTasksOf(worker), worker.m_alive_at,
                  CrashSign::kOtherWorker, now);
-  EndAllRuns(worker_index, EndCause::kWorkerCrashed, now);
+  EndRuns(worker_index, {worker.m_tasks.begin(), worker.m_tasks.end()},
+          EndCause::kWorkerCrashed, now);
   GiveUpTasks(given_up, now);
 }
 
 void Cell::EndRunsOfSilentWorker(int worker_index, TimePoint now) {
-  Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
-  for (const TaskRef& ref : StartedTasksOf(worker)) {
+  Worker& worker = TouchWorker(worker_index);
+  std::vector<TaskRef> ended;
+  worker.m_late_starts_until = TimePoint();
+  for (const TaskRef& ref : worker.m_tasks) {
     const Task& task = ref.m_job->m_tasks[ref.m_index];
+    const TimePoint latest_end = LatestEndOf(worker, task);
+    if (task.m_state != TaskState::kRecording && latest_end > now) {
+      worker.m_late_starts_until =
+          std::max(worker.m_late_starts_until, latest_end);
+      continue;
+    }
+    ended.push_back(ref);
+    if (task.m_state == TaskState::kRecording) {
+      continue;
+    }
     const CrashedRun run{ref, task.m_run, StartOf(task)};
     worker.m_lapsed_runs.push_back(
         {NameOfTask(*ref.m_job, ref.m_index), run.m_run, run.m_start});
@@ -205,15 +218,17 @@
       CountPossibleCrash(run, worker.m_loss);
     }
   }
-  EndAllRuns(worker_index, EndCause::kLeaseExpired, now);
+  EndRuns(worker_index, ended, EndCause::kLeaseExpired, now);
 }
 
-void Cell::EndAllRuns(int worker_index, EndCause cause, TimePoint now) {
+void Cell::EndRuns(int worker_index,
+                   const std::vector<TaskRef>& tasks,
+                   EndCause cause,
+                   TimePoint now) {
   const Worker& worker = m_workers[static_cast<std::size_t>(worker_index)];
-  CellLog()->warn("worker-ended id={} reason={} listed={} tasks={}",
+  CellLog()->warn("worker-ended id={} reason={} listed={} tasks={} kept={}",
                   worker.m_entry.m_id, CauseName(cause), worker.m_listed,
-                  worker.m_tasks.size());
-  const std::set<TaskRef> tasks = worker.m_tasks;
+                  tasks.size(), worker.m_tasks.size() - tasks.size());
   for (const TaskRef& ref : tasks) {
     if (ref.m_job->m_tasks[ref.m_index].m_state == TaskState::kRecording) {
       ReturnToPending(ref, "worker-ended", now);
--- a/src/libhyssopspar/jobs/cell_crashes_test.cpp
+++ b/src/libhyssopspar/jobs/cell_crashes_test.cpp
@@ -250,8 +250,8 @@
     const std::string worker = m_start_workers.back();
     m_now += std::chrono::seconds(5);
     SetViewsCurrent();
-    m_cell.OnStartAnswer(m_unanswered_starts.back(), StartAnswer::kStarted,
-                         m_now);
+    m_cell.OnStartAnswer(m_unanswered_starts.back(),
+                         StartedReply(m_unanswered_starts.back()), m_now);
     EndProcess(worker);
     BeginProcess(worker);
     Run(milliseconds(250));
--- a/src/libhyssopspar/jobs/cell_fixture.h
+++ b/src/libhyssopspar/jobs/cell_fixture.h
@@ -100,16 +100,26 @@
     }
   }
 
+  WorkerTime ClockOf(const std::string& worker) {
+    return WorkerTime(milliseconds(ToMillis(m_now - m_restarted_at[worker])));
+  }
+
+  StartReply StartedReply(const StartAction& action) {
+    return {StartAnswer::kStarted, ClockOf(action.m_target.m_id)};
+  }
+
   void Answer(const StartAction& action) {
     m_starts.push_back(action.m_order);
     m_start_workers.push_back(action.m_target.m_id);
     m_send_before.push_back(action.m_send_before);
     if (m_start_refusal) {
-      m_cell.OnStartAnswer(action, *m_start_refusal, m_now);
+      m_cell.OnStartAnswer(
+          action, StartReply{*m_start_refusal, ClockOf(action.m_target.m_id)},
+          m_now);
     } else if (m_starts_are_answered) {
       m_running[action.m_target.m_id].push_back(
           {action.m_order.m_task, action.m_order.m_run, "", 0, m_usage});
-      m_cell.OnStartAnswer(action, StartAnswer::kStarted, m_now);
+      m_cell.OnStartAnswer(action, StartedReply(action), m_now);
     } else {
       m_unanswered_starts.push_back(action);
     }
@@ -139,8 +149,7 @@
     m_acked[action.m_target.m_id] =
         std::max(m_acked[action.m_target.m_id], action.m_order.m_acked_up_to);
     HeartbeatReport report;
-    report.m_now = WorkerTime(
-        milliseconds(ToMillis(m_now - m_restarted_at[action.m_target.m_id])));
+    report.m_now = ClockOf(action.m_target.m_id);
     report.m_incarnation_unix_ms = 1 + m_incarnations[action.m_target.m_id];
     report.m_running = m_running[action.m_target.m_id];
     report.m_ended = m_ended[action.m_target.m_id];
--- a/src/libhyssopspar/jobs/cell_pacing.cpp
+++ b/src/libhyssopspar/jobs/cell_pacing.cpp
@@ -157,10 +157,11 @@
       task.m_throttle_percent);
   task.m_throttle_percent = percent;
   task.m_throttle_changed_at = now;
-  m_actions.emplace_back(
-      ThrottleAction{TargetOf(task.m_worker),
-                     {NameOfTask(*job, ref.m_index), task.m_run, percent,
-                      m_settings.m_epoch}});
+  m_actions.emplace_back(ThrottleAction{
+      TargetOf(task.m_worker),
+      {NameOfTask(*job, ref.m_index), task.m_run, percent,
+       OrderEpoch(m_settings.m_epoch,
+                  m_workers[static_cast<std::size_t>(task.m_worker)])}});
   // The pause takes effect before the stop does.
   if (percent == 0 && may_move &&
       StepOf(*job, ref.m_index).m_supports_checkpoints) {
--- /dev/null
+++ b/src/libhyssopspar/jobs/cell_restarts.cpp
@@ -0,0 +1,85 @@
+// Orders that may reach a later incarnation of a worker than was meant.
+
+#include <algorithm>
+
+#include "hyssopspar/jobs/cell.h"
+#include "hyssopspar/jobs/worker_restart.h"
+#include "jobs/cell_log.h"
+
+namespace hyssopspar::jobs {
+
+namespace {
+
+/// Most by which the times of day of two machines differ.
+constexpr milliseconds kMaxClockDifference{10000};
+
+}  // namespace
+
+void Cell::CheckStartedIncarnation(const StartAction& action,
+                                   const StartReply& reply,
+                                   TimePoint now) {
+  const bool is_other_clock =
+      reply.m_now &&
+      (*reply.m_now < action.m_clock.m_earliest ||
+       *reply.m_now >
+           action.m_clock.m_latest +
+               std::chrono::duration_cast<milliseconds>(now - action.m_sent));
+  const bool is_unknown =
+      !reply.m_now && reply.m_answer == StartAnswer::kStarted;
+  if (!is_other_clock && !is_unknown) {
+    return;
+  }
+  Worker& worker = TouchWorker(action.m_worker);
+  worker.m_lease_deadline =
+      std::max(worker.m_lease_deadline,
+               LongestLeaseFrom(now, m_settings.m_order_limits));
+  if (is_other_clock &&
+      !IsOverridden(action.m_worker, action.m_order.m_epoch)) {
+    CellLog()->warn("start-reached-restarted-worker id={} task={} run={}",
+                    worker.m_entry.m_id, ToString(action.m_order.m_task),
+                    action.m_order.m_run);
+    RaiseFence(&worker, now);
+  }
+}
+
+TimePoint Cell::LatestStartOf(std::int64_t incarnation_unix_ms,
+                              TimePoint now) const {
+  const milliseconds age(UnixMillis(now) - incarnation_unix_ms);
+  return std::min(now, now - age + kMaxClockDifference);
+}
+
+void Cell::ExpectInheritedLease(Worker* worker, TimePoint now) {
+  AllowForStaleOrders(m_settings.m_order_limits,
+                      LatestStartOf(worker->m_entry.m_incarnation_unix_ms, now),
+                      m_settings.m_inherited_orders_until, worker);
+}
+
+bool Cell::IsOverridden(int worker_index, std::uint64_t order_epoch) const {
+  return order_epoch <
+         OrderEpoch(m_settings.m_epoch,
+                    m_workers[static_cast<std::size_t>(worker_index)]);
+}
+
+TimePoint Cell::LatestEndOf(const Worker& worker, const Task& task) const {
+  // Orders to the earlier incarnation take effect until the worker knows the
+  // fence, whether this owner has raised it or takes over with a new epoch.
+  const bool was_reached = worker.m_incarnation_unix_ms != 0;
+  const bool has_restarted =
+      !worker.m_epoch_acknowledged &&
+      (was_reached ||
+       (task.m_worker_incarnation != 0 &&
+        task.m_worker_incarnation != worker.m_entry.m_incarnation_unix_ms));
+  const bool ran_before = task.m_state == TaskState::kRunning &&
+                          task.m_confirmed_at < worker.m_fence_raised_at;
+  if (!worker.m_listed || !has_restarted || ran_before) {
+    return worker.m_lease_deadline;
+  }
+  const TimePoint sent_by = was_reached ? worker.m_fence_raised_at
+                                        : m_settings.m_inherited_orders_until;
+  return std::max(
+      worker.m_lease_deadline,
+      LongestLeaseFrom(sent_by + m_settings.m_order_limits.m_longest_delay,
+                       m_settings.m_order_limits));
+}
+
+}  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -4,6 +4,7 @@
 
 #include "hyssopspar/invariant.h"
 #include "hyssopspar/jobs/cell.h"
+#include "hyssopspar/jobs/worker_restart.h"
 #include "jobs/cell_log.h"
 
 namespace hyssopspar::jobs {
@@ -244,7 +245,9 @@
   }
   action.m_order.m_not_after =
       WorkerTimeAt(worker, now) + m_settings.m_start_validity;
-  action.m_order.m_epoch = m_settings.m_epoch;
+  action.m_order.m_epoch = OrderEpoch(m_settings.m_epoch, worker);
+  action.m_sent = now;
+  action.m_clock = ClockRangeOf(worker, now, now);
   action.m_send_before = PlacementDeadline();
   ExtendLeaseDeadline(&worker, action.m_order.m_not_after);
   SetTaskState(job, ref.m_index, TaskState::kStarting);
@@ -272,7 +275,8 @@
   action.m_target = TargetOf(task.m_worker);
   action.m_order.m_task = NameOfTask(*job, ref.m_index);
   action.m_order.m_run = task.m_run;
-  action.m_order.m_epoch = m_settings.m_epoch;
+  action.m_order.m_epoch = OrderEpoch(
+      m_settings.m_epoch, m_workers[static_cast<std::size_t>(task.m_worker)]);
   SetTaskState(job, ref.m_index, TaskState::kStopping);
   task.m_start_status = StartStatus::kStopSent;
   task.m_stop_sent_at = now;
@@ -283,9 +287,12 @@
 }
 
 void Cell::OnStartAnswer(const StartAction& action,
-                         const Result<StartAnswer>& answer,
+                         const Result<StartReply>& answer,
                          TimePoint now) {
   --m_unanswered_starts;
+  if (answer) {
+    CheckStartedIncarnation(action, answer.value(), now);
+  }
   m_schedule_needed = m_schedule_needed || m_window_was_full;
   Job* const job = FindMutableJob(action.m_order.m_task.m_job);
   if (job == nullptr) {
@@ -314,11 +321,11 @@
     task.m_start_status = StartStatus::kUnacknowledged;
     task.m_start_status_since = now;
     TouchWorker(action.m_worker).m_next_heartbeat = now;
-  } else if (answer.value() == StartAnswer::kStarted) {
+  } else if (answer.value().m_answer == StartAnswer::kStarted) {
     AddConfirmation(&m_start_window, now - task.m_stage_since, now);
     ConfirmStart(action.m_task, now);
   } else {
-    HandleRefusal(action, job, answer.value(), now);
+    HandleRefusal(action, job, answer.value().m_answer, now);
   }
 }
 
@@ -329,7 +336,8 @@
   CellLog()->warn("start-refused task={} run={} worker={} answer={}",
                   ToString(action.m_order.m_task), action.m_order.m_run,
                   action.m_target.m_id, AnswerName(answer));
-  if (answer == StartAnswer::kFenced) {
+  if (answer == StartAnswer::kFenced &&
+      !IsOverridden(action.m_worker, action.m_order.m_epoch)) {
     m_is_fenced = true;
     return;
   }
@@ -351,7 +359,8 @@
 void Cell::OnStopAnswer(const StopAction& action,
                         const Result<void>& answer,
                         TimePoint now) {
-  if (!answer && answer.error().m_code == ErrorCode::kFenced) {
+  if (!answer && answer.error().m_code == ErrorCode::kFenced &&
+      !IsOverridden(action.m_worker, action.m_order.m_epoch)) {
     m_is_fenced = true;
     return;
   }
--- a/src/libhyssopspar/jobs/cell_test.cpp
+++ b/src/libhyssopspar/jobs/cell_test.cpp
@@ -160,7 +160,8 @@
   start.m_task = {const_cast<Job*>(m_cell.FindJob("a")), 0};
   start.m_order = m_starts[0];
   m_now += milliseconds(10);
-  m_cell.OnStartAnswer(start, StartAnswer::kStarted, m_now);
+  m_cell.OnStartAnswer(start, StartReply{StartAnswer::kStarted, WorkerTime()},
+                       m_now);
   HeartbeatReport report;
   report.m_incarnation_unix_ms = 2;
   m_cell.OnHeartbeatAnswer(heartbeat, report, m_now);
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -6,15 +6,13 @@
 
 #include "hyssopspar/jobs/cell.h"
 #include "hyssopspar/jobs/crash_blame.h"
+#include "hyssopspar/jobs/worker_restart.h"
 #include "jobs/cell_log.h"
 
 namespace hyssopspar::jobs {
 
 namespace {
 
-/// Added to the end of a lease before its runs count as ended, to allow for
-/// errors in the estimate of the worker's clock.
-constexpr milliseconds kLeaseExpiryMargin{300};
 /// Delay before the next heartbeat after one without an answer; doubled with
 /// each error in a row, from the minimum to the maximum.
 constexpr milliseconds kMinHeartbeatRetryDelay{200};
@@ -82,7 +80,7 @@
   action.m_worker = worker_index;
   action.m_target = TargetOf(worker_index);
   action.m_sent = now;
-  action.m_order.m_epoch = m_settings.m_epoch;
+  action.m_order.m_epoch = OrderEpoch(m_settings.m_epoch, worker);
   action.m_send_before = m_ownership_lease_deadline;
   action.m_order.m_acked_up_to = AckFor(worker);
   // The lease of a worker that does not answer is not extended, so that its
@@ -115,7 +113,8 @@
     ApplyReport(action.m_worker, action, answer.value(), now);
     return;
   }
-  if (answer.error().m_code == ErrorCode::kFenced) {
+  if (answer.error().m_code == ErrorCode::kFenced &&
+      !IsOverridden(action.m_worker, action.m_order.m_epoch)) {
     CellLog()->warn("fenced-by-worker id={} epoch={}", worker.m_entry.m_id,
                     m_settings.m_epoch);
     m_is_fenced = true;
@@ -180,7 +179,22 @@
                     report.m_ended.size(), first);
     m_schedule_needed = true;
   }
-  worker.m_epoch_acknowledged = true;
+  if (restarted && worker.m_epoch_acknowledged) {
+    RaiseFence(&worker, now);
+  }
+  if (!worker.m_epoch_acknowledged) {
+    // This owner has seen a restart if it has raised the fence.
+    AllowForStaleOrders(m_settings.m_order_limits,
+                        worker.m_fence > 0
+                            ? now
+                            : LatestStartOf(report.m_incarnation_unix_ms, now),
+                        now, &worker);
+    CellLog()->info("worker-lease id={} fence={} lease_ms={}",
+                    worker.m_entry.m_id, worker.m_fence,
+                    ToMillis(worker.m_lease_deadline - now));
+  }
+  worker.m_epoch_acknowledged =
+      action.m_order.m_epoch == OrderEpoch(m_settings.m_epoch, worker);
   worker.m_reachable = true;
   worker.m_consecutive_heartbeat_errors = 0;
 
@@ -286,7 +300,8 @@
   action.m_target = TargetOf(worker_index);
   action.m_order.m_task = run.m_task;
   action.m_order.m_run = run.m_run;
-  action.m_order.m_epoch = m_settings.m_epoch;
+  action.m_order.m_epoch = OrderEpoch(
+      m_settings.m_epoch, m_workers[static_cast<std::size_t>(worker_index)]);
   CellLog()->warn("stop task={} run={} worker={} reason=unexpected",
                   ToString(run.m_task), run.m_run, action.m_target.m_id);
   m_actions.emplace_back(std::move(action));
--- a/src/libhyssopspar/jobs/worker_agenda.cpp
+++ b/src/libhyssopspar/jobs/worker_agenda.cpp
@@ -66,8 +66,9 @@
                                         : worker.m_expected_tails_until,
        &entry.m_tail_change);
   Move(&agenda->m_lease_expiries, index,
-       !worker.m_reachable && !worker.m_tasks.empty() ? worker.m_lease_deadline
-                                                      : TimePoint::max(),
+       !worker.m_reachable && !worker.m_tasks.empty()
+           ? std::max(worker.m_lease_deadline, worker.m_late_starts_until)
+           : TimePoint::max(),
        &entry.m_lease_expiry);
   SetMember(&agenda->m_with_unacknowledged_ends, index,
             worker.m_acked_end_number < worker.m_received_end_number);
--- a/src/node/cell_host_acting.cpp
+++ b/src/node/cell_host_acting.cpp
@@ -131,10 +131,10 @@
   const TimePoint send_before = action.m_send_before;
   const jobs::WorkerTarget target = action.m_target;
   const jobs::StartOrder order = action.m_order;
-  const std::function<void(Result<jobs::StartAnswer>)> answered =
-      BindToGeneration<Result<jobs::StartAnswer>>(
-          [this, action = std::move(action)](
-              const Result<jobs::StartAnswer>& answer) {
+  const std::function<void(Result<jobs::StartReply>)> answered =
+      BindToGeneration<Result<jobs::StartReply>>(
+          [this,
+           action = std::move(action)](const Result<jobs::StartReply>& answer) {
             m_cell->OnStartAnswer(action, answer, Clock::now());
             TickAndDispatch();
           });
--- a/src/node/cell_host_fixture.h
+++ b/src/node/cell_host_fixture.h
@@ -176,8 +176,7 @@
   void Start(const jobs::WorkerTarget& /*worker*/,
              const jobs::StartOrder& /*order*/,
              TimePoint /*deadline*/,
-             std::function<void(Result<jobs::StartAnswer>)> /*done*/) override {
-  }
+             std::function<void(Result<jobs::StartReply>)> /*done*/) override {}
   void Stop(const jobs::WorkerTarget& /*worker*/,
             const jobs::StopOrder& /*order*/,
             TimePoint /*deadline*/,
--- a/src/node/cell_host_loading.cpp
+++ b/src/node/cell_host_loading.cpp
@@ -58,7 +58,12 @@
   settings.m_epoch = m_claim.m_epoch;
   settings.m_inherited_lease_deadline =
       m_previous_renewal_at + m_settings.m_max_lease_after_renewal;
+  settings.m_inherited_orders_until =
+      m_previous_renewal_at + m_settings.m_ownership_lease;
   m_cell = std::make_unique<jobs::Cell>(settings, Clock::now());
+  m_cell->SetUnixTime(std::chrono::duration_cast<milliseconds>(
+                          std::chrono::system_clock::now().time_since_epoch()),
+                      Clock::now());
   m_work_report = OwnerWorkReport();
   m_applied_excluded_domains.clear();
   FollowerCallbacks worker_callbacks;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -113,6 +113,10 @@
   SettingsReader workers = reader->Table("workers");
   const milliseconds longest_lease = workers.Millis(
       "longest_lease_ms", kMaxWorkerLease, milliseconds(1000), kMaxDuration);
+  settings.m_cell.m_order_limits.m_longest_lease = longest_lease;
+  settings.m_cell.m_order_limits.m_longest_delay = workers.Millis(
+      "longest_order_delay_ms", settings.m_cell.m_order_limits.m_longest_delay,
+      milliseconds(0), kMaxDuration);
   settings.m_cell.m_lease =
       std::min(kMaxWorkerLease, std::chrono::duration_cast<milliseconds>(
                                     longest_lease * kLeaseSafetyFactor));
--- a/testsuite/job_state/fleet_load.cpp
+++ b/testsuite/job_state/fleet_load.cpp
@@ -197,7 +197,9 @@
                       EndRun(worker, task, EndCause::kDone);
                     });
     }
-    m_cell->OnStartAnswer(action, StartAnswer::kStarted, m_now);
+    m_cell->OnStartAnswer(
+        action, StartReply{StartAnswer::kStarted, action.m_clock.m_earliest},
+        m_now);
     Decide();
   });
 }
--- a/testsuite/job_state/job_world.cpp
+++ b/testsuite/job_state/job_world.cpp
@@ -76,6 +76,9 @@
     m_contacts.emplace_back();
     m_contacts.back().m_last_beat = m_now;
     SimulatedWorker* const worker = m_workers.back().get();
+    if (m_options.m_delayed_orders_outlive_workers) {
+      worker->SetLatestClockStart(std::chrono::hours(2));
+    }
     worker->m_on_end = [this](const SimulatedRun& run, EndCause cause) {
       if (IsLongRunning(m_jobs.at(run.m_task.m_job), run.m_task)) {
         return;
@@ -196,6 +199,7 @@
   // 98 percent of real time is the lowest rate of a worker's clock.
   settings.m_inherited_lease_deadline =
       m_now + kOwnershipLease + settings.m_lease * 100 / 98;
+  settings.m_inherited_orders_until = m_now + kOwnershipLease;
   owner->m_cell = std::make_unique<Cell>(settings, m_now);
   ScheduleAfter(RandomNetworkDelay(),
                 [this, owner] { LoadStoredState(owner); });
--- a/testsuite/job_state/job_world.h
+++ b/testsuite/job_state/job_world.h
@@ -30,6 +30,9 @@
   bool m_faults = true;  ///< Inject crashes, partitions and lost messages.
   /// Share of orders that are delivered late and without an answer.
   double m_delayed_order_share = 0.05;
+  /// Delayed orders also reach a later incarnation of their worker, whose clock
+  /// starts at any time.
+  bool m_delayed_orders_outlive_workers = false;
   bool m_tickets_required = false;  ///< Starts need tickets of the adviser.
   bool m_gangs = false;             ///< Some steps are gangs.
   /// Share of tasks that crash each worker shortly after it has started them.
--- a/testsuite/job_state/job_world_orders.cpp
+++ b/testsuite/job_state/job_world_orders.cpp
@@ -49,13 +49,15 @@
   const bool faulty = m_options.m_faults && m_now < m_faults_end;
   if (faulty && RandomBool(m_options.m_delayed_order_share)) {
     const std::int64_t incarnation = target->Entry().m_incarnation_unix_ms;
-    ScheduleAfter(milliseconds(2000 + m_random() % 10000),
-                  [target, incarnation, deliver] {
-                    if (target->IsUp() &&
-                        target->Entry().m_incarnation_unix_ms == incarnation) {
-                      deliver();
-                    }
-                  });
+    ScheduleAfter(
+        milliseconds(2000 + m_random() % 10000),
+        [this, target, incarnation, deliver] {
+          if (target->IsUp() &&
+              (m_options.m_delayed_orders_outlive_workers ||
+               target->Entry().m_incarnation_unix_ms == incarnation)) {
+            deliver();
+          }
+        });
     fail_with_timeout();
     return;
   }
@@ -140,14 +142,17 @@
                     std::stoi(action.m_target.m_id.substr(1)))]
           .get();
   CheckLabel(*owner, action, *target);
-  DeliverOrder<StartAnswer>(
+  const auto reply = [this, target](StartAnswer answer) {
+    return StartReply{answer, target->ClockAt(m_now)};
+  };
+  DeliverOrder<StartReply>(
       owner, std::stoi(action.m_target.m_id.substr(1)),
-      [this, target, order = action.m_order] {
+      [this, target, reply, order = action.m_order] {
         const std::string name = ToString(order.m_task);
         target->Advance(m_now);
         if (m_options.m_tickets_required &&
             !m_adviser.AcceptsTicket(order, target->Entry(), m_now)) {
-          return StartAnswer::kNoTicket;
+          return reply(StartAnswer::kNoTicket);
         }
         const bool already_running = target->Runs().count(name) > 0;
         const StartAnswer answer =
@@ -159,9 +164,9 @@
             OnGangMemberStarted(order);
           }
         }
-        return answer;
+        return reply(answer);
       },
-      [this, owner, action](const Result<StartAnswer>& answer) {
+      [this, owner, action](const Result<StartReply>& answer) {
         RunAtOwner(owner, [this, owner, action, answer] {
           owner->m_cell->OnStartAnswer(action, answer, m_now);
         });
--- a/testsuite/job_state/worker_sim.cpp
+++ b/testsuite/job_state/worker_sim.cpp
@@ -1,6 +1,7 @@
 #include "job_state/worker_sim.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "hyssopspar/jobs/job.h"
@@ -22,8 +23,10 @@
     : m_entry(std::move(entry)), m_clock_rate(clock_rate), m_started_at(now) {}
 
 WorkerTime SimulatedWorker::ClockAt(TimePoint now) const {
-  return WorkerTime(milliseconds(static_cast<std::int64_t>(
-      static_cast<double>(ToMillis(now - m_started_at)) * m_clock_rate)));
+  return WorkerTime(
+      m_clock_start +
+      milliseconds(static_cast<std::int64_t>(
+          static_cast<double>(ToMillis(now - m_started_at)) * m_clock_rate)));
 }
 
 void SimulatedWorker::SetCapacity(const Resources& capacity, TimePoint now) {
@@ -92,7 +95,8 @@
   if (ClockAt(now) > order.m_not_after) {
     return StartAnswer::kLate;
   }
-  m_lease_end = std::max(m_lease_end, order.m_not_after);
+  m_lease_end = std::max(m_lease_end,
+                         std::min(order.m_not_after, ClockAt(now) + kMaxLease));
   if (order.m_run <= m_highest_ended_run[name] || running != m_runs.end()) {
     return StartAnswer::kOldRun;
   }
@@ -175,6 +179,14 @@
   m_up = true;
   m_started_at = now;
   ++m_entry.m_incarnation_unix_ms;
+  if (m_latest_clock_start > milliseconds(0)) {
+    m_entry.m_incarnation_unix_ms = std::max(m_entry.m_incarnation_unix_ms,
+                                             ToMillis(now.time_since_epoch()));
+    const std::size_t hash = std::hash<std::string>()(
+        m_entry.m_id + "/" + std::to_string(m_entry.m_incarnation_unix_ms));
+    m_clock_start = milliseconds(
+        hash % static_cast<std::size_t>(m_latest_clock_start.count()));
+  }
   m_entry.m_leaving = false;
 }
 
--- a/testsuite/job_state/worker_sim.h
+++ b/testsuite/job_state/worker_sim.h
@@ -40,6 +40,10 @@
  public:
   SimulatedWorker(WorkerEntry entry, double clock_rate, TimePoint now);
 
+  /// Lets each later incarnation tell the time of its start, and its clock
+  /// start at any time below \p limit, not at 0.
+  void SetLatestClockStart(milliseconds limit) { m_latest_clock_start = limit; }
+
   const WorkerEntry& Entry() const { return m_entry; }
   /// Changes the capacity that the worker reports. Runs are not affected.
   void SetCapacity(const Resources& capacity, TimePoint now);
@@ -60,6 +64,8 @@
   StartAnswer Start(const StartOrder& order,
                     const RunBehavior& behavior,
                     TimePoint now);
+  /// Time of the worker's clock.
+  WorkerTime ClockAt(TimePoint now) const;
   Result<void> Stop(const StopOrder& order, TimePoint now);
   Result<HeartbeatReport> ExchangeHeartbeat(const HeartbeatRequest& request,
                                             TimePoint now);
@@ -79,8 +85,6 @@
   std::function<void(const EndedRun&)> m_on_acknowledged;
 
  private:
-  /// Time of the worker's clock.
-  WorkerTime ClockAt(TimePoint now) const;
   void EndRun(const std::string& name, EndCause cause);
 
   WorkerEntry m_entry;
@@ -88,6 +92,8 @@
   std::vector<std::pair<TimePoint, Resources>> m_earlier_capacities;
   double m_clock_rate;
   TimePoint m_started_at;
+  milliseconds m_latest_clock_start{0};
+  milliseconds m_clock_start{0};
   bool m_up = true;
   std::uint64_t m_highest_epoch = 0;
   WorkerTime m_lease_end;
--- a/testsuite/platform/wire_test.cpp
+++ b/testsuite/platform/wire_test.cpp
@@ -336,8 +336,20 @@
   EXPECT_EQ(EncodeStart(order).find("ticket"), std::string::npos);
   order.m_ticket = "t-1";
   EXPECT_NE(EncodeStart(order).find(R"("ticket":"t-1")"), std::string::npos);
-  EXPECT_EQ(DecodeStartRefusal(R"({"clockMs":1,"reason":"ticket"})").value(),
-            jobs::StartAnswer::kNoTicket);
+  const jobs::StartReply reply =
+      DecodeStartRefusal(R"({"clockMs":1,"reason":"ticket"})").value();
+  EXPECT_EQ(reply.m_answer, jobs::StartAnswer::kNoTicket);
+  EXPECT_EQ(reply.m_now, hyssopspar::WorkerTime(hyssopspar::milliseconds(1)));
+}
+
+// The clock in the answer to a start shows that the worker has restarted.
+TEST(WireTest, DecodesTheClockOfAnAnswer) {
+  EXPECT_EQ(DecodeClock(R"({"clockMs":482113})"),
+            hyssopspar::WorkerTime(hyssopspar::milliseconds(482113)));
+  for (const char* const body :
+       {"", "{}", "[1]", R"({"clockMs":"1"})", R"({"clockMs":1e300})"}) {
+    EXPECT_FALSE(DecodeClock(body)) << body;
+  }
 }
 
 }  // namespace
