Bound the head-room that large or hopeless jobs keep free

Cause: first runs of tasks that last leave head-room for short jobs. The free CPU of each worker is counted in whole tasks of the mean declared size of recent short tasks. Above the size of a worker that is 0, and the budget is negative. Short tasks that fit an idle worker only have the same effect on half used ones.

Change: steps that fit no listed worker by CPU, memory, accelerators and label don't count as arrivals. The backlog for admission control counted tasks that fit no worker too, which refused jobs that would have ended in time; they are left out. The owner logs step-fits-no-worker.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -211,6 +211,9 @@
   /// Ends the job of \p ref as failed because of that task, and logs why.
   void FailJob(const TaskRef& ref, JobFailure failure, TimePoint now);
 
+  /// Logs the steps whose tasks wait until a larger worker comes.
+  void ReportStepsThatFitNoWorker(const Submission& job) const;
+
   // cell_report.cpp
   void ReportLoad(TimePoint now);
 
--- a/src/include/hyssopspar/jobs/long_running_growth.h
+++ b/src/include/hyssopspar/jobs/long_running_growth.h
@@ -43,8 +43,11 @@
 };
 
 /// Adds an accepted job. Long-running jobs and jobs with occurrences are
-/// ignored, and so are jobs accepted long before the latest one.
-void RecordArrival(ShortJobDemand* demand, const Submission& job);
+/// ignored, and so are jobs accepted long before the latest one, and steps that
+/// fit none of \p workers: head-room would not help them.
+void RecordArrival(ShortJobDemand* demand,
+                   const Submission& job,
+                   const std::vector<Worker>& workers);
 
 /// Head-room towards long-running tasks of \p queue: CPU for the highest demand
 /// of recent seconds by short jobs of the same pool and the same or a more
@@ -56,9 +59,25 @@
                      std::int64_t pool_cpu_milli,
                      std::int64_t unix_now);
 
-/// CPU of the worker in which whole tasks of the size that \p headroom names
-/// fit.
-std::int64_t UsableCpuMilli(const Worker& worker, const Headroom& headroom);
+/// Free CPU of a pool of workers.
+struct PoolCpu {
+  std::int64_t m_total_milli = 0;
+  std::int64_t m_free_milli = 0;
+  /// The part of it in which whole tasks of the size that the head-room names
+  /// fit.
+  std::int64_t m_usable_milli = 0;
+};
+
+/// Adds a worker to the pool.
+void AddWorkerCpu(const Worker& worker,
+                  const Headroom& headroom,
+                  PoolCpu* pool);
+
+/// CPU that first runs of long-running tasks may take. They leave the head-room
+/// usable, but are never held back while the free CPU exceeds the upper bound
+/// of the head-room: what is too fragmented for the short tasks that arrived
+/// isn't kept from those that fit.
+std::int64_t GrowthBudget(const PoolCpu& pool, const Headroom& headroom);
 
 /// True for a task that never ran and, once started, keeps its CPU until its
 /// job is cancelled. Only such tasks are subject to the head-room: a task that
--- a/src/include/hyssopspar/jobs/placement.h
+++ b/src/include/hyssopspar/jobs/placement.h
@@ -44,6 +44,13 @@
   PlannedTask m_planned;           ///< The task, as m_holds judge it.
 };
 
+/// True if some worker of the pool could run a task of the step beside nothing
+/// else, by its capacity and its labels. True as well while no worker of the
+/// pool is listed: their sizes aren't known then.
+bool FitsEmptyWorker(const std::vector<Worker>& workers,
+                     const std::string& service,
+                     const StepPlan& step);
+
 /// True if the worker with the index \p index meets all requirements of the
 /// task except a ticket and, for best-effort tasks, unused CPU and predicted
 /// tail latency.
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -83,7 +83,7 @@
   if (!submission.m_tenant.empty()) {
     added->m_account = AccountIndex(&m_tenants, submission.m_tenant);
   }
-  RecordArrival(&m_short_job_demand, submission);
+  RecordArrival(&m_short_job_demand, submission, m_workers);
   m_jobs[submission.m_id] = std::move(job);
   m_open_jobs.push_back(added);
   m_schedule_needed = true;
@@ -94,6 +94,7 @@
                     submission.m_id, submission.m_queue.m_name,
                     added->m_tasks.size(), submission.m_tenant,
                     submission.m_config_revision);
+    ReportStepsThatFitNoWorker(submission);
   }
   const auto early = m_early_cancellations.find(submission.m_id);
   if (early != m_early_cancellations.end()) {
@@ -104,6 +105,19 @@
   }
 }
 
+void Cell::ReportStepsThatFitNoWorker(const Submission& job) const {
+  for (std::size_t i = 0; i < job.m_plan.m_steps.size(); ++i) {
+    const StepPlan& step = job.m_plan.m_steps[i];
+    if (!FitsEmptyWorker(m_workers, job.m_queue.m_service, step)) {
+      CellLog()->warn(
+          "step-fits-no-worker job={} step={} cpu={} memory={} "
+          "accelerators={} label={}",
+          job.m_id, i, step.m_size.m_cpu_milli, step.m_size.m_memory_mib,
+          step.m_size.m_accelerators, step.m_label);
+    }
+  }
+}
+
 void Cell::RestoreEndedJob(const std::string& job_id,
                            JobState state,
                            const std::string& tenant,
--- a/src/libhyssopspar/jobs/cell_admission.cpp
+++ b/src/libhyssopspar/jobs/cell_admission.cpp
@@ -23,10 +23,21 @@
   bool m_has_best_effort = false;
 };
 
+/// For each step of the job, whether its tasks fit a worker.
+std::vector<bool> StepsThatFit(const std::vector<Worker>& workers,
+                               const Submission& job) {
+  std::vector<bool> fits;
+  for (const StepPlan& step : job.m_plan.m_steps) {
+    fits.push_back(FitsEmptyWorker(workers, job.m_queue.m_service, step));
+  }
+  return fits;
+}
+
 /// Adds the job's pending tasks, also those of steps that are not ready: they
-/// run before the tasks of later jobs. \p cpu is null for a job that runs after
-/// later ones.
+/// run before the tasks of later jobs. Those that fit no worker never do. \p
+/// cpu is null for a job that runs after later ones.
 void AddPendingTasks(const Job& job,
+                     const std::vector<bool>& fits,
                      TimePoint now,
                      std::int64_t* cpu,
                      Backlog* backlog) {
@@ -35,11 +46,14 @@
       continue;
     }
     const StepPlan& step = StepOf(job, i);
+    const TaskName name = NameOfTask(job, i);
+    if (!fits[name.m_step]) {
+      continue;
+    }
     if (cpu != nullptr) {
       *cpu += step.m_size.m_cpu_milli;
     }
     backlog->m_has_best_effort |= step.m_is_best_effort;
-    const TaskName name = NameOfTask(job, i);
     const TimePoint ready_since = job.m_ready_since_of_step[name.m_step];
     backlog->m_has_waiting_task |=
         IsStepReady(job, name.m_occurrence, name.m_step) &&
@@ -137,7 +151,8 @@
         std::get<DeadlineStatus>(UrgencyOf(*job, m_run_times, unix_now)) !=
         DeadlineStatus::kBeyondLateLimit;
     const bool is_over_share = job->m_account && over_share[*job->m_account];
-    AddPendingTasks(*job, now,
+    m_work.m_worker_visits += m_workers.size();
+    AddPendingTasks(*job, StepsThatFit(m_workers, submission), now,
                     !is_ahead       ? nullptr
                     : is_over_share ? &backlog.m_cpu_over_share
                                     : &backlog.m_cpu,
--- a/src/libhyssopspar/jobs/cell_admission_test.cpp
+++ b/src/libhyssopspar/jobs/cell_admission_test.cpp
@@ -62,5 +62,27 @@
   EXPECT_TRUE(RunTasksForASecond().m_queues.empty());
 }
 
+// A task that fits no worker never runs. As backlog it let admission control
+// refuse jobs that would have ended in time.
+TEST_F(CellAdmissionTest, TaskThatFitsNoWorkerIsNoBacklog) {
+  AddWorker("w0");
+  m_cell.Activate(m_now);
+  Run(milliseconds(100));
+  m_cell.OnJob(JobOf(300), m_now);
+  RunTasksForASecond();
+  Submission hopeless = MakeJob("b", Step(6, 4200000));
+  hopeless.m_queue.m_latency_target = std::chrono::seconds(60);
+  m_cell.OnJob(hopeless, m_now);
+  LoadSummary load;
+  for (int i = 0; i < 6; ++i) {
+    load = RunTasksForASecond();
+  }
+  ASSERT_EQ(load.m_queues.size(), 1U);
+  const std::int64_t pending =
+      static_cast<std::int64_t>(m_cell.FindJob("a")->m_pending);
+  EXPECT_EQ(load.m_queues[0].m_backlog,
+            pending * 1000 * load.m_queues[0].m_task_time.count() / 1000);
+}
+
 }  // namespace
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -221,11 +221,11 @@
   }
   const Headroom headroom = HeadroomFor(m_short_job_demand, m_run_times, queue,
                                         pool_cpu, UnixMillis(now));
+  PoolCpu cpu;
   for (const int index : pool) {
-    budget +=
-        UsableCpuMilli(m_workers[static_cast<std::size_t>(index)], headroom);
+    AddWorkerCpu(m_workers[static_cast<std::size_t>(index)], headroom, &cpu);
   }
-  budget -= headroom.m_cpu_milli;
+  budget = GrowthBudget(cpu, headroom);
   m_headroom_cpu_milli = std::max(m_headroom_cpu_milli, headroom.m_cpu_milli);
   return budget;
 }
--- a/src/libhyssopspar/jobs/long_running_growth.cpp
+++ b/src/libhyssopspar/jobs/long_running_growth.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "hyssopspar/jobs/placement.h"
+
 namespace hyssopspar::jobs {
 
 namespace {
@@ -55,14 +57,17 @@
 
 }  // namespace
 
-void RecordArrival(ShortJobDemand* demand, const Submission& job) {
+void RecordArrival(ShortJobDemand* demand,
+                   const Submission& job,
+                   const std::vector<Worker>& workers) {
   if (!IsShort(job.m_plan)) {
     return;
   }
   ShortJobArrivals arrivals;
   for (const StepPlan& step : job.m_plan.m_steps) {
     const Resources reserved = ReservedResourcesOf(step);
-    if (reserved.m_cpu_milli > 0) {
+    if (reserved.m_cpu_milli > 0 &&
+        FitsEmptyWorker(workers, job.m_queue.m_service, step)) {
       arrivals.m_tasks += step.m_tasks;
       arrivals.m_cpu_milli += reserved.m_cpu_milli * step.m_tasks;
     }
@@ -128,12 +133,24 @@
   return headroom;
 }
 
-std::int64_t UsableCpuMilli(const Worker& worker, const Headroom& headroom) {
+void AddWorkerCpu(const Worker& worker,
+                  const Headroom& headroom,
+                  PoolCpu* pool) {
+  const std::int64_t capacity = worker.m_entry.m_capacity.m_cpu_milli;
+  const std::int64_t free =
+      std::max<std::int64_t>(0, capacity - worker.m_used.m_cpu_milli);
   const std::int64_t size =
       std::max<std::int64_t>(1, headroom.m_task_cpu_milli);
-  const std::int64_t free_cpu = std::max<std::int64_t>(
-      0, worker.m_entry.m_capacity.m_cpu_milli - worker.m_used.m_cpu_milli);
-  return free_cpu / size * size;
+  pool->m_total_milli += capacity;
+  pool->m_free_milli += free;
+  pool->m_usable_milli += free / size * size;
+}
+
+std::int64_t GrowthBudget(const PoolCpu& pool, const Headroom& headroom) {
+  const std::int64_t most_kept = static_cast<std::int64_t>(
+      kMaxHeadroomShare * static_cast<double>(pool.m_total_milli));
+  return std::max(pool.m_usable_milli - headroom.m_cpu_milli,
+                  pool.m_free_milli - most_kept);
 }
 
 bool IsLongRunningGrowth(const StepPlan& step, const Task& task) {
--- a/src/libhyssopspar/jobs/long_running_growth_test.cpp
+++ b/src/libhyssopspar/jobs/long_running_growth_test.cpp
@@ -50,13 +50,13 @@
     return HeadroomFor(demand, RunTimes(milliseconds(500)), LongRunningQueue(),
                        kPoolCpuMilli, unix_now);
   };
-  RecordArrival(&demand, ShortJob(100000, 10, 2000));
+  RecordArrival(&demand, ShortJob(100000, 10, 2000), {});
   const std::int64_t calm = headroom_at(101000).m_cpu_milli;
   EXPECT_GT(calm, 0);
-  RecordArrival(&demand, ShortJob(105000, 40, 2000));
+  RecordArrival(&demand, ShortJob(105000, 40, 2000), {});
   EXPECT_EQ(headroom_at(106000).m_cpu_milli, 4 * calm);
   EXPECT_EQ(headroom_at(106000).m_task_cpu_milli, 2000);
-  RecordArrival(&demand, ShortJob(140000, 10, 2000));
+  RecordArrival(&demand, ShortJob(140000, 10, 2000), {});
   EXPECT_EQ(headroom_at(141000).m_cpu_milli, calm);
   // Without arrivals the head-room ends.
   EXPECT_EQ(headroom_at(165000).m_cpu_milli, 0);
@@ -76,7 +76,7 @@
   long_running.m_plan.m_steps[0].m_long_running = true;
   for (const Submission& job :
        {other_pool, less_urgent, best_effort, long_running}) {
-    RecordArrival(&demand, job);
+    RecordArrival(&demand, job, {});
   }
   EXPECT_EQ(HeadroomFor(demand, RunTimeEstimates(), LongRunningQueue(),
                         kPoolCpuMilli, 1000)
@@ -86,13 +86,58 @@
 
 TEST(LongRunningGrowthTest, HeadroomIsBounded) {
   ShortJobDemand demand;
-  RecordArrival(&demand, ShortJob(1000, 10000, 64000));
+  RecordArrival(&demand, ShortJob(1000, 10000, 64000), {});
   EXPECT_LE(HeadroomFor(demand, RunTimeEstimates(), LongRunningQueue(),
                         kPoolCpuMilli, 1000)
                 .m_cpu_milli,
             kPoolCpuMilli / 2);
 }
 
+Worker ListedWorker(std::int64_t cpu_milli, std::int64_t used_cpu_milli) {
+  Worker worker;
+  worker.m_listed = true;
+  worker.m_entry.m_service = "pool";
+  worker.m_entry.m_capacity = {cpu_milli, 256000, 0};
+  worker.m_used.m_cpu_milli = used_cpu_milli;
+  return worker;
+}
+
+// A job that fits no worker, by a mistaken unit, made the head-room so large
+// that all first runs of long-running tasks waited.
+TEST(LongRunningGrowthTest, IgnoresTasksThatFitNoWorker) {
+  const std::vector<Worker> workers(8, ListedWorker(64000, 0));
+  ShortJobDemand demand;
+  RecordArrival(&demand, ShortJob(1000, 6, 4200000), workers);
+  Submission too_much_memory = ShortJob(1000, 6, 4200);
+  too_much_memory.m_plan.m_steps[0].m_size.m_memory_mib = 8400000;
+  RecordArrival(&demand, too_much_memory, workers);
+  Submission without_label = ShortJob(1000, 6, 4200);
+  without_label.m_plan.m_steps[0].m_label = "none";
+  RecordArrival(&demand, without_label, workers);
+  EXPECT_EQ(HeadroomFor(demand, RunTimeEstimates(), LongRunningQueue(),
+                        kPoolCpuMilli, 1000)
+                .m_cpu_milli,
+            0);
+  RecordArrival(&demand, ShortJob(1000, 6, 4200), workers);
+  EXPECT_EQ(HeadroomFor(demand, RunTimeEstimates(), LongRunningQueue(),
+                        kPoolCpuMilli, 1000)
+                .m_task_cpu_milli,
+            4200);
+}
+
+// Short tasks larger than the free part of each worker held back all first runs
+// of long-running tasks, though half of the pool was free.
+TEST(LongRunningGrowthTest, LargeShortTasksHoldBackNoMoreThanTheHeadroom) {
+  Headroom headroom;
+  headroom.m_cpu_milli = 153600;
+  headroom.m_task_cpu_milli = 40000;
+  PoolCpu pool;
+  for (int i = 0; i < 8; ++i) {
+    AddWorkerCpu(ListedWorker(64000, 32000), headroom, &pool);
+  }
+  EXPECT_EQ(GrowthBudget(pool, headroom), 256000 - headroom.m_cpu_milli);
+}
+
 /// A pool of workers to which long-running tasks come and stay, beside short
 /// tasks that arrive in waves.
 class GrowthModel {
@@ -110,7 +155,8 @@
       EndShortTasks(tick);
       for (std::int64_t i = 0; i < ShortArrivals(tick); ++i) {
         m_waiting_short.push_back(tick);
-        RecordArrival(&m_demand, ShortJob(tick * kTickMs, 1, kShortCpu));
+        RecordArrival(&m_demand, ShortJob(tick * kTickMs, 1, kShortCpu),
+                      m_workers);
       }
       m_waiting_long += tick % 2;
       PlaceShortTasks(tick);
@@ -170,14 +216,14 @@
   }
 
   void PlaceLongTasks(std::int64_t tick) {
-    std::int64_t budget = 0;
     const Headroom headroom =
         HeadroomFor(m_demand, RunTimes(milliseconds(kShortTicks * kTickMs)),
                     LongRunningQueue(), kWorkers * 64000, tick * kTickMs);
+    PoolCpu cpu;
     for (const Worker& worker : m_workers) {
-      budget += UsableCpuMilli(worker, headroom);
+      AddWorkerCpu(worker, headroom, &cpu);
     }
-    budget -= headroom.m_cpu_milli;
+    std::int64_t budget = GrowthBudget(cpu, headroom);
     std::size_t worker = 0;
     while (m_waiting_long > 0 && (!m_keeps_headroom || budget >= kLongCpu) &&
            Place(kLongCpu, &worker)) {
--- a/src/libhyssopspar/jobs/placement.cpp
+++ b/src/libhyssopspar/jobs/placement.cpp
@@ -40,6 +40,24 @@
 
 }  // namespace
 
+bool FitsEmptyWorker(const std::vector<Worker>& workers,
+                     const std::string& service,
+                     const StepPlan& step) {
+  const Resources size = ReservedResourcesOf(step);
+  bool is_any_listed = false;
+  for (const Worker& worker : workers) {
+    if (!worker.m_listed || worker.m_entry.m_service != service) {
+      continue;
+    }
+    is_any_listed = true;
+    if (Fits(size, worker.m_entry.m_capacity) &&
+        HasLabel(worker.m_entry, step.m_label)) {
+      return true;
+    }
+  }
+  return !is_any_listed;
+}
+
 bool IsEligible(const Worker& worker,
                 std::size_t index,
                 const PlacementQuery& query) {
