Make the tasks of an occurrence when it is due

Cause: MakeJob made the tasks of all occurrences, 224 bytes each, when a job was accepted or loaded, however far in the future they were due, and also for a cancelled job. The limit of 50,000 tasks holds for one job only.

Change: tasks of an occurrence are made when it is due, and dropped, with its counters and tickets, once all of them are done and that is stored. A job that keeps 10,000 tasks waits with the next occurrence, however many are due. Progress records name the occurrences that were dropped. Answers to orders of dropped tasks are ignored. A pass goes over the occurrences that are kept.

--- a/src/include/hyssopspar/jobs/cell.h
+++ b/src/include/hyssopspar/jobs/cell.h
@@ -244,7 +244,7 @@
   bool MayPlaceTasks(TimePoint now) const;
   /// Last time at which MayPlaceTasks() is true with the current views.
   TimePoint PlacementDeadline() const;
-  bool MayStart(const Job& job, const Task& task, TimePoint now) const;
+  bool MayStart(const TaskRef& ref, TimePoint now) const;
   void HandleRefusal(const StartAction& action,
                      Job* job,
                      StartAnswer answer,
@@ -524,7 +524,7 @@
   void AddTenantUse(const Job& job, const StepPlan& step);
   void RemoveTenantUse(const Job& job, const StepPlan& step);
   /// True if a task that has been placed may be started by the present quota.
-  bool IsWithinQuota(const Job& job, const Task& task) const;
+  bool IsWithinQuota(const TaskRef& ref) const;
   /// Removes from \p pending the tasks that exceed their tenant's quota.
   void HoldBackOverQuota(Job* job,
                          const StepPlan& plan,
--- a/src/include/hyssopspar/jobs/job.h
+++ b/src/include/hyssopspar/jobs/job.h
@@ -17,6 +17,7 @@
 #include "hyssopspar/jobs/job_progress.h"
 #include "hyssopspar/jobs/task.h"
 #include "hyssopspar/jobs/worker_port.h"
+#include "hyssopspar/sliding_vector.h"
 
 namespace hyssopspar::jobs {
 
@@ -54,18 +55,20 @@
   StoreRefusals m_refusals;
   bool m_cancelled = false;         ///< Cancellation requested.
   bool m_has_started_task = false;  ///< A worker confirmed the start of a task.
-  std::vector<Task> m_tasks;        ///< Ordered by occurrence, step and index.
+  /// Tasks of the occurrences that were made and not dropped, ordered by
+  /// occurrence, step and index; see MakeOccurrences().
+  SlidingVector<Task> m_tasks;
   /// Index of the first task of each step within an occurrence.
   std::vector<std::uint32_t> m_first_task_of_step;
   /// Step of each task within an occurrence.
   std::vector<std::uint32_t> m_step_of_task;
   std::uint32_t m_tasks_per_occurrence = 0;
   /// Number of tasks in kDone, by occurrence and step.
-  std::vector<std::uint32_t> m_done_tasks_of_step;
+  SlidingVector<std::uint32_t> m_done_tasks_of_step;
   /// First pass that found the step ready, by occurrence and step.
-  std::vector<TimePoint> m_ready_since_of_step;
+  SlidingVector<TimePoint> m_ready_since_of_step;
   /// Longest run time seen among the tasks in kDone, by occurrence and step.
-  std::vector<Duration> m_slowest_run_of_step;
+  SlidingVector<Duration> m_slowest_run_of_step;
   std::size_t m_pending = 0;    ///< Number of tasks in kPending.
   std::size_t m_recording = 0;  ///< Number of tasks in kRecording.
   /// Number of steps in the longest chain of dependencies.
@@ -77,13 +80,37 @@
 /// Number of steps in the longest chain of dependencies; at least 1.
 std::uint32_t CriticalPathSteps(const JobPlan& plan);
 
-/// Creates a job with all tasks pending.
+/// Creates a job with the tasks of its first occurrence, which are pending.
 Job MakeJob(Submission submission);
 
+/// Makes the tasks of the first \p count occurrences, which are pending unless
+/// they were made before. Occurrences are made when they are due: a job may
+/// have far more of them than a node could keep tasks of.
+void MakeOccurrences(Job* job, std::uint32_t count);
+
+/// Drops the tasks of the first \p count occurrences, which have ended, but
+/// keeps the last occurrence that was made. Their tasks count as done.
+void DropOccurrences(Job* job, std::uint32_t count);
+
+/// Number of the first occurrences all of whose tasks are done.
+std::uint32_t EndedOccurrences(const Job& job);
+
+/// The first occurrence that was not dropped.
+std::uint32_t FirstOccurrence(const Job& job);
+
+/// True if the task with this index was made and not dropped.
+bool HasTask(const Job& job, std::size_t index);
+
 /// Number of occurrences, at least 1.
 std::uint32_t OccurrenceCount(const Job& job);
 
-/// Index into m_tasks, or -1 if the job has no such task.
+/// Number of occurrences whose tasks have been made, at least 1.
+std::uint32_t MadeOccurrences(const Job& job);
+
+/// True if the job has pending tasks, or occurrences that are not made yet.
+bool HasPendingTasks(const Job& job);
+
+/// Index into m_tasks, or -1 if the job has no such task, not yet or no longer.
 std::int64_t TaskIndex(const Job& job, const TaskName& name);
 
 TaskName NameOfTask(const Job& job, std::size_t index);
@@ -110,7 +137,7 @@
 /// Applies stored progress to a new job. Placed tasks become kStarting with the
 /// start status kInherited, because an earlier owner may have sent their start.
 /// \p worker_index maps a worker's id to its index.
-/// \returns kMalformed if the number of tasks differs from the job's.
+/// \returns kMalformed if the tasks are not those of whole occurrences.
 Result<void> RestoreProgress(
     Job* job,
     const JobProgress& progress,
--- a/src/include/hyssopspar/jobs/job_progress.h
+++ b/src/include/hyssopspar/jobs/job_progress.h
@@ -33,8 +33,9 @@
 inline constexpr std::uint32_t kSurvivedMark = 255;
 
 /// One record per job; each update replaces the complete record. Every vector
-/// except m_workers has one entry per task, ordered by occurrence, step
-/// and index, or is empty. The vectors of completed and failed jobs are empty.
+/// except m_workers has one entry per task of the occurrences that were made
+/// and not dropped, ordered by occurrence, step and index, or is empty. The
+/// vectors of completed and failed jobs are empty.
 struct JobProgress {
   JobState m_state = JobState::kQueued;
   std::vector<TaskState> m_task_states;
@@ -53,6 +54,8 @@
   /// task is placed.
   std::vector<std::int64_t> m_worker_incarnations;
   std::string m_tenant;  ///< Of the job, whose record is removed before.
+  /// Number of the first occurrences, all done, whose tasks have no entries.
+  std::uint32_t m_dropped_occurrences = 0;
 };
 
 }  // namespace hyssopspar::jobs
--- a/src/libhyssopspar/jobs/cell.cpp
+++ b/src/libhyssopspar/jobs/cell.cpp
@@ -92,7 +92,7 @@
                  milliseconds(UnixMillis(now) - submission.m_accepted_unix_ms));
     CellLog()->info("job id={} queue={} tasks={} tenant={} revision={}",
                     submission.m_id, submission.m_queue.m_name,
-                    added->m_tasks.size(), submission.m_tenant,
+                    CountTasks(submission.m_plan), submission.m_tenant,
                     submission.m_config_revision);
     ReportStepsThatFitNoWorker(submission);
   }
@@ -152,7 +152,7 @@
   std::size_t placed = 0;
   for (const auto& entry : m_jobs) {
     Job* const job = entry.second.get();
-    for (std::size_t i = 0; i < job->m_tasks.size(); ++i) {
+    for (std::size_t i = job->m_tasks.First(); i < job->m_tasks.size(); ++i) {
       Task& task = job->m_tasks[i];
       if (task.m_crashes > 0) {
         IsolateSuspect(&task, now);
@@ -257,8 +257,8 @@
   if (IsTerminal(job->m_state)) {
     return;
   }
-  bool done = true;
-  for (std::size_t i = 0; i < job->m_tasks.size(); ++i) {
+  bool done = MadeOccurrences(*job) == OccurrenceCount(*job);
+  for (std::size_t i = job->m_tasks.First(); i < job->m_tasks.size(); ++i) {
     const TaskState state = job->m_tasks[i].m_state;
     if (state == TaskState::kFailed) {
       FailJob({job, i}, JobFailure::kAttemptsUsed, now);
@@ -284,7 +284,7 @@
   if (job->m_stored_state != state) {
     MarkDirty(job);
   }
-  for (std::size_t i = 0; i < job->m_tasks.size(); ++i) {
+  for (std::size_t i = job->m_tasks.First(); i < job->m_tasks.size(); ++i) {
     const Task& task = job->m_tasks[i];
     const TaskRef ref{job, i};
     if (task.m_state == TaskState::kRecording) {
--- a/src/libhyssopspar/jobs/cell_admission.cpp
+++ b/src/libhyssopspar/jobs/cell_admission.cpp
@@ -41,7 +41,7 @@
                      TimePoint now,
                      std::int64_t* cpu,
                      Backlog* backlog) {
-  for (std::size_t i = 0; i < job.m_tasks.size(); ++i) {
+  for (std::size_t i = job.m_tasks.First(); i < job.m_tasks.size(); ++i) {
     if (job.m_tasks[i].m_state != TaskState::kPending) {
       continue;
     }
--- a/src/libhyssopspar/jobs/cell_advice.cpp
+++ b/src/libhyssopspar/jobs/cell_advice.cpp
@@ -83,7 +83,7 @@
   --m_advice_requests_in_flight;
   m_schedule_needed = true;
   Job* const job = FindMutableJob(action.m_step.m_job);
-  if (job == nullptr) {
+  if (job == nullptr || action.m_step.m_occurrence < FirstOccurrence(*job)) {
     return;
   }
   StepAdvice* const advice =
--- a/src/libhyssopspar/jobs/cell_refusals.cpp
+++ b/src/libhyssopspar/jobs/cell_refusals.cpp
@@ -106,7 +106,7 @@
       id, bytes, refusals.m_count, ToMillis(now - refusals.m_since),
       ToMillis(refusals.m_retry_at - now), ToString(error));
   // Placements that may not be stored for long would only hold room.
-  for (std::size_t i = 0; i < job->m_tasks.size(); ++i) {
+  for (std::size_t i = job->m_tasks.First(); i < job->m_tasks.size(); ++i) {
     if (job->m_tasks[i].m_state == TaskState::kRecording) {
       ReturnToPending({job, i}, "record-refused", now);
     }
--- a/src/libhyssopspar/jobs/cell_report.cpp
+++ b/src/libhyssopspar/jobs/cell_report.cpp
@@ -31,7 +31,7 @@
 }
 
 void AddTaskCounts(const Job& job, std::array<TaskCounts, kKindCount>* load) {
-  for (std::size_t i = 0; i < job.m_tasks.size(); ++i) {
+  for (std::size_t i = job.m_tasks.First(); i < job.m_tasks.size(); ++i) {
     const Task& task = job.m_tasks[i];
     TaskCounts& counts = (*load)[KindOf(StepOf(job, i))];
     const TaskName name = NameOfTask(job, i);
--- a/src/libhyssopspar/jobs/cell_schedule.cpp
+++ b/src/libhyssopspar/jobs/cell_schedule.cpp
@@ -19,6 +19,9 @@
 /// Longest time until a pass looks again whether an occurrence is due: the time
 /// of day may be set forward.
 constexpr milliseconds kMaxDueWait{1000};
+/// A job with this many tasks, ended or not, in the occurrences that are kept
+/// waits with the next one, however many are due.
+constexpr std::size_t kMaxKeptTasks = 10000;
 
 }  // namespace
 
@@ -94,7 +97,7 @@
     m_starts_in_progress += job->m_recording;
     m_highest_priority =
         std::min(m_highest_priority, job->m_submission.m_queue.m_priority);
-    if (job->m_pending > 0 && !IsSetAside(*job)) {
+    if (HasPendingTasks(*job) && !IsSetAside(*job)) {
       order.emplace_back(Order{job->m_submission.m_queue.m_priority,
                                job->m_account && over_share[*job->m_account],
                                UrgencyOf(*job, m_run_times, unix_now)},
@@ -155,11 +158,17 @@
 void Cell::ScheduleJob(Job* job, TimePoint now) {
   const std::uint32_t steps =
       static_cast<std::uint32_t>(job->m_submission.m_plan.m_steps.size());
-  for (std::uint32_t occurrence = 0; occurrence < OccurrenceCount(*job);
-       ++occurrence) {
+  for (std::uint32_t occurrence = FirstOccurrence(*job);
+       occurrence < OccurrenceCount(*job); ++occurrence) {
     if (!IsDue(*job, occurrence, now)) {
       return;
     }
+    if (occurrence >= MadeOccurrences(*job)) {
+      if (job->m_tasks.size() - job->m_tasks.First() >= kMaxKeptTasks) {
+        return;
+      }
+      MakeOccurrences(job, occurrence + 1);
+    }
     for (std::uint32_t step = 0; step < steps; ++step) {
       if (IsStepReady(*job, occurrence, step)) {
         ScheduleStep(job, occurrence, step, now);
--- a/src/libhyssopspar/jobs/cell_store.cpp
+++ b/src/libhyssopspar/jobs/cell_store.cpp
@@ -99,7 +99,7 @@
   batch->m_records.insert(batch->m_records.end(),
                           std::make_move_iterator(records.begin()),
                           std::make_move_iterator(records.end()));
-  for (std::size_t i = 0; i < job->m_tasks.size(); ++i) {
+  for (std::size_t i = job->m_tasks.First(); i < job->m_tasks.size(); ++i) {
     Task& task = job->m_tasks[i];
     if (task.m_state == TaskState::kRecording && task.m_placement_batch == 0) {
       task.m_placement_batch = batch->m_number;
@@ -217,6 +217,9 @@
   job->m_stored_state = stored.m_state;
   job->m_stored_parts = stored.m_parts;
   job->m_stored_changes = stored.m_changes;
+  if (job->m_changes == stored.m_changes && OccurrenceCount(*job) > 1) {
+    DropOccurrences(job, EndedOccurrences(*job));
+  }
   if (job->m_refusals.m_count > 0) {
     EndRefusals(job, now);
   }
@@ -228,7 +231,7 @@
     const StepPlan& step = StepOf(*job, ref.m_index);
     const Task& task = job->m_tasks[ref.m_index];
     if (!step.m_gang ||
-        (IsRecordedBy(batch.m_number, task) && MayStart(*job, task, now))) {
+        (IsRecordedBy(batch.m_number, task) && MayStart(ref, now))) {
       continue;
     }
     const std::size_t first =
@@ -254,7 +257,7 @@
     if (!IsRecordedBy(batch.m_number, task)) {
       continue;
     }
-    if (MayStart(*ref.m_job, task, now)) {
+    if (MayStart(ref, now)) {
       EndStage(ref, Stage::kStore, now);
       SendStart(ref, now);
     } else {
--- a/src/libhyssopspar/jobs/cell_tasks.cpp
+++ b/src/libhyssopspar/jobs/cell_tasks.cpp
@@ -212,12 +212,14 @@
                       m_settings.m_max_view_age);
 }
 
-bool Cell::MayStart(const Job& job, const Task& task, TimePoint now) const {
+bool Cell::MayStart(const TaskRef& ref, TimePoint now) const {
+  const Job& job = *ref.m_job;
+  const Task& task = job.m_tasks[ref.m_index];
   const Worker& worker = m_workers[static_cast<std::size_t>(task.m_worker)];
   // Since the placement, the worker may have become another kind by a restart,
   // its capacity may have shrunk, or the tenant's quota may have been lowered.
-  return !IsTerminal(job.m_state) && MayPlaceTasks(now) &&
-         IsWithinQuota(job, task) && IsUsable(worker, m_excluded_domains) &&
+  return !IsTerminal(job.m_state) && MayPlaceTasks(now) && IsWithinQuota(ref) &&
+         IsUsable(worker, m_excluded_domains) &&
          task.m_worker_incarnation == worker.m_incarnation_unix_ms &&
          Fits(worker.m_used + worker.m_unexpected_run_resources,
               worker.m_entry.m_capacity);
@@ -295,7 +297,7 @@
   }
   m_schedule_needed = m_schedule_needed || m_window_was_full;
   Job* const job = FindMutableJob(action.m_order.m_task.m_job);
-  if (job == nullptr) {
+  if (job == nullptr || !HasTask(*job, action.m_task.m_index)) {
     return;
   }
   Task& task = job->m_tasks[action.m_task.m_index];
@@ -309,7 +311,7 @@
   // Sent again at once, because the gang members that have started wait for
   // this one.
   if (not_sent && StepOf(*job, action.m_task.m_index).m_gang &&
-      action.m_resends < kMaxStartResends && MayStart(*job, task, now)) {
+      action.m_resends < kMaxStartResends && MayStart(action.m_task, now)) {
     SendStart(action.m_task, now, action.m_resends + 1);
   } else if (not_sent) {
     TouchWorker(action.m_worker).m_backoff_until = now + kRefusalBackoff;
@@ -365,7 +367,7 @@
     return;
   }
   Job* const job = FindMutableJob(action.m_order.m_task.m_job);
-  if (job == nullptr) {
+  if (job == nullptr || !HasTask(*job, action.m_task.m_index)) {
     return;
   }
   Task& task = job->m_tasks[action.m_task.m_index];
--- a/src/libhyssopspar/jobs/cell_tenants.cpp
+++ b/src/libhyssopspar/jobs/cell_tenants.cpp
@@ -85,11 +85,11 @@
   }
 }
 
-bool Cell::IsWithinQuota(const Job& job, const Task& task) const {
+bool Cell::IsWithinQuota(const TaskRef& ref) const {
+  const Job& job = *ref.m_job;
   return !job.m_account ||
-         IsStartStillAllowed(
-             m_tenants.m_accounts[*job.m_account],
-             StepOf(job, static_cast<std::size_t>(&task - job.m_tasks.data())));
+         IsStartStillAllowed(m_tenants.m_accounts[*job.m_account],
+                             StepOf(job, ref.m_index));
 }
 
 void Cell::HoldBackOverQuota(Job* job,
--- a/src/libhyssopspar/jobs/job.cpp
+++ b/src/libhyssopspar/jobs/job.cpp
@@ -20,6 +20,24 @@
   return task.m_state != TaskState::kDone && !task.m_checkpoint.empty();
 }
 
+/// Drops the tasks of the occurrences before \p occurrence, made or not.
+void DropTasksBefore(Job* job, std::uint32_t occurrence) {
+  const std::size_t first =
+      std::size_t{occurrence} * job->m_tasks_per_occurrence;
+  const std::size_t first_step =
+      std::size_t{occurrence} * job->m_submission.m_plan.m_steps.size();
+  for (std::size_t i = job->m_tasks.First();
+       i < std::min(first, job->m_tasks.size()); ++i) {
+    job->m_pending -= job->m_tasks[i].m_state == TaskState::kPending ? 1 : 0;
+  }
+  job->m_tasks.DropBefore(first);
+  job->m_done_tasks_of_step.DropBefore(first_step);
+  job->m_slowest_run_of_step.DropBefore(first_step);
+  job->m_ready_since_of_step.DropBefore(first_step);
+  job->m_advice.erase(job->m_advice.begin(),
+                      job->m_advice.lower_bound(first_step));
+}
+
 /// The task's entry in JobProgress::m_crash_counts.
 std::uint32_t CrashCountOf(const Task& task) {
   return task.m_has_survived ? kSurvivedMark
@@ -58,23 +76,63 @@
     job.m_tasks_per_occurrence += step.m_tasks;
   }
   job.m_critical_path_steps = CriticalPathSteps(job.m_submission.m_plan);
-  const std::size_t occurrences = OccurrenceCount(job);
-  job.m_tasks.resize(occurrences * job.m_tasks_per_occurrence);
-  job.m_done_tasks_of_step.resize(occurrences *
-                                  job.m_submission.m_plan.m_steps.size());
-  job.m_slowest_run_of_step.resize(job.m_done_tasks_of_step.size());
-  job.m_ready_since_of_step.resize(job.m_done_tasks_of_step.size());
-  job.m_pending = job.m_tasks.size();
+  MakeOccurrences(&job, 1);
   return job;
 }
 
+void MakeOccurrences(Job* job, std::uint32_t count) {
+  const std::size_t made = job->m_tasks.size();
+  const std::size_t tasks = std::size_t{count} * job->m_tasks_per_occurrence;
+  if (tasks <= made) {
+    return;
+  }
+  const std::size_t steps =
+      std::size_t{count} * job->m_submission.m_plan.m_steps.size();
+  job->m_tasks.Resize(tasks);
+  job->m_done_tasks_of_step.Resize(steps);
+  job->m_slowest_run_of_step.Resize(steps);
+  job->m_ready_since_of_step.Resize(steps);
+  job->m_pending += tasks - made;
+}
+
+void DropOccurrences(Job* job, std::uint32_t count) {
+  DropTasksBefore(job, std::min(count, MadeOccurrences(*job) - 1));
+}
+
+std::uint32_t EndedOccurrences(const Job& job) {
+  std::size_t i = job.m_tasks.First();
+  while (i < job.m_tasks.size() && job.m_tasks[i].m_state == TaskState::kDone) {
+    ++i;
+  }
+  return static_cast<std::uint32_t>(i / job.m_tasks_per_occurrence);
+}
+
+std::uint32_t FirstOccurrence(const Job& job) {
+  return static_cast<std::uint32_t>(job.m_tasks.First() /
+                                    job.m_tasks_per_occurrence);
+}
+
+bool HasTask(const Job& job, std::size_t index) {
+  return index >= job.m_tasks.First() && index < job.m_tasks.size();
+}
+
+std::uint32_t MadeOccurrences(const Job& job) {
+  return static_cast<std::uint32_t>(job.m_tasks.size() /
+                                    job.m_tasks_per_occurrence);
+}
+
+bool HasPendingTasks(const Job& job) {
+  return job.m_pending > 0 || MadeOccurrences(job) < OccurrenceCount(job);
+}
+
 std::uint32_t OccurrenceCount(const Job& job) {
   return std::max<std::uint32_t>(1, job.m_submission.m_plan.m_occurrences);
 }
 
 std::int64_t TaskIndex(const Job& job, const TaskName& name) {
   const std::vector<StepPlan>& steps = job.m_submission.m_plan.m_steps;
-  if (name.m_occurrence >= OccurrenceCount(job) ||
+  if (name.m_occurrence < FirstOccurrence(job) ||
+      name.m_occurrence >= MadeOccurrences(job) ||
       name.m_step >= steps.size() ||
       name.m_index >= steps[name.m_step].m_tasks) {
     return -1;
@@ -148,6 +206,7 @@
   if (!NeedsTasks(job)) {
     return progress;
   }
+  progress.m_dropped_occurrences = FirstOccurrence(job);
   std::map<int, std::uint32_t> slots;
   bool has_checkpoints = false;
   bool has_crashes = false;
@@ -198,10 +257,12 @@
     job->m_has_started_task = true;
     return Ok();
   }
-  const std::size_t tasks = job->m_tasks.size();
+  const std::size_t tasks = progress.m_task_states.size();
+  const std::size_t made =
+      progress.m_dropped_occurrences + tasks / job->m_tasks_per_occurrence;
   const bool sizes_match =
-      progress.m_task_states.size() == tasks &&
-      progress.m_run_numbers.size() == tasks &&
+      tasks > 0 && tasks % job->m_tasks_per_occurrence == 0 &&
+      made <= OccurrenceCount(*job) && progress.m_run_numbers.size() == tasks &&
       progress.m_failure_counts.size() == tasks &&
       progress.m_worker_slots.size() == tasks &&
       IsOptionalColumn(progress.m_task_checkpoints, tasks) &&
@@ -212,10 +273,13 @@
     return Fail(ErrorCode::kMalformed,
                 "stored progress and job differ in their number of tasks");
   }
+  DropTasksBefore(job, progress.m_dropped_occurrences);
+  MakeOccurrences(job, static_cast<std::uint32_t>(made));
+  const std::size_t first = job->m_tasks.First();
   // Run numbers don't tell: a stored placement may never have started.
   job->m_has_started_task = progress.m_state != JobState::kQueued;
   for (std::size_t i = 0; i < tasks; ++i) {
-    Task& task = job->m_tasks[i];
+    Task& task = job->m_tasks[first + i];
     task.m_run = progress.m_run_numbers[i];
     task.m_failures = progress.m_failure_counts[i];
     if (!progress.m_task_checkpoints.empty()) {
@@ -230,14 +294,14 @@
     const TaskState stored_state = progress.m_task_states[i];
     if (stored_state == TaskState::kDone ||
         stored_state == TaskState::kFailed) {
-      SetTaskState(job, i, stored_state);
+      SetTaskState(job, first + i, stored_state);
     } else if (slot > 0 && slot <= progress.m_workers.size()) {
       task.m_worker = worker_index(progress.m_workers[slot - 1]);
       task.m_start_status = StartStatus::kInherited;
       if (!progress.m_worker_incarnations.empty()) {
         task.m_worker_incarnation = progress.m_worker_incarnations[i];
       }
-      SetTaskState(job, i, TaskState::kStarting);
+      SetTaskState(job, first + i, TaskState::kStarting);
     }
   }
   return Ok();
--- a/src/libhyssopspar/jobs/records.cpp
+++ b/src/libhyssopspar/jobs/records.cpp
@@ -50,6 +50,7 @@
   RepeatedColumn<std::uint32_t> m_crash_evidence;
   RepeatedColumn<std::int64_t> m_worker_incarnations;
   std::string m_tenant;
+  std::uint32_t m_dropped_occurrences = 0;
 };
 
 template <class Archive, class T>
@@ -59,7 +60,7 @@
           progress.m_task_checkpoints, progress.m_workers,
           progress.m_crash_counts, progress.m_crash_evidence,
           progress.m_worker_incarnations);
-  archive.Tail(progress.m_tenant);
+  archive.Tail(progress.m_tenant, progress.m_dropped_occurrences);
 }
 
 namespace {
@@ -181,6 +182,7 @@
   stored.m_state = progress.m_state;
   stored.m_workers = progress.m_workers;
   stored.m_tenant = progress.m_tenant;
+  stored.m_dropped_occurrences = progress.m_dropped_occurrences;
   Compress(progress.m_task_states, &stored.m_task_states);
   Compress(progress.m_run_numbers, &stored.m_run_numbers);
   Compress(progress.m_failure_counts, &stored.m_failure_counts);
@@ -202,6 +204,7 @@
   progress.m_state = stored.m_state;
   progress.m_workers = stored.m_workers;
   progress.m_tenant = stored.m_tenant;
+  progress.m_dropped_occurrences = stored.m_dropped_occurrences;
   const bool expanded =
       Expand(stored.m_task_states, &progress.m_task_states) &&
       Expand(stored.m_run_numbers, &progress.m_run_numbers) &&
--- a/src/libhyssopspar/jobs/urgency.cpp
+++ b/src/libhyssopspar/jobs/urgency.cpp
@@ -17,12 +17,13 @@
 constexpr double kSlowestTaskFactor = 1.5;
 
 /// Estimated number of steps that remain on the critical path. Counts done
-/// steps of the first occurrence, on and off the critical path.
+/// steps of the first occurrence kept, on and off the critical path.
 std::uint32_t RemainingSteps(const Job& job) {
   const std::vector<StepPlan>& steps = job.m_submission.m_plan.m_steps;
   std::uint32_t done = 0;
+  const std::size_t first = job.m_done_tasks_of_step.First();
   for (std::size_t i = 0; i < steps.size(); ++i) {
-    done += job.m_done_tasks_of_step[i] == steps[i].m_tasks ? 1 : 0;
+    done += job.m_done_tasks_of_step[first + i] == steps[i].m_tasks ? 1 : 0;
   }
   return std::max<std::uint32_t>(
       1, job.m_critical_path_steps -
@@ -33,8 +34,9 @@
 /// need about the mean run time rather than that of the slowest of all.
 bool HasPartlyDoneStep(const Job& job) {
   const std::vector<StepPlan>& steps = job.m_submission.m_plan.m_steps;
+  const std::size_t first = job.m_done_tasks_of_step.First();
   for (std::size_t i = 0; i < steps.size(); ++i) {
-    const std::uint32_t done = job.m_done_tasks_of_step[i];
+    const std::uint32_t done = job.m_done_tasks_of_step[first + i];
     if (done > 0 && done < steps[i].m_tasks) {
       return true;
     }
