Schedule again once ended occurrences are dropped

A job that keeps as many tasks as it may waited with its next occurrence until some other event, since the pass after the last end came before the end was stored.

Change: dropping occurrences asks for a pass. Evidence: the case JobOccurrencesTest.GoOnOnceThoseBeforeAreStored failed without it and passes.

--- a/src/libhyssopspar/jobs/cell_store.cpp
+++ b/src/libhyssopspar/jobs/cell_store.cpp
@@ -218,7 +218,10 @@
   job->m_stored_parts = stored.m_parts;
   job->m_stored_changes = stored.m_changes;
   if (job->m_changes == stored.m_changes && OccurrenceCount(*job) > 1) {
+    const std::uint32_t first = FirstOccurrence(*job);
     DropOccurrences(job, EndedOccurrences(*job));
+    // The next ones may have waited for that.
+    m_schedule_needed = m_schedule_needed || FirstOccurrence(*job) != first;
   }
   if (job->m_refusals.m_count > 0) {
     EndRefusals(job, now);
--- a/src/libhyssopspar/jobs/job_occurrences_test.cpp
+++ b/src/libhyssopspar/jobs/job_occurrences_test.cpp
@@ -65,6 +65,25 @@
   EXPECT_GT(StartsOf("a"), 10U);
 }
 
+// Once those that were made have ended, no event but their storing is left to
+// bring the next ones.
+TEST_F(JobOccurrencesTest, GoOnOnceThoseBeforeAreStored) {
+  Submission job = Schedule(10, milliseconds(0));
+  job.m_plan.m_steps[0].m_tasks = 5000;
+  job.m_plan.m_steps[0].m_size = {1, 0, 0};
+  m_cell.OnJob(job, m_now);
+  Run(milliseconds(200));
+  ASSERT_EQ(StartsOf("a"), 10000U);
+  ASSERT_EQ(KeptTasks(), 10000U);
+  m_store_is_slow = true;
+  EndRuns();
+  ASSERT_EQ(StartsOf("a"), 10000U);
+  m_store_is_slow = false;
+  m_cell.OnStored(m_unanswered_batch, Offset{1}, m_now);
+  Run(milliseconds(100));
+  EXPECT_GT(StartsOf("a"), 10000U);
+}
+
 // Ended occurrences were kept for the life of the job.
 TEST_F(JobOccurrencesTest, AreDroppedOnceTheyHaveEnded) {
   m_cell.OnJob(Schedule(100, std::chrono::seconds(1)), m_now);
