Send no number of ends before a worker knows its fence

A task was started again after a run of it had ended done and that was taken note of.

Change: a worker that hasn't acknowledged its fence is sent no number of ends.

--- a/src/libhyssopspar/jobs/cell_restarts_test.cpp
+++ b/src/libhyssopspar/jobs/cell_restarts_test.cpp
@@ -120,6 +120,54 @@
   EXPECT_GT(m_starts[1].m_epoch, epoch);
 }
 
+// A hold that was sent once the list showed the restart bore the new fence and
+// the number of ends of the earlier incarnation. Carried out late, it discarded
+// the end of a run, which was started again after it was done.
+TEST_F(CellRestartTest, SendsNoNumberOfEndsBeforeTheFenceIsKnown) {
+  StartTask();
+  m_cell.OnJob(MakeJob("b", Step(1, 1000)), m_now);
+  Run(milliseconds(200));
+  for (const std::string worker : {"w0", "w1"}) {
+    m_ended[worker].push_back({1, {"b", 0, 0, 0}, 1, EndCause::kDone, ""});
+  }
+  m_cell.SetOwnershipLeaseDeadline(TimePoint::max());
+  m_heartbeats_are_answered = false;
+  Run(milliseconds(50));
+  // The report calls for an acknowledgement, which the next hold would bear.
+  const std::vector<HeartbeatAction> reports = m_unanswered_heartbeats;
+  m_unanswered_heartbeats.clear();
+  m_heartbeats_are_answered = true;
+  m_list_is_read = false;
+  for (const HeartbeatAction& report : reports) {
+    Answer(report);
+  }
+  Run(milliseconds(700));
+  for (const std::string worker : {"w0", "w1"}) {
+    ASSERT_EQ(m_acked[worker], 1U);
+  }
+  m_heartbeats_are_answered = false;
+  Run(milliseconds(50));
+  const std::vector<HeartbeatAction> last = m_unanswered_heartbeats;
+  m_unanswered_heartbeats.clear();
+  ++m_incarnations["w0"];
+  ++m_incarnations["w1"];
+  UpdateList();
+  m_heartbeats_are_answered = true;
+  for (const HeartbeatAction& report : last) {
+    HeartbeatReport earlier;
+    earlier.m_now = ClockOf(report.m_target.m_id);
+    earlier.m_incarnation_unix_ms = m_incarnations[report.m_target.m_id];
+    earlier.m_ended = m_ended[report.m_target.m_id];
+    m_cell.OnHeartbeatAnswer(report, earlier, m_now);
+  }
+  m_heartbeats_are_answered = false;
+  Run(milliseconds(600));
+  ASSERT_EQ(m_unanswered_heartbeats.size(), 2U);
+  for (const HeartbeatAction& hold : m_unanswered_heartbeats) {
+    EXPECT_EQ(hold.m_order.m_acked_up_to, 0U);
+  }
+}
+
 // A worker's refusal of an order of before the fence ended the ownership.
 TEST_F(CellRestartTest, KeepsOwnershipWhenItsOwnFenceRefusesAnOrder) {
   StartTask();
--- a/src/libhyssopspar/jobs/cell_workers.cpp
+++ b/src/libhyssopspar/jobs/cell_workers.cpp
@@ -30,12 +30,15 @@
 /// Number up to which the next heartbeat acknowledges the worker's ended runs.
 /// The worker may have restarted unseen and counts its ended runs anew then, so
 /// that an old number could discard new ends. Therefore an unreachable worker
-/// is sent none, and another one only a number that its last report calls for.
+/// is sent none, nor one that hasn't acknowledged its fence, and another one
+/// only a number that its last report calls for.
 std::uint64_t AckFor(const Worker& worker) {
   const bool is_needed =
       worker.m_lowest_listed_end > 0 &&
       worker.m_lowest_listed_end <= worker.m_acked_end_number;
-  return worker.m_reachable && is_needed ? worker.m_acked_end_number : 0;
+  return worker.m_reachable && worker.m_epoch_acknowledged && is_needed
+             ? worker.m_acked_end_number
+             : 0;
 }
 
 }  // namespace
