Bound the age of a worker that its entry tells

An entry of a worker from another writer may tell any number as the time of its start.

Change: the age is between 0 and one hour, beyond which it has no effect. Evidence: CellRestartTest.AcceptsAnyTimeOfStart, run without sanitizers only.

--- a/src/libhyssopspar/jobs/cell_restarts.cpp
+++ b/src/libhyssopspar/jobs/cell_restarts.cpp
@@ -12,6 +12,9 @@
 
 /// Most by which the times of day of two machines differ.
 constexpr milliseconds kMaxClockDifference{10000};
+/// An incarnation of this age counts as one that has run for long. Entries of
+/// workers may tell any time, also one that can't be subtracted.
+constexpr std::int64_t kMaxAgeMs = 3600000;
 
 }  // namespace
 
@@ -44,7 +47,8 @@
 
 TimePoint Cell::LatestStartOf(std::int64_t incarnation_unix_ms,
                               TimePoint now) const {
-  const milliseconds age(UnixMillis(now) - incarnation_unix_ms);
+  const milliseconds age(std::clamp<std::int64_t>(
+      UnixMillis(now) - incarnation_unix_ms, 0, kMaxAgeMs));
   return std::min(now, now - age + kMaxClockDifference);
 }
 
--- a/src/libhyssopspar/jobs/cell_restarts_test.cpp
+++ b/src/libhyssopspar/jobs/cell_restarts_test.cpp
@@ -237,6 +237,22 @@
   EXPECT_GT(WorkerOfTask().m_lease_deadline, m_now + kLongestLease);
 }
 
+// The start of a worker that an odd entry tells may be any number; as a time of
+// the steady clock it overflowed.
+TEST_F(CellRestartTest, AcceptsAnyTimeOfStart) {
+  m_cell.Activate(m_now);
+  constexpr std::int64_t kLargest = std::int64_t{1} << 53;
+  for (const std::int64_t born : {-kLargest, std::int64_t{0}, kLargest}) {
+    WorkerEntry entry;
+    entry.m_id = "w" + std::to_string(born);
+    entry.m_incarnation_unix_ms = born;
+    m_cell.SetWorker(entry, m_now);
+    EXPECT_GE(m_cell.Workers().back().m_lease_deadline, m_now);
+    EXPECT_LE(m_cell.Workers().back().m_lease_deadline,
+              m_now + std::chrono::seconds(30));
+  }
+}
+
 // A worker that has run for long has no lease but those of its own life: a new
 // owner must not wait longer for it.
 TEST_F(CellRestartTest, NewOwnerDoesNotWaitLongerForAWorkerThatHasRunForLong) {
