--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the programs of the scripted cases 11 to 14, with the project's
+# Builds the programs of the scripted cases of this review, with the project's
 # stand-ins, into build-review-3/. Run it after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/case-3.h
+++ b/review/case-3.h
@@ -71,6 +71,21 @@
     m_server.CloseConnections();
   }
 
+  /// While set, connections are reset, and the minion's entries don't reach the
+  /// store.
+  void SetCut(bool cut) {
+    m_cut.store(cut);
+    m_site->GetRecord().Add("cut id=" + Id() + " cut=" + (cut ? "1" : "0"));
+    if (cut) {
+      m_server.CloseConnections();
+    } else {
+      WriteEntry();
+    }
+  }
+
+  /// Number of stops that the minion has acknowledged.
+  int StopsPassed() const { return m_stops_passed.load(); }
+
   /// Begins another life of the minion under the same id.
   bool Restart() {
     if (!m_minion->Begin()) {
@@ -138,6 +153,9 @@
 
   /// Writes the entry of the present life, if there is one.
   void WriteEntry() {
+    if (m_cut.load()) {
+      return;
+    }
     const Answer health =
         Call(m_address, "GET", "/health", m_address, "", Millis(500));
     const Json said = Json::parse(health.m_body, nullptr, false);
@@ -165,6 +183,10 @@
 
   Response Pass(const Request& request) {
     Response response;
+    if (m_cut.load()) {
+      response.m_delivery = Delivery::kReset;
+      return response;
+    }
     if (request.m_path == "/api/run-start" && HoldBackStart(request)) {
       response.m_delivery = Delivery::kSilent;
       return response;
@@ -177,10 +199,13 @@
     }
     const Answer answer = Call(m_address, request.m_method, request.m_path,
                                m_address, request.m_body, Millis(4000));
-    if (answer.m_status == 0) {
+    if (answer.m_status == 0 || m_cut.load()) {
       response.m_delivery = Delivery::kReset;
       return response;
     }
+    if (request.m_path == "/api/run-stop" && answer.m_status == 200) {
+      ++m_stops_passed;
+    }
     response.m_status = answer.m_status;
     response.m_body = answer.m_body;
     return response;
@@ -205,6 +230,8 @@
   std::mutex m_mutex;
   std::string m_held_back;
   int m_sequence = 0;
+  std::atomic<bool> m_cut{false};
+  std::atomic<int> m_stops_passed{0};
   std::atomic<bool> m_stopping{false};
   std::thread m_beats;
   HttpServer m_server;
