--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,9 +4,12 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build-review-3
+compilers=()
 for source in review/1[1-5]/case.cpp; do
   number="$(basename "$(dirname "$source")")"
   "${CXX:-c++}" -std=c++17 -O1 "$source" -o "build-review-3/case-$number" -pthread &
+  compilers+=("$!")
+done
+for compiler in "${compilers[@]}"; do
+  wait "$compiler"
 done
-wait -n || exit 1
-while [ -n "$(jobs -pr)" ]; do wait -n || exit 1; done
